--- /dev/null
+++ b/Makefile
@@ -0,0 +1,32 @@
+# The targets that the README names. CI runs "make test".
+
+GO ?= go
+BIN := bin
+
+.PHONY: build test lint unit demo proof bench scale
+
+build:
+	$(GO) build -o $(BIN)/ ./cmd/...
+
+test: lint build unit
+
+lint:
+	@out=$$(gofmt -l $$(git ls-files '*.go')); if [ -n "$$out" ]; then echo "not formatted:"; echo "$$out"; exit 1; fi
+	$(GO) vet ./...
+	$(GO) tool staticcheck ./...
+	$(GO) tool revive -config revive.toml -set_exit_status ./...
+
+unit:
+	$(GO) test -race -timeout 480s ./...
+
+demo: build
+	$(BIN)/shallotlab demo
+
+proof: build
+	$(BIN)/shallotlab proof -seed $(or $(SEED),1) -runs $(or $(RUNS),1)
+
+bench: build
+	$(BIN)/shallotlab bench
+
+scale: build
+	$(BIN)/shallotlab scale
--- /dev/null
+++ b/cmd/shallotd/main.go
@@ -0,0 +1,4 @@
+// Command shallotd is the entry daemon.
+package main
+
+func main() {}
--- /dev/null
+++ b/core/clock/clock.go
@@ -0,0 +1,77 @@
+package clock
+
+import (
+	"sync/atomic"
+	"time"
+)
+
+// Units of [Span].
+const (
+	Millisecond Span = 1
+	Second           = 1000 * Millisecond
+	Minute           = 60 * Second
+	Hour             = 60 * Minute
+)
+
+// Time is a point in time in milliseconds. A real clock counts from the Unix epoch, a manual one from
+// wherever the test starts.
+type Time int64
+
+// Span is a length of time in milliseconds.
+type Span int64
+
+// Clock gives the current time. The zero value reads the real clock.
+type Clock struct {
+	// Manual, when set, is the time that Now returns.
+	Manual *atomic.Int64
+}
+
+// NewManual returns a clock that stands at t until Advance moves it.
+func NewManual(t Time) Clock {
+	c := Clock{Manual: new(atomic.Int64)}
+	c.Manual.Store(int64(t))
+	return c
+}
+
+// Add returns t moved by s.
+func (t Time) Add(s Span) Time { return t + Time(s) }
+
+// Sub returns the span from u to t.
+func (t Time) Sub(u Time) Span { return Span(t - u) }
+
+// Before reports whether t is earlier than u.
+func (t Time) Before(u Time) bool { return t < u }
+
+// Std converts t to a [time.Time].
+func (t Time) Std() time.Time { return time.UnixMilli(int64(t)) }
+
+// Std converts s to a [time.Duration].
+func (s Span) Std() time.Duration { return time.Duration(s) * time.Millisecond }
+
+// FromStd converts a [time.Duration] to a span, rounding down to whole milliseconds.
+func FromStd(d time.Duration) Span { return Span(d / time.Millisecond) }
+
+// Now returns the current time. The real clock is monotonic within a process: it is read as the process
+// start plus the monotonic time since then, so that a step of the wall clock cannot reorder events.
+func (c Clock) Now() Time {
+	if c.Manual != nil {
+		return Time(c.Manual.Load())
+	}
+	return Time(start.UnixMilli() + time.Since(start).Milliseconds())
+}
+
+// Wall returns the wall clock, which may step. Lease holders compare it with Now because a monotonic
+// reading does not advance on some systems while the VM is suspended.
+func (c Clock) Wall() Time {
+	if c.Manual != nil {
+		return Time(c.Manual.Load())
+	}
+	return Time(time.Now().Round(0).UnixMilli())
+}
+
+// Advance moves a manual clock by s. It panics on the real clock.
+func (c Clock) Advance(s Span) {
+	c.Manual.Add(int64(s))
+}
+
+var start = time.Now()
--- /dev/null
+++ b/core/document/types.go
@@ -0,0 +1,118 @@
+package document
+
+import "shallotrun/core/clock"
+
+// States of a version.
+const (
+	// Canary gets Share percent of new work for its model.
+	Canary = "canary"
+	// Live gets the rest of new work.
+	Live = "live"
+	// Draining gets no new sessions and no work without a session; open sessions go on.
+	Draining = "draining"
+	// Withdrawn gets nothing new.
+	Withdrawn = "withdrawn"
+)
+
+// What an entry VM without word from the platform does with a version.
+const (
+	StaleServe  = "serve"
+	StaleRefuse = "refuse"
+)
+
+// Snapshot is a validated document with its place in the order of documents.
+type Snapshot struct {
+	Revision uint64     `json:"revision"` // version of the platform object; only grows
+	Digest   string     `json:"digest"`   // hex xxhash of the document's bytes
+	At       clock.Time `json:"at"`       // when this process put it in force, wall clock
+	Document *Document  `json:"document"`
+}
+
+// Document is the whole configuration.
+type Document struct {
+	Author     string      `json:"author"` // who made this change
+	Note       string      `json:"note,omitempty"`
+	Domains    []string    `json:"domains"` // failure domains; also the homes of claims
+	Ranks      Ranks       `json:"ranks"`
+	Models     []Model     `json:"models"`
+	Pools      []Pool      `json:"pools"`
+	Services   []Service   `json:"services,omitempty"`
+	Workspaces []Workspace `json:"workspaces"`
+	Routes     []Route     `json:"routes,omitempty"`
+	Cascades   []Cascade   `json:"cascades,omitempty"`
+}
+
+// Ranks gives the minimum share of service of the lower ranks during a flood, in percent.
+type Ranks struct {
+	Normal int `json:"normal"` // 0 means the default of 10
+	Batch  int `json:"batch"`  // 0 means the default of 5
+}
+
+// Model is a language model with its versions.
+type Model struct {
+	Name     string    `json:"name"`
+	Versions []Version `json:"versions"`
+}
+
+// Version is one version of a model.
+type Version struct {
+	Name  string `json:"name"`
+	State string `json:"state"`
+	Share int    `json:"share,omitempty"` // percent of new work while canary
+	Cost  int    `json:"cost"`            // millionths of a currency unit for 1,000 generated tokens
+	Exact bool   `json:"exact,omitempty"` // the same request gives the same tokens on every replica
+	Stale string `json:"stale,omitempty"` // StaleServe (default) or StaleRefuse
+	Limit int    `json:"limit,omitempty"` // seconds without word from the platform before StaleRefuse acts
+}
+
+// Pool is a group of model engines that serve the same models.
+type Pool struct {
+	Name   string   `json:"name"`
+	Models []string `json:"models"` // model names
+	Fenced bool     `json:"fenced"` // the engines refuse an order with an old fencing number
+	Slots  int      `json:"slots"`  // concurrent requests for each backend server
+}
+
+// Service is a plain HTTP service.
+type Service struct {
+	Name  string `json:"name"` // path is /services/NAME/
+	Pool  string `json:"pool"` // pool of the VM list
+	Rank  string `json:"rank,omitempty"`
+	Calls []Call `json:"calls,omitempty"` // first match wins; a call without a match may not be repeated unless GET or HEAD
+	Slots int    `json:"slots,omitempty"`
+}
+
+// Call says whether calls of one method under one path prefix may be repeated.
+type Call struct {
+	Method string `json:"method"`
+	Path   string `json:"path"`
+	Repeat bool   `json:"repeat"`
+}
+
+// Workspace is a tenant with what it may use.
+type Workspace struct {
+	Name     string   `json:"name"`
+	Keys     []string `json:"keys"`               // hex SHA-256 of the API keys
+	Allow    []string `json:"allow"`              // MODEL (any version) or MODEL@VERSION
+	Services []string `json:"services,omitempty"` // plain services it may call
+	Rank     string   `json:"rank"`               // the most urgent rank it may ask for
+	Weight   int      `json:"weight"`             // weight in the fair order within a rank
+	Limit    int      `json:"limit,omitempty"`    // largest max_tokens, 0 means 4096
+	Routes   []string `json:"routes,omitempty"`   // routes and cascades it may use
+}
+
+// Route is a name that callers may use in place of a model.
+type Route struct {
+	Name  string `json:"name"`
+	Model string `json:"model"`          // MODEL or MODEL@VERSION
+	Rank  string `json:"rank,omitempty"` // rank where the caller names none
+}
+
+// Cascade tries cheap stages before costly ones.
+type Cascade struct {
+	Name    string   `json:"name"`
+	Stages  []string `json:"stages"`         // models, cheapest first
+	Quality int      `json:"quality"`        // target rating in percent
+	Down    string   `json:"down"`           // stage to use while ratings are missing: "first" or "last"
+	Wait    int      `json:"wait,omitempty"` // milliseconds to wait for a rating, 0 means 500
+}
