peer: connections between entry VMs with limits and a keyed handshake

Ruled out: mutual TLS. It would encrypt too, but needs a certificate for each VM, a clock for its expiry and a way to replace it on VMs without disks. The settings already hold one shared key, and a second accepted key is enough to change it without downtime. The HMAC handshake authenticates the two ends; it does not encrypt. Change: io/peer with a transport that keeps one outgoing connection for each VM, matches answers by seq and ack, bounds its queues and replaces silent connections. A beat is answered with an empty pong, so that a one-way connection shows that it is alive. Conclusion: messages can be lost, but a request reports it to its sender.

--- /dev/null
+++ b/io/peer/peer_test.go
@@ -0,0 +1,262 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/fasthttp/websocket"
+	"github.com/fxamacker/cbor/v2"
+	"github.com/rs/zerolog"
+	"github.com/valyala/fasthttp"
+	"gotest.tools/v3/assert"
+
+	"shallotrun/core/clock"
+)
+
+// echo answers every request with its own body.
+type echo struct {
+	mu  sync.Mutex
+	ups int
+}
+
+func (h *echo) Handle(e *Envelope) (string, any, error) { return KindVoted, e.Body, nil }
+
+func (h *echo) Up(string, uint64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.ups++
+}
+
+func (h *echo) count() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.ups
+}
+
+// vm starts a transport that listens on a loopback port.
+func vm(t *testing.T, name string, keys ...string) (*Transport, string) {
+	t.Helper()
+	tr := &Transport{Name: name, Inc: 1, Beat: 100 * clock.Millisecond, Handler: &echo{}, Log: zerolog.Nop()}
+	for _, k := range keys {
+		tr.Keys = append(tr.Keys, []byte(k))
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	tr.Run(ctx)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	s := &fasthttp.Server{Handler: tr.Serve}
+	go func() { _ = s.Serve(l) }()
+	t.Cleanup(func() { stop(); _ = l.Close(); tr.Wait() })
+	return tr, l.Addr().String()
+}
+
+func until(t *testing.T, what string, f func() bool) {
+	t.Helper()
+	for end := time.Now().Add(10 * time.Second); !f(); time.Sleep(5 * time.Millisecond) {
+		assert.Assert(t, time.Now().Before(end), what)
+	}
+}
+
+// Guards against a key change that needs all VMs to restart at once, and against accepting another fleet.
+func TestHandshakeKeys(t *testing.T) {
+	cases := []struct {
+		name       string
+		dial, take []string
+		ok         bool
+	}{
+		{"same key", []string{"a"}, []string{"a"}, true},
+		{"dialler has the new key", []string{"b", "a"}, []string{"a"}, true},
+		{"acceptor has the new key", []string{"a"}, []string{"b", "a"}, true},
+		{"other key", []string{"a"}, []string{"c"}, false},
+		{"no key", nil, []string{"a"}, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			a, _ := vm(t, "a", c.dial...)
+			b, addr := vm(t, "b", c.take...)
+			a.Connect("b", addr)
+			if c.ok {
+				until(t, "connected", func() bool { return a.Reachable("b") && b.Reachable("a") })
+				return
+			}
+			time.Sleep(300 * time.Millisecond)
+			assert.Assert(t, !a.Reachable("b") && !b.Reachable("a"))
+			assert.Equal(t, b.Handler.(*echo).count(), 0)
+		})
+	}
+}
+
+// Guards against answers given to the wrong request, and against a request that waits for ever.
+func TestAskMatchesAnswers(t *testing.T) {
+	a, _ := vm(t, "a", "k")
+	b, addr := vm(t, "b", "k")
+	a.Connect("b", addr)
+	until(t, "connected", func() bool { return a.Reachable("b") && b.Reachable("a") })
+	var wg sync.WaitGroup
+	for i := range 200 {
+		wg.Go(func() {
+			ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+			defer cancel()
+			from, to := a, "b"
+			if i%2 == 1 { // back over the incoming connection
+				from, to = b, "a"
+			}
+			var got int
+			assert.Check(t, from.Ask(ctx, to, KindClaim, i, &got) == nil)
+			assert.Check(t, got == i)
+		})
+	}
+	wg.Wait()
+	assert.ErrorIs(t, a.Send("nobody", KindCopy, 1), ErrDown)
+}
+
+// Guards against a peer that exhausts memory or the stack, or smuggles a second value for a key: each case
+// exceeds one limit and must end the connection; the first is within them.
+func TestLimits(t *testing.T) {
+	head := func(body ...byte) []byte { return append([]byte("\xa2\x64kind\x65claim\x64body"), body...) }
+	nested := func(n int) []byte {
+		return head(append([]byte(strings.Repeat("\x81", n)), 0)...)
+	}
+	array := func(n int) []byte {
+		b, err := cbor.Marshal(make([]int, n))
+		assert.NilError(t, err)
+		return head(b...)
+	}
+	pairs := func(n int) []byte {
+		m := map[int]int{}
+		for i := range n {
+			m[i] = i
+		}
+		b, err := cbor.Marshal(m)
+		assert.NilError(t, err)
+		return head(b...)
+	}
+	cases := []struct {
+		name  string
+		frame []byte
+		ok    bool
+	}{
+		{"nesting within", nested(MaxNesting - 1), true},
+		{"elements within", array(MaxElements), true},
+		{"pairs within", pairs(MaxPairs), true},
+		{"nesting", nested(MaxNesting + 1), false},
+		{"elements", array(MaxElements + 1), false},
+		{"pairs", pairs(MaxPairs + 1), false},
+		{"frame", head(append([]byte{0x5a, 0, 0x10, 0, 0}, make([]byte, 1<<20)...)...), false},
+		{"duplicate key", []byte("\xa2\x64kind\x65claim\x64kind\x64beat"), false},
+		{"indefinite length", head(0x9f, 0xff), false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			b, addr := vm(t, "b", "k")
+			a := &Transport{Name: "a", Keys: b.Keys}
+			ws, res, err := dialer.Dial("ws://"+addr+Path, nil)
+			assert.NilError(t, err)
+			if res.Body != nil {
+				assert.NilError(t, res.Body.Close())
+			}
+			_, err = a.greet(ws)
+			assert.NilError(t, err)
+			until(t, "connected", func() bool { return b.Reachable("a") })
+			_ = ws.WriteMessage(websocket.BinaryMessage, c.frame)
+			// A beat after the frame is answered with a pong only if the frame was accepted.
+			_ = ws.WriteMessage(websocket.BinaryMessage, []byte("\xa1\x64kind\x64beat"))
+			pong := false
+			ws.SetPongHandler(func(string) error { pong = true; return nil })
+			_ = ws.SetReadDeadline(time.Now().Add(10 * time.Second))
+			_, _, err = ws.ReadMessage()
+			assert.Assert(t, err != nil)
+			assert.Equal(t, pong, c.ok)
+		})
+	}
+}
+
+// Guards against an unauthenticated peer that makes a VM buffer a large frame.
+func TestLimitBeforeHandshake(t *testing.T) {
+	_, addr := vm(t, "b", "k")
+	ws, res, err := dialer.Dial("ws://"+addr+Path, nil)
+	assert.NilError(t, err)
+	if res.Body != nil {
+		assert.NilError(t, res.Body.Close())
+	}
+	began := time.Now()
+	_ = ws.WriteMessage(websocket.BinaryMessage, make([]byte, maxHello+1))
+	_, _, err = ws.ReadMessage()
+	assert.Assert(t, err != nil)
+	assert.Assert(t, time.Since(began) < handshakeTime, "ended by the limit and not by the deadline")
+}
+
+// Guards against a connection that accepts writes but carries nothing back: it must be replaced.
+func TestSilentConnectionIsReplaced(t *testing.T) {
+	b, addr := vm(t, "b", "k")
+	a, _ := vm(t, "a", "k")
+	proxy, silence := silentProxy(t, addr)
+	a.Connect("b", proxy)
+	until(t, "connected", func() bool { return a.Reachable("b") && b.Reachable("a") })
+	silence()
+	ups := a.Handler.(*echo).count()
+	until(t, "redialled", func() bool { return a.Handler.(*echo).count() > ups })
+}
+
+// silentProxy forwards connections to addr. The returned function makes those that are open silent.
+func silentProxy(t *testing.T, addr string) (string, func()) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	var mu sync.Mutex
+	age := 0
+	forward := func(from, to net.Conn, born int) {
+		for b := make([]byte, 4096); ; {
+			n, err := from.Read(b)
+			if err != nil {
+				_ = to.Close()
+				return
+			}
+			mu.Lock()
+			quiet := born != age
+			mu.Unlock()
+			if !quiet {
+				_, _ = to.Write(b[:n])
+			}
+		}
+	}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			d, err := net.Dial("tcp", addr)
+			if err != nil {
+				return
+			}
+			mu.Lock()
+			born := age
+			mu.Unlock()
+			go forward(c, d, born)
+			go forward(d, c, born)
+		}
+	}()
+	return l.Addr().String(), func() { mu.Lock(); age++; mu.Unlock() }
+}
+
+// Guards against a full queue that drops a claim or copy without telling the sender, and against
+// heartbeats that hold up the sender.
+func TestQueueBounds(t *testing.T) {
+	c := newConn(&Transport{}, nil, party{Name: "b"})
+	for range queueLen {
+		assert.NilError(t, c.send(&Envelope{Kind: KindCopy}))
+	}
+	assert.ErrorIs(t, c.send(&Envelope{Kind: KindClaim}), ErrFull)
+	for i := range uint64(10) {
+		assert.NilError(t, c.send(&Envelope{Kind: KindBeat, Seq: i + 1}))
+	}
+	var e Envelope
+	assert.NilError(t, decode(<-c.beats, &e))
+	assert.Equal(t, e.Seq, uint64(10-beatLen+1))
+}
