--- a/io/peer/transport.go
+++ b/io/peer/transport.go
@@ -20,8 +20,8 @@
 
 // Bounds of the time between two attempts to dial a peer, and of the incoming connections.
 const (
-	redialFirst   = 100 * time.Millisecond
-	redialLast   = 3 * time.Second
+	redialFirst = 100 * time.Millisecond
+	redialLast  = 3 * time.Second
 	maxIncoming = 2048
 	ioBuffer    = 1024 // most frames are heartbeats of under 100 bytes
 )
