bill: batches with copies, each request in exactly one object

Cause: a request must be billed once while owners, holders and the platform lose messages and answers, pause and die (design 5.2). Ruled out: billing a request whose copy was not acknowledged in the owner's batch (a taker could have billed it); an object per take that arbitrates first and a batch later (a crash between the two loses the bill).

--- /dev/null
+++ b/core/bill/bill_test.go
@@ -0,0 +1,322 @@
+package bill
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"shallotrun/core/clock"
+	"shallotrun/core/work"
+)
+
+// world is a few desks, the messages between them and a platform. Everything may be lost, repeated, late.
+type world struct {
+	now      clock.Time
+	desks    []*Desk
+	incs     []uint64
+	paused   []bool
+	suspect  []bool
+	down     bool
+	flight   []message
+	objects  map[string][]work.Bill
+	requests []*request
+}
+
+type message struct {
+	to  int // desk or -1 for the platform
+	run func()
+}
+
+type request struct {
+	id     string
+	owner  int // the VM where it started
+	inc    uint64
+	holder Holder
+	begun  bool // the owner filed it
+	// incarnations of which one must still live for the bill to be due
+	saved []Holder
+}
+
+func newWorld(n int) *world {
+	w := &world{
+		now: 1000, objects: map[string][]work.Bill{}, incs: make([]uint64, n), desks: make([]*Desk, n),
+		paused: make([]bool, n), suspect: make([]bool, n),
+	}
+	for i := range n {
+		w.boot(i)
+	}
+	return w
+}
+
+func (w *world) boot(i int) {
+	w.incs[i]++
+	name := func(i int) string { return fmt.Sprint("v", i) }
+	d := &Desk{Self: name(i), Inc: w.incs[i], Seal: clock.Second, Max: 3, Bound: 100}
+	d.Lost = func(n string, inc uint64) bool { j := index(n); return w.incs[j] != inc || w.suspect[j] }
+	d.Pick = func() Holder {
+		for k := 1; k < len(w.desks); k++ {
+			if j := (i + k) % len(w.desks); !w.suspect[j] && !w.paused[j] {
+				return Holder{Name: name(j), Inc: w.incs[j], At: w.now}
+			}
+		}
+		return Holder{}
+	}
+	w.desks[i] = d
+}
+
+func index(name string) int { return int(name[1] - '0') }
+
+func (w *world) alive(h Holder) bool { return h.Name != "" && w.incs[index(h.Name)] == h.Inc }
+
+func (w *world) post(to int, f func()) { w.flight = append(w.flight, message{to, f}) }
+
+// ask carries a request to a desk and its answer back to the incarnation that asked.
+func (w *world) ask(from int, to string, serve func(*Desk, Holder) Reply, got func(*Desk, Answer)) {
+	inc, j := w.incs[from], index(to)
+	w.post(j, func() {
+		r := serve(w.desks[j], Holder{Name: fmt.Sprint("v", from), Inc: inc})
+		w.post(from, func() {
+			if w.incs[from] == inc {
+				got(w.desks[from], r.Answer)
+			}
+		})
+	})
+}
+
+func (w *world) do(i int, cs []Command) {
+	inc := w.incs[i]
+	back := func(f func()) {
+		w.post(i, func() {
+			if w.incs[i] == inc {
+				f()
+			}
+		})
+	}
+	for _, c := range cs {
+		d := w.desks[i]
+		switch c := c.(type) {
+		case SendCopy:
+			w.ask(i, c.To, func(h *Desk, o Holder) Reply { return h.Accept(w.now, o, c.Copy) }, func(d *Desk, a Answer) {
+				w.do(i, d.Copied(w.now, c.Copy, c.To, a))
+				if r := w.find(c.Copy.Bill.Request); a == Held && r.owner == i && r.inc == inc && c.To == r.holder.Name {
+					r.saved = append(r.saved, r.holder)
+				}
+			})
+		case SendTake:
+			w.ask(i, c.To, func(h *Desk, _ Holder) Reply { return h.Mark(w.now, c.Take) }, func(d *Desk, a Answer) {
+				w.do(i, d.Taken(w.now, c.Take.Request, a))
+			})
+		case SendSealed:
+			w.ask(i, c.To, func(h *Desk, o Holder) Reply { return h.Drop(o, c.Sealed) }, func(*Desk, Answer) {})
+		case Create:
+			w.post(-1, func() {
+				out := Unclear
+				if _, ok := w.objects[c.Name]; ok {
+					out = Exists
+				} else if !w.down {
+					w.objects[c.Name], out = c.Bills, Made
+				}
+				back(func() { w.do(i, d.Created(w.now, c.Name, out)) })
+			})
+		case Read:
+			w.post(-1, func() {
+				bills, ok := w.objects[c.Name]
+				var ids []string
+				for _, b := range bills {
+					ids = append(ids, b.Request)
+				}
+				if ok && !w.down {
+					back(func() { d.Content(w.now, c.Name, ids) })
+				}
+			})
+		}
+	}
+}
+
+func (w *world) find(id string) *request {
+	return w.requests[slices.IndexFunc(w.requests, func(r *request) bool { return r.id == id })]
+}
+
+func (w *world) step(t *rapid.T, k int) {
+	m := w.flight[k]
+	if m.to >= 0 && w.paused[m.to] {
+		return
+	}
+	w.flight = slices.Delete(w.flight, k, k+1)
+	m.run()
+}
+
+func (w *world) file(t *rapid.T, i int, r *request) {
+	d := w.desks[i]
+	owner := i == r.owner && w.incs[i] == r.inc && !r.begun
+	if !owner && (d.takes == nil || d.takes[r.id] == nil) {
+		return
+	}
+	if !owner && !d.Keeps(r.id) && d.takes[r.id].state == mine || owner {
+		r.saved = append(r.saved, Holder{Name: d.Self, Inc: d.Inc})
+	}
+	if owner {
+		r.begun = true
+	}
+	w.do(i, d.File(w.now, work.Bill{Request: r.id, Workspace: d.Self}, r.holder))
+}
+
+// once checks that no request is in two objects, or twice in one.
+func (w *world) once(t *rapid.T) {
+	seen := map[string]string{}
+	for _, n := range sorted(w.objects) {
+		for _, b := range w.objects[n] {
+			if o, ok := seen[b.Request]; ok {
+				t.Fatalf("%s is in %s and in %s", b.Request, o, n)
+			}
+			seen[b.Request] = n
+		}
+	}
+}
+
+// heal ends all faults and lets the desks settle.
+func (w *world) heal(t *rapid.T) {
+	w.down = false
+	for i := range w.desks {
+		w.paused[i], w.suspect[i] = false, false
+	}
+	for range 80 {
+		for n := 0; len(w.flight) > 0; n++ {
+			if n > 10000 {
+				t.Fatalf("messages do not end")
+			}
+			w.step(t, 0)
+		}
+		w.now = w.now.Add(20 * clock.Second)
+		for i, d := range w.desks {
+			w.do(i, d.Tick(w.now))
+		}
+	}
+}
+
+// Guards against a request that is billed twice, and against one that is lost while a VM that had its bill
+// lives: owner, holder and platform lose messages and answers, pause, crash, are suspected, and resume.
+func TestEachRequestInOneObject(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(4)
+		vm := func() int { return rapid.IntRange(0, 3).Draw(t, "vm") }
+		some := func() (int, bool) {
+			if len(w.flight) == 0 {
+				return 0, false
+			}
+			return rapid.IntRange(0, len(w.flight)-1).Draw(t, "message"), true
+		}
+		start := func(*rapid.T) {
+			i := vm()
+			r := &request{id: fmt.Sprint("r", len(w.requests)), owner: i, inc: w.incs[i], holder: w.desks[i].Pick()}
+			w.requests = append(w.requests, r)
+		}
+		draw := func() *request {
+			if len(w.requests) == 0 {
+				start(nil)
+			}
+			return rapid.SampledFrom(w.requests).Draw(t, "request")
+		}
+		deliver := func(t *rapid.T) {
+			if k, ok := some(); ok {
+				w.step(t, k)
+			}
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"start":    start,
+			"deliver":  deliver,
+			"deliver2": deliver,
+			"deliver3": deliver,
+			"file": func(t *rapid.T) {
+				r := draw()
+				w.file(t, r.owner, r)
+			},
+			"take": func(t *rapid.T) {
+				r, i := draw(), vm()
+				if i != r.owner || w.incs[i] != r.inc {
+					w.do(i, w.desks[i].TakeOver(w.now, r.id, r.holder))
+				}
+			},
+			"fileTaken": func(t *rapid.T) { w.file(t, vm(), draw()) },
+			"drop": func(*rapid.T) {
+				if k, ok := some(); ok {
+					w.flight = slices.Delete(w.flight, k, k+1)
+				}
+			},
+			"repeat": func(*rapid.T) {
+				if k, ok := some(); ok {
+					w.flight = append(w.flight, w.flight[k])
+				}
+			},
+			"tick": func(*rapid.T) {
+				if i := vm(); !w.paused[i] {
+					w.do(i, w.desks[i].Tick(w.now))
+				}
+			},
+			"advance": func(*rapid.T) {
+				w.now = w.now.Add(rapid.SampledFrom([]clock.Span{500, 2000, 20000, 61000, 20 * clock.Minute}).Draw(t, "span"))
+			},
+			"crash":    func(*rapid.T) { w.boot(vm()) },
+			"pause":    func(*rapid.T) { i := vm(); w.paused[i] = !w.paused[i] },
+			"suspect":  func(*rapid.T) { i := vm(); w.suspect[i] = !w.suspect[i] },
+			"platform": func(*rapid.T) { w.down = !w.down },
+			"":         w.once,
+		})
+		w.heal(t)
+		w.once(t)
+		for _, r := range w.requests {
+			due, found := slices.ContainsFunc(r.saved, w.alive), false
+			for _, bs := range w.objects {
+				found = found || slices.ContainsFunc(bs, func(b work.Bill) bool { return b.Request == r.id })
+			}
+			if due && !found {
+				t.Fatalf("%s is not billed: %+v", r.id, r)
+			}
+		}
+		for i, d := range w.desks {
+			if d.Waiting() > 0 {
+				t.Fatalf("%d still has %d bills", i, d.Waiting())
+			}
+		}
+	})
+}
+
+// Guards against a resume token that a caller altered and that names no holder.
+func TestParseHolder(t *testing.T) {
+	h := Holder{Name: "loka-a-1", Inc: 7, At: 9}
+	got, err := ParseHolder(h.String())
+	assert.NilError(t, err)
+	assert.Equal(t, got, h)
+	for _, s := range []string{"x", "a/b/c", "a/1", "/1/1", "a/1/-", "a/1/1/1"} {
+		_, err := ParseHolder(s)
+		assert.Check(t, err != nil, s)
+	}
+}
+
+// Guards against memory that grows without a bound in a long outage.
+func TestFullAtTheBound(t *testing.T) {
+	w := newWorld(2)
+	w.down = true
+	for i := range 100 {
+		assert.Assert(t, !w.desks[0].Full())
+		w.desks[0].File(w.now, work.Bill{Request: fmt.Sprint(i)}, Holder{})
+	}
+	assert.Assert(t, w.desks[0].Full())
+}
+
+// Guards against a forgotten copy: once the memory of copies is full, the holder vouches for no request that
+// started before.
+func TestForgottenCopiesAreNotVouchedFor(t *testing.T) {
+	d := &Desk{Self: "h", Inc: 1, Lost: func(string, uint64) bool { return false }}
+	token := Holder{Name: "h", Inc: 1, At: 5}
+	for i := range 2*maxFiled + 2 {
+		c := Copy{Batch: "b", Holder: token.String(), Bill: work.Bill{Request: fmt.Sprint(i)}}
+		d.batches = nil // the test is about the memory of requests, not of bills
+		d.open = nil
+		assert.Equal(t, d.Accept(10, Holder{Name: "o"}, c).Answer, Held)
+	}
+	assert.Equal(t, d.Mark(10, Take{Request: "0", Holder: token.String()}).Answer, Stranger)
+}
