queue: add ranks with minimum shares and weighted fair queuing

Cause: an entry VM needs an order for the requests that wait for a slot. Ruled out: evicting waiting items of a large tenant when a rank is full. A limit per tenant that shrinks with the free places keeps the others out of trouble without a second way for an accepted item to leave. Change: FIFO and Strict as baselines; Fair with start-time fair queuing by tokens, minimum shares as credit that moves only while more urgent work waits, early refusal by the measured rate of the rank, and PopFree, which leaves the last free slots to more urgent ranks.

--- /dev/null
+++ b/core/queue/item.go
@@ -0,0 +1,56 @@
+package queue
+
+import (
+	"container/list"
+
+	"shallotrun/core/clock"
+	"shallotrun/core/work"
+)
+
+// Item is a request that waits.
+type Item struct {
+	ID       string
+	Rank     work.Rank
+	Tenant   string
+	Weight   int        // weight among the tenants of the rank; below 1 counts as 1
+	Cost     int        // expected tokens; below 1 counts as 1
+	Deadline clock.Time // latest useful start, 0 for none
+	Arrived  clock.Time
+}
+
+// entry is an item with its places in the queue's structures.
+type entry struct {
+	Item
+	seq   uint64
+	flow  *flow
+	place *list.Element // in flow.items
+	index int           // in deadlines, -1 when it has none
+}
+
+// deadlines is a heap of the entries that have a deadline, earliest first.
+type deadlines []*entry
+
+func (d deadlines) Len() int           { return len(d) }
+func (d deadlines) Less(i, j int) bool { return d[i].Deadline < d[j].Deadline }
+
+func (d deadlines) Swap(i, j int) {
+	d[i], d[j] = d[j], d[i]
+	d[i].index, d[j].index = i, j
+}
+
+// Push implements [heap.Interface].
+func (d *deadlines) Push(x any) {
+	e := x.(*entry)
+	e.index = len(*d)
+	*d = append(*d, e)
+}
+
+// Pop implements [heap.Interface].
+func (d *deadlines) Pop() any {
+	old := *d
+	e := old[len(old)-1]
+	old[len(old)-1] = nil
+	*d = old[:len(old)-1]
+	e.index = -1
+	return e
+}
--- /dev/null
+++ b/core/queue/policy.go
@@ -0,0 +1,54 @@
+package queue
+
+import "shallotrun/core/work"
+
+// Policy is the order in which waiting items are served.
+type Policy interface{ policy() }
+
+// FIFO serves in order of arrival whatever the rank and tenant. It is a baseline.
+type FIFO struct{}
+
+// Strict serves the most urgent rank first and in order of arrival within a rank. It is a baseline: during a
+// flood the lower ranks get nothing, and a large tenant delays the small ones.
+type Strict struct{}
+
+// Fair serves the most urgent rank first, except that a lower rank gets its minimum share of the tokens while
+// more urgent work waits. Within a rank the tenants share by weight.
+type Fair struct {
+	Normal int // minimum share of Normal in percent, 0 means 10
+	Batch  int // minimum share of Batch in percent, 0 means 5
+	// Reserve is the number of free slots that PopFree leaves to more urgent ranks: Batch starts only while
+	// more than Reserve slots are free, Normal while more than half of that are. Without it, urgent work that
+	// arrives during a flood of batch work has to wait until a running request ends.
+	Reserve int
+}
+
+func (FIFO) policy()   {}
+func (Strict) policy() {}
+func (Fair) policy()   {}
+
+// share returns the minimum share of a rank as a fraction.
+func (f Fair) share(r work.Rank) float64 {
+	switch {
+	case r == work.Normal && f.Normal > 0:
+		return float64(f.Normal) / 100
+	case r == work.Normal:
+		return 0.10
+	case r == work.Batch && f.Batch > 0:
+		return float64(f.Batch) / 100
+	case r == work.Batch:
+		return 0.05
+	}
+	return 0
+}
+
+// reserve returns the number of free slots that rank r leaves to more urgent ranks.
+func (f Fair) reserve(r work.Rank) int {
+	switch r {
+	case work.Normal:
+		return f.Reserve / 2
+	case work.Batch:
+		return f.Reserve
+	}
+	return 0
+}
--- /dev/null
+++ b/core/queue/queue_test.go
@@ -0,0 +1,191 @@
+package queue
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"shallotrun/core/clock"
+	"shallotrun/core/work"
+)
+
+// Guards against a policy that serves in another order than it promises.
+func TestOrder(t *testing.T) {
+	in := []Item{
+		{ID: "b1", Rank: work.Batch, Tenant: "x", Cost: 10},
+		{ID: "n1", Rank: work.Normal, Tenant: "x", Cost: 10},
+		{ID: "n2", Rank: work.Normal, Tenant: "x", Cost: 10},
+		{ID: "n3", Rank: work.Normal, Tenant: "y", Cost: 10},
+		{ID: "u1", Rank: work.Urgent, Tenant: "y", Cost: 10},
+	}
+	tests := []struct {
+		policy Policy
+		free   int
+		want   string
+	}{
+		{FIFO{}, 9, "[b1 n1 n2 n3 u1]"},
+		{Strict{}, 9, "[u1 n1 n2 n3 b1]"},
+		{Fair{}, 9, "[u1 n1 n3 n2 b1]"},
+		{Fair{Reserve: 2}, 2, "[u1 n1 n3 n2]"},
+		{Fair{Reserve: 2}, 1, "[u1]"},
+	}
+	for _, tt := range tests {
+		q := &Queue{Policy: tt.policy}
+		for _, it := range in {
+			assert.Assert(t, q.Push(0, it) == nil)
+		}
+		var got []string
+		for it, ok := q.PopFree(1, tt.free); ok; it, ok = q.PopFree(1, tt.free) {
+			got = append(got, it.ID)
+		}
+		assert.Equal(t, fmt.Sprint(got), tt.want, "%T", tt.policy)
+	}
+}
+
+// Guards against a flood of a higher rank that starves the lower ones, and against lower ranks that take more
+// than their minimum while urgent work waits.
+func TestMinimumShares(t *testing.T) {
+	q := &Queue{Limit: 10000}
+	for i := range 4000 {
+		for r := work.Urgent; r <= work.Batch; r++ {
+			assert.Assert(t, q.Push(0, Item{ID: fmt.Sprint(r, i), Rank: r, Tenant: "x", Cost: 50 + i%100}) == nil)
+		}
+	}
+	var served [work.Ranks]int
+	total := 0
+	for range 2000 {
+		it, ok := q.Pop(1)
+		assert.Assert(t, ok)
+		served[it.Rank] += it.Cost
+		total += it.Cost
+	}
+	for r, want := range []int{85, 10, 5} {
+		got := 100 * float64(served[r]) / float64(total)
+		assert.Check(t, got > float64(want)-1 && got < float64(want)+1, "%v got %.2f%%, want %d%%", work.Rank(r), got, want)
+	}
+}
+
+// Guards against a large tenant that delays the small ones, and against credit for time spent idle.
+func TestTenants(t *testing.T) {
+	q := &Queue{Limit: 1000}
+	push := func(tenant string, i, weight int) {
+		it := Item{ID: fmt.Sprint(tenant, i), Rank: work.Normal, Tenant: tenant, Weight: weight, Cost: 100}
+		assert.Assert(t, q.Push(0, it) == nil)
+	}
+	for i := range 200 {
+		push("large", i, 1)
+	}
+	for range 50 {
+		_, _ = q.Pop(1)
+	}
+	for i := range 60 {
+		push("late", i, 1)
+		push("double", i, 2)
+	}
+	served := map[string]int{}
+	for range 80 {
+		it, _ := q.Pop(2)
+		served[it.Tenant]++
+	}
+	for tenant, want := range map[string]int{"large": 20, "late": 20, "double": 40} {
+		assert.Check(t, served[tenant] >= want-1 && served[tenant] <= want+1, "%s served %d", tenant, served[tenant])
+	}
+}
+
+// Guards against a queue that one tenant fills, and against refusals with the wrong code.
+func TestRefusals(t *testing.T) {
+	q := &Queue{Limit: 100}
+	var r *work.Refusal
+	for i := 0; r == nil; i++ {
+		r = q.Push(0, Item{ID: fmt.Sprint(i), Rank: work.Batch, Tenant: "large", Cost: 100})
+	}
+	assert.Equal(t, r.Code, work.CodeOverloaded)
+	assert.Equal(t, r.Ran, work.NotRun)
+	assert.Equal(t, q.Len(work.Batch), 50)
+	assert.Assert(t, q.Push(0, Item{ID: "s", Rank: work.Batch, Tenant: "small"}) == nil)
+	assert.Equal(t, q.Push(0, Item{ID: "s", Rank: work.Batch, Tenant: "small"}).Code, work.CodeBadRequest)
+	assert.Equal(t, q.Push(9, Item{ID: "d", Deadline: 9}).Code, work.CodeDeadline)
+	for now := clock.Time(0); now < 2000; now += 100 {
+		_, _ = q.Pop(now)
+	}
+	// One item of 100 tokens each 100 ms: 30 waiting items of the tenant take 3 s.
+	late := q.Push(2000, Item{ID: "e", Rank: work.Batch, Tenant: "large", Cost: 100, Deadline: 3000})
+	assert.Equal(t, late.Code, work.CodeDeadline)
+	assert.Assert(t, q.Push(2000, Item{ID: "f", Rank: work.Batch, Tenant: "large", Cost: 100, Deadline: 9000}) == nil)
+}
+
+// Guards against state that grows with the number of tenants that were ever seen.
+func TestStateIsBounded(t *testing.T) {
+	q := &Queue{Limit: 1000000}
+	for i := range 100000 {
+		id := fmt.Sprint(i)
+		assert.Assert(t, q.Push(0, Item{ID: id, Rank: work.Normal, Tenant: "t" + id, Cost: 1 + i%1000}) == nil)
+	}
+	for range 99990 {
+		_, ok := q.Pop(1)
+		assert.Assert(t, ok)
+	}
+	l := &q.lanes[work.Normal]
+	assert.Check(t, len(l.flows) <= idleFlows+10 && len(q.entries) == 10 && len(l.flows) == len(l.idle)+len(l.active))
+	for range 10 {
+		_, _ = q.Pop(1)
+	}
+	assert.Equal(t, len(l.flows), 0)
+}
+
+// Guards against an item that is lost, served twice or served after its deadline, under any order of calls.
+func TestQueueLosesNothing(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		policy := rapid.SampledFrom([]Policy{FIFO{}, Strict{}, Fair{}, Fair{Reserve: 3}}).Draw(t, "policy")
+		q := &Queue{Policy: policy, Limit: 20}
+		waiting := map[string]Item{}
+		now := clock.Time(0)
+		take := func(it Item) {
+			_, ok := waiting[it.ID]
+			assert.Assert(t, ok, "%s left twice", it.ID)
+			delete(waiting, it.ID)
+		}
+		for i := range rapid.IntRange(1, 200).Draw(t, "steps") {
+			now += clock.Time(rapid.IntRange(0, 5).Draw(t, "step"))
+			switch rapid.IntRange(0, 5).Draw(t, "call") {
+			case 0, 1, 2:
+				it := Item{ID: fmt.Sprint(i), Rank: work.Rank(rapid.IntRange(0, 2).Draw(t, "rank")), Weight: i % 3,
+					Tenant: rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "tenant"), Cost: 1 + i%7}
+				if s := rapid.IntRange(0, 20).Draw(t, "deadline"); s > 0 {
+					it.Deadline = now + clock.Time(s)
+				}
+				if q.Push(now, it) == nil {
+					waiting[it.ID] = it
+				}
+			case 3:
+				if it, ok := q.PopFree(now, rapid.IntRange(1, 5).Draw(t, "free")); ok {
+					assert.Assert(t, it.Deadline == 0 || now < it.Deadline, "popped an expired item")
+					take(it)
+				}
+			case 4:
+				for _, it := range q.Expire(now) {
+					assert.Assert(t, it.Deadline <= now)
+					take(it)
+				}
+			case 5:
+				id := fmt.Sprint(rapid.IntRange(0, i).Draw(t, "id"))
+				if it, ok := waiting[id]; ok {
+					assert.Assert(t, q.Remove(id))
+					take(it)
+				} else {
+					assert.Assert(t, !q.Remove(id))
+				}
+			}
+		}
+		for it, ok := q.Pop(now); ok; it, ok = q.Pop(now) {
+			take(it)
+		}
+		for _, it := range q.Expire(now) {
+			take(it)
+		}
+		assert.Equal(t, len(waiting), 0)
+		assert.Equal(t, q.Len(work.Urgent)+q.Len(work.Normal)+q.Len(work.Batch), 0)
+	})
+}
