retry: add budget, backoff, circuit breaker and hedging rule

Cause: extra attempts have to stay within about 10% fleet-wide. Ruled out: a plain token bucket over time; it would allow the same number of retries however little the VM sends. Change: budget in proportion to recent first attempts, full jitter, a breaker for each replica and version, a hedge at a percentile of the time to the first byte.

--- /dev/null
+++ b/core/retry/retry_test.go
@@ -0,0 +1,105 @@
+package retry
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"shallotrun/core/clock"
+	"shallotrun/core/work"
+)
+
+// Guards against retries that multiply the load of a failing pool: whatever the order of calls, the extra
+// attempts stay within the ratio and the few that are allowed at the start.
+func TestBudgetHoldsRatio(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := &Budget{Ratio: 0.1}
+		first, extra := 0, 0
+		now := clock.Time(0)
+		for range rapid.IntRange(1, 300).Draw(t, "steps") {
+			now += clock.Time(rapid.IntRange(0, 500).Draw(t, "step"))
+			if rapid.Bool().Draw(t, "first") {
+				b.Attempt(now)
+				first++
+			} else if b.Retry(now) {
+				extra++
+			}
+			assert.Assert(t, float64(extra) <= firstRetries+0.1*float64(first)+1e-6)
+		}
+	})
+}
+
+// Guards against credit that hours without failures pile up.
+func TestBudgetForgets(t *testing.T) {
+	b := &Budget{}
+	for i := range 1000 {
+		b.Attempt(clock.Time(i))
+	}
+	n := 0
+	for b.Retry(clock.Time(20 * clock.Second)) {
+		n++
+	}
+	assert.Equal(t, n, firstRetries)
+	assert.Check(t, (&Budget{Policy: Always{}}).Retry(0))
+}
+
+// Guards against a delay that overflows, exceeds its maximum or is zero.
+func TestBackoff(t *testing.T) {
+	tests := []struct {
+		attempt int
+		random  float64
+		want    clock.Span
+	}{
+		{0, 0, 1}, {1, 0.5, 51}, {2, 0.5, 101}, {3, 0.5, 201}, {4, 0.5, 401}, {5, 0.5, 501}, {1 << 40, 0.999, 1000},
+	}
+	for _, tt := range tests {
+		b := Backoff{Base: 100, Max: 1000}
+		assert.Equal(t, b.After(tt.attempt, tt.random), tt.want, "attempt %d", tt.attempt)
+	}
+	assert.Check(t, InTime(0, 10, 10, 0) && InTime(0, 10, 10, 21) && !InTime(0, 10, 10, 20))
+}
+
+// Guards against a breaker that stays open after recovery, opens on refusals, lets more than one probe
+// through, or takes a replica away from the other versions.
+func TestBreaker(t *testing.T) {
+	b := &Breakers{}
+	res := work.Result{Server: "s", Model: "m", Version: "1"}
+	fail := func(now clock.Time) { r := res; r.Failed = true; b.Report(now, r) }
+	allow := func(now clock.Time) bool { return b.Allow(now, "s", "m", "1") }
+	for range breakerRow {
+		r := res
+		r.Refused = true
+		b.Report(0, r)
+		assert.Check(t, allow(0))
+		fail(0)
+	}
+	assert.Check(t, !allow(999) && b.Open(999, "s", "m", "1") && b.Allow(999, "s", "m", "2"))
+	assert.Check(t, allow(1000) && !allow(1001), "one probe")
+	fail(1100)
+	assert.Check(t, !allow(3000) && allow(3100), "the delay doubles")
+	assert.Check(t, !allow(3101) && allow(3100+clock.Time(probeLimit)), "a lost probe is given up")
+	b.Report(40000, res)
+	for range 2 {
+		assert.Check(t, allow(40000))
+	}
+	b.Report(40000+clock.Time(2*breakerIdle), res)
+	assert.Equal(t, len(b.all), 0)
+}
+
+// Guards against hedges of work that may not be repeated, or before there is anything to compare with.
+func TestHedge(t *testing.T) {
+	h := &Hedge{}
+	for i := range 200 {
+		_, ok := h.After(true)
+		assert.Equal(t, ok, i >= hedgeWarm)
+		h.Observe(clock.Span(100 + i%100))
+	}
+	_, ok := h.After(false)
+	assert.Check(t, !ok)
+	for range 40 {
+		h.Observe(150)
+	}
+	d, _ := h.After(true)
+	assert.Check(t, d >= 190 && d <= 199, "%d", d)
+}
