place: add backend server selection with prefix affinity

Cause: the request path has to select a server from lagging load reports. Ruled out: a shared table of which server holds which prefix; rendezvous hashing gives every VM the same answer without messages. Change: Random, Rotate, Least and Choices as baselines; Affine compares the expected time to the first token of the servers that may hold the prefix and of two drawn ones. Ejection after three failures in a row, never more than half of the candidates.

--- /dev/null
+++ b/core/place/affine.go
@@ -0,0 +1,135 @@
+package place
+
+import (
+	"encoding/binary"
+	"math"
+
+	"github.com/cespare/xxhash/v2"
+
+	"shallotrun/core/clock"
+)
+
+// Probability that a prefix is in a server's cache, by what this VM knows. The first is for a server that this
+// VM used for the prefix within homeFresh. The others are for the first and second server in the rendezvous
+// order, where the other VMs send the prefix while the load allows.
+const (
+	cachedSeen   = 0.95
+	cachedFirst  = 0.8
+	cachedSecond = 0.3
+	homeFresh    = 5 * clock.Minute
+)
+
+// affine scores the servers that may hold the prefix and two drawn at random. Only a draw of two is compared by
+// load, because all VMs see the same lagging reports and would otherwise send everything to the same server.
+func (p *Placer) affine(now clock.Time, pol Affine, ask Ask, in []Candidate) Candidate {
+	pol = pol.defaults()
+	wait := func(c Candidate) float64 { return p.wait(pol, c) }
+	prefill := pol.Prefill * float64(ask.Tokens)
+	best := p.least(p.draw(in), wait)
+	k, ok := ask.key()
+	if !ok {
+		return best
+	}
+	score := wait(best) + prefill*(1-p.cached(now, k, best.Name))*p.slowness(best.Name)
+	try := func(c Candidate, probability float64) {
+		probability = max(probability, p.cached(now, k, c.Name))
+		if s := wait(c) + prefill*(1-probability)*p.slowness(c.Name); s < score {
+			best, score = c, s
+		}
+	}
+	first, second := order(k, in)
+	try(in[first], cachedFirst)
+	try(in[second], cachedSecond)
+	for _, c := range in {
+		if p.cached(now, k, c.Name) > 0 {
+			try(c, 0)
+		}
+	}
+	return best
+}
+
+// wait returns the expected milliseconds until a slot of the server starts the request. Below its slots a server
+// still slows down a little with its load, which also breaks ties towards the emptier one.
+func (p *Placer) wait(pol Affine, c Candidate) float64 {
+	n := p.estimate(c)
+	slots := float64(c.Load.Slots)
+	if slots == 0 {
+		slots = max(float64(c.Slots), 1)
+	}
+	service := p.service.or(float64(pol.Service))
+	w := pol.loaded(n / slots)
+	if n >= slots {
+		w += (n - slots + 1) * service / slots
+	}
+	w *= p.slowness(c.Name)
+	if c.Domain != p.Domain && p.Domain != "" {
+		w += float64(pol.Far)
+	}
+	return w
+}
+
+// slowness returns how much slower than the others a server generates, between 1 and 10.
+func (p *Placer) slowness(name string) float64 {
+	s := p.servers[name]
+	if s == nil || s.speed.count < 5 || p.speed.value <= 0 {
+		return 1
+	}
+	return min(max(s.speed.value/p.speed.value, 1), 10)
+}
+
+// cached returns the probability that this VM's own memory gives to a prefix being on a server.
+func (p *Placer) cached(now clock.Time, k uint64, name string) float64 {
+	if h, ok := p.homes.get(k); ok && h.server == name && now.Sub(h.at) < homeFresh {
+		return cachedSeen
+	}
+	return 0
+}
+
+// order returns the first and second candidate for a key by rendezvous hashing.
+func order(k uint64, in []Candidate) (first, second int) {
+	var buf [8]byte
+	binary.LittleEndian.PutUint64(buf[:], k)
+	d := xxhash.New()
+	var top, next uint64
+	first, second = -1, -1
+	for i, c := range in {
+		d.Reset()
+		_, _ = d.Write(buf[:])
+		_, _ = d.WriteString(c.Name)
+		switch h := d.Sum64(); {
+		case first < 0 || h > top:
+			second, next = first, top
+			first, top = i, h
+		case second < 0 || h > next:
+			second, next = i, h
+		}
+	}
+	return first, max(second, 0)
+}
+
+// key returns the hash under which the request's prefix is found, false when it has none.
+func (a Ask) key() (uint64, bool) {
+	switch {
+	case a.Session != "":
+		return xxhash.Sum64String(a.Session), true
+	case a.Prefix != 0:
+		return a.Prefix, true
+	}
+	return 0, false
+}
+
+func (a Affine) defaults() Affine {
+	if a.Prefill == 0 {
+		a.Prefill = 0.25
+	}
+	if a.Service == 0 {
+		a.Service = 3 * clock.Second
+	}
+	if a.Far == 0 {
+		a.Far = 3 * clock.Millisecond
+	}
+	return a
+}
+
+// loaded returns the milliseconds that other running requests add to a prefill, by the used part of the slots.
+func (a Affine) loaded(used float64) float64 { return 100 * math.Min(used, 1) }
--- /dev/null
+++ b/core/place/place_test.go
@@ -0,0 +1,133 @@
+package place
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"shallotrun/core/clock"
+	"shallotrun/core/work"
+)
+
+func policies() []Policy { return []Policy{Random{}, Rotate{}, Least{}, Choices{}, Affine{}} }
+
+func candidates(n int) []Candidate {
+	var all []Candidate
+	for i := range n {
+		all = append(all, Candidate{Name: fmt.Sprint("s", i), Domain: fmt.Sprint("d", i%3), Slots: 8, Known: true, Load: work.Load{Slots: 8}})
+	}
+	return all
+}
+
+// Guards against a pick of a server that was tried, is full or leaves, or lacks the version, under any policy.
+func TestPickIsEligible(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := &Placer{Policy: rapid.SampledFrom(policies()).Draw(t, "policy"), Domain: "d0"}
+		for step := range rapid.IntRange(1, 30).Draw(t, "steps") {
+			now := clock.Time(step * 100)
+			all := candidates(rapid.IntRange(0, 6).Draw(t, "servers"))
+			ask := Ask{Model: "m", Version: "1", Tokens: 100, Prefix: uint64(step % 4)}
+			good := map[string]bool{}
+			for i := range all {
+				c := &all[i]
+				switch rapid.IntRange(0, 4).Draw(t, "fault") {
+				case 0:
+					c.Own = c.Slots
+				case 1:
+					c.Load.Leaving = true
+				case 2:
+					ask.Exclude = append(ask.Exclude, c.Name)
+				default:
+					good[c.Name] = true
+				}
+			}
+			name, ok := p.Pick(now, ask, all)
+			assert.Equal(t, ok, len(good) > 0)
+			assert.Assert(t, !ok || good[name], "picked %s", name)
+			if ok {
+				r := work.Result{Server: name, Failed: rapid.Bool().Draw(t, "failed"), Refused: step%3 == 0, Total: 100, Tokens: 10}
+				p.Report(now, r)
+			}
+		}
+	})
+}
+
+// Guards against servers that fail and keep getting work, and against ejecting a whole pool for a fault that is
+// not the servers' own.
+func TestEjection(t *testing.T) {
+	tests := []struct {
+		failing int
+		at      clock.Time
+		want    int // servers that get picks
+	}{
+		{0, 100, 6}, {2, 100, 4}, {3, 100, 3}, {5, 100, 6}, {2, 100 + clock.Time(ejectBase), 6},
+	}
+	for _, tt := range tests {
+		p := &Placer{Policy: Random{}, Rand: rand.New(rand.NewPCG(1, 1))}
+		for i := range tt.failing {
+			for range ejectRow {
+				p.Report(0, work.Result{Server: fmt.Sprint("s", i), Failed: true})
+			}
+		}
+		seen := map[string]bool{}
+		for range 200 {
+			name, _ := p.Pick(tt.at, Ask{}, candidates(6))
+			seen[name] = true
+		}
+		assert.Equal(t, len(seen), tt.want, "%d failing at %d", tt.failing, tt.at)
+	}
+}
+
+// Guards against two VMs that send the same session to different servers while both are idle, and against
+// affinity that outweighs a full server.
+func TestAffinity(t *testing.T) {
+	all := candidates(12)
+	ask := Ask{Session: "dispute-7", Tokens: 2000}
+	first := map[string]int{}
+	for vm := range 20 {
+		p := &Placer{Rand: rand.New(rand.NewPCG(uint64(vm), 1))}
+		name, _ := p.Pick(0, ask, all)
+		first[name]++
+	}
+	assert.Equal(t, len(first), 1)
+	for i := range all {
+		if first[all[i].Name] > 0 {
+			all[i].Load.Running, all[i].Load.Waiting = 8, 20
+		}
+	}
+	name, _ := (&Placer{}).Pick(0, ask, all)
+	assert.Equal(t, first[name], 0)
+}
+
+// Guards against a lagging report that makes one VM send a burst to one server.
+func TestEstimateCountsOwnPicks(t *testing.T) {
+	p := &Placer{Policy: Choices{}}
+	all := candidates(2)
+	all[0].Load.Running = 3
+	got := map[string]int{}
+	for range 13 {
+		name, _ := p.Pick(10, Ask{}, all)
+		got[name]++
+	}
+	assert.Check(t, got["s1"] == 8 && got["s0"] == 5, "%v", got)
+	p.Report(11, work.Result{Server: "s1"})
+	assert.Equal(t, p.estimate(all[1]), 7.0)
+	all[1].Load.At = 12
+	assert.Equal(t, p.estimate(all[1]), 0.0)
+}
+
+// Guards against memory that grows with the number of sessions or of replaced servers.
+func TestStateIsBounded(t *testing.T) {
+	p := &Placer{Memory: 100}
+	for i := range 1000 {
+		now := clock.Time(i) * clock.Time(clock.Minute)
+		name := fmt.Sprint("s", i)
+		_, ok := p.Pick(now, Ask{Session: name}, []Candidate{{Name: name}})
+		assert.Assert(t, ok)
+		p.Report(now, work.Result{Server: name, Total: 10})
+	}
+	assert.Check(t, len(p.homes.all) == 100 && p.homes.order.Len() == 100 && len(p.servers) <= 12, "%d", len(p.servers))
+}
