--- a/core/queue/flow.go
+++ b/core/queue/flow.go
@@ -33,8 +33,11 @@
 	weight float64 // sum over active flows
 	count  int
 	cost   int
-	credit float64 // tokens that the minimum share has earned and not yet used
 	rate   meter
+	// credit is what the minimum share has earned and not used: tokens, or slot milliseconds once Done is used.
+	credit  float64
+	running int            // requests that were started and not reported as ended
+	using   map[string]int // the same for each tenant
 }
 
 // flowHeap orders flows by virtual start.
--- a/core/queue/policy.go
+++ b/core/queue/policy.go
@@ -18,8 +18,9 @@
 	Normal int // minimum share of Normal in percent, 0 means 10
 	Batch  int // minimum share of Batch in percent, 0 means 5
 	// Reserve is the number of free slots that PopFree leaves to more urgent ranks: Batch starts only while
-	// more than Reserve slots are free, Normal while more than half of that are. Without it, urgent work that
-	// arrives during a flood of batch work has to wait until a running request ends.
+	// more than Reserve slots are free, Normal while more than half of that are. A tenant above its fair part of
+	// the running requests of its rank leaves half of Reserve more. Without it, urgent work and small tenants
+	// that arrive during a flood have to wait until a running request ends.
 	Reserve int
 }
 
@@ -42,13 +43,11 @@
 	return 0
 }
 
-// reserve returns the number of free slots that rank r leaves to more urgent ranks.
-func (f Fair) reserve(r work.Rank) int {
-	switch r {
-	case work.Normal:
-		return f.Reserve / 2
-	case work.Batch:
-		return f.Reserve
+// reserve returns the number of free slots that a request leaves to more urgent ranks and smaller tenants.
+func (f Fair) reserve(r work.Rank, heavy bool) int {
+	n := int(r) * f.Reserve
+	if heavy {
+		n += f.Reserve
 	}
-	return 0
+	return n / 2
 }
--- a/core/queue/queue.go
+++ b/core/queue/queue.go
@@ -19,6 +19,8 @@
 	lanes     [work.Ranks]lane
 	deadlines deadlines
 	seq       uint64
+	ends      bool // whether Done is used
+	accounted clock.Time
 }
 
 // Push adds an item. It returns a refusal, with nothing run, when the rank or the tenant's part of it is full,
@@ -30,6 +32,7 @@
 	if q.entries[it.ID] != nil {
 		return refuse(work.CodeBadRequest, 400, 0, "a request with this id already waits")
 	}
+	q.account(now)
 	l := &q.lanes[it.Rank]
 	l.tick(now)
 	tenant := q.tenant(it)
@@ -56,6 +59,7 @@
 // leave the last ones to more urgent work. An expired item that it meets stays for Expire.
 func (q *Queue) PopFree(now clock.Time, free int) (Item, bool) {
 	q.init()
+	q.account(now)
 	var late []*entry
 	for e := q.next(free); e != nil; e = q.next(free) {
 		if e.Deadline == 0 || now < e.Deadline {
@@ -64,6 +68,7 @@
 			l.tick(now)
 			l.rate.observe(now, e.Cost)
 			l.serve(e)
+			l.begin(q.tenant(e.Item))
 			q.drop(e)
 			q.keep(late)
 			return e.Item, true
@@ -108,13 +113,21 @@
 // Len returns the number of items of a rank that wait, expired ones that Pop has met excluded.
 func (q *Queue) Len(r work.Rank) int { return q.lanes[r].count }
 
-// Settle corrects the account of a rank when a request of it used another number of tokens than its Cost.
-func (q *Queue) Settle(it Item, used int) {
-	if _, ok := q.Policy.(Fair); !ok && q.Policy != nil {
-		return
+// Done records that a request that Pop returned ended, by success or not, and how many tokens it used. From the
+// first call on the minimum shares are kept by the slots in use, which is exact at every time; without calls they
+// are kept by the cost of the requests at their start. A caller that uses Done calls it once for each popped item.
+func (q *Queue) Done(now clock.Time, it Item, used int) {
+	q.init()
+	if !q.ends {
+		q.ends = true
+		for r := range q.lanes {
+			q.lanes[r].credit = 0 // it was counted in tokens
+		}
 	}
+	q.account(now)
 	l := &q.lanes[min(it.Rank, work.Batch)]
-	if f := l.flows[it.Tenant]; f != nil {
+	l.end(q.tenant(it))
+	if f := l.flows[q.tenant(it)]; f != nil {
 		l.settle(f, float64(used-max(it.Cost, 1))/f.weight)
 	}
 }
--- a/core/queue/queue_test.go
+++ b/core/queue/queue_test.go
@@ -67,6 +67,54 @@
 	}
 }
 
+// Guards against minimum shares that hold only for many slots or only while requests are counted at their start.
+func TestMinimumSharesBySlots(t *testing.T) {
+	for _, slots := range []int{1, 3, 40} {
+		q := &Queue{Limit: 100000}
+		var busy [work.Ranks]float64
+		running := make([]Item, slots)
+		for step := range 20000 {
+			now := clock.Time(step * 10)
+			for i, r := range []work.Rank{work.Urgent, work.Urgent, work.Normal, work.Batch} {
+				assert.Assert(t, q.Push(now, Item{ID: fmt.Sprint(i, step), Rank: r, Tenant: fmt.Sprint(step % 7)}) == nil)
+			}
+			// Slots end in turn, each after 10 ms times the number of slots.
+			at := step % slots
+			if running[at].ID != "" {
+				q.Done(now, running[at], 1+step%9)
+			}
+			running[at], _ = q.Pop(now)
+			for _, it := range running {
+				busy[it.Rank] += 100 / float64(slots) / 20000
+			}
+		}
+		assert.Check(t, busy[work.Normal] > 9 && busy[work.Normal] < 11, "%d slots: %v", slots, busy)
+		assert.Check(t, busy[work.Batch] > 4 && busy[work.Batch] < 6, "%d slots: %v", slots, busy)
+	}
+}
+
+// Guards against a tenant with many running requests that takes the slots kept for smaller ones.
+func TestHeavyTenantLeavesReserve(t *testing.T) {
+	q := &Queue{Policy: Fair{Reserve: 4}}
+	for i := range 40 {
+		assert.Assert(t, q.Push(0, Item{ID: fmt.Sprint("large", i), Tenant: "large"}) == nil)
+	}
+	for range 20 {
+		_, ok := q.Pop(0)
+		assert.Assert(t, ok)
+	}
+	q.Done(1, Item{Tenant: "large"}, 1)
+	it, ok := q.PopFree(1, 1)
+	assert.Check(t, ok, "alone it may use every slot")
+	assert.Assert(t, q.Push(1, Item{ID: "small", Tenant: "small"}) == nil)
+	it, ok = q.PopFree(1, 2)
+	assert.Check(t, ok && it.Tenant == "small")
+	_, ok = q.PopFree(1, 2)
+	assert.Check(t, !ok, "the large tenant leaves two slots while the small one runs")
+	_, ok = q.PopFree(1, 3)
+	assert.Check(t, ok)
+}
+
 // Guards against a large tenant that delays the small ones, and against credit for time spent idle.
 func TestTenants(t *testing.T) {
 	q := &Queue{Limit: 1000}
@@ -164,6 +212,7 @@
 					assert.Assert(t, it.Deadline == 0 || now < it.Deadline, "popped an expired item")
 					take(it)
 				}
+				q.Done(now, Item{Rank: work.Rank(i % 3), Tenant: "a", Cost: 3}, i%9)
 			case 4:
 				for _, it := range q.Expire(now) {
 					assert.Assert(t, it.Deadline <= now)
--- /dev/null
+++ b/internal/bench/engine.go
@@ -0,0 +1,211 @@
+package bench
+
+import (
+	"container/list"
+	"fmt"
+
+	"shallotrun/core/work"
+)
+
+// The service model. With 8 running requests the token interval is 26 ms, the target of the large size.
+const (
+	prefillCost  = 200    // microseconds for each prompt token that is not cached
+	prefillChunk = 256    // prompt tokens that are not interrupted for more urgent work
+	prefillLoad  = 0.1    // part by which a full engine prefills more slowly than an idle one
+	tokenBase    = 20_000 // microseconds between tokens with nothing else running
+	tokenLoad    = 750    // microseconds more for each running request
+)
+
+// job is one request in the service model.
+type job struct {
+	id      string
+	rank    work.Rank
+	tenant  string
+	session string
+	prompt  int
+	out     int
+	guess   int // output tokens that the router expects
+	arrived micros
+	started micros // got a slot
+	first   micros // first token
+	ended   micros
+	failed  bool
+	done    func(*job)
+
+	left int // prompt tokens still to prefill
+}
+
+// ttft returns the milliseconds from arrival to the first token.
+func (j *job) ttft() float64 { return float64(j.first-j.arrived) / 1000 }
+
+// engine is one replica.
+type engine struct {
+	sim     *sim
+	name    string
+	domain  string
+	slots   int
+	slow    float64 // factor on all times, 0 means 1
+	fail    func(*job) bool
+	running int
+	waiting []*job // for a slot
+	prefill []*job // with a slot, before the first token
+	busy    bool
+	cache   cache
+	hits    int
+	misses  int
+}
+
+// submit gives the engine a job, which waits inside the engine when all slots are taken.
+func (e *engine) submit(j *job) {
+	if e.running >= e.slots {
+		e.waiting = insert(e.waiting, j)
+		return
+	}
+	e.start(j)
+}
+
+func (e *engine) start(j *job) {
+	e.running++
+	j.started = e.sim.now
+	j.left = j.prompt
+	if j.session != "" {
+		have := min(e.cache.get(j.session), j.prompt)
+		j.left -= have
+		if have > 0 {
+			e.hits++
+		} else {
+			e.misses++
+		}
+	}
+	e.prefill = insert(e.prefill, j)
+	if !e.busy {
+		e.chunk()
+	}
+}
+
+// chunk prefills a part of the most urgent prompt.
+func (e *engine) chunk() {
+	if len(e.prefill) == 0 {
+		e.busy = false
+		return
+	}
+	e.busy = true
+	j := e.prefill[0]
+	n := min(j.left, prefillChunk)
+	d := float64(max(n, 16)) * prefillCost * (1 + prefillLoad*float64(e.running)/float64(e.slots))
+	e.sim.after(e.scaled(d), func() {
+		j.left -= n
+		if j.left <= 0 {
+			e.drop(j)
+			e.decode(j)
+		}
+		e.chunk()
+	})
+}
+
+func (e *engine) drop(j *job) {
+	for i, k := range e.prefill {
+		if k == j {
+			e.prefill = append(e.prefill[:i], e.prefill[i+1:]...)
+			return
+		}
+	}
+}
+
+func (e *engine) decode(j *job) {
+	j.first = e.sim.now
+	if e.fail != nil && e.fail(j) {
+		j.failed = true
+		e.finish(j)
+		return
+	}
+	d := float64(j.out) * (tokenBase + tokenLoad*float64(e.running))
+	e.sim.after(e.scaled(d), func() { e.finish(j) })
+}
+
+func (e *engine) finish(j *job) {
+	j.ended = e.sim.now
+	e.running--
+	if j.session != "" && !j.failed {
+		e.cache.put(j.session, j.prompt+j.out)
+	}
+	for len(e.waiting) > 0 && e.running < e.slots {
+		next := e.waiting[0]
+		e.waiting = e.waiting[1:]
+		e.start(next)
+	}
+	j.done(j)
+}
+
+func (e *engine) scaled(d float64) micros {
+	if e.slow > 0 {
+		d *= e.slow
+	}
+	return micros(d)
+}
+
+// crowd orders engines by the requests that have no first token yet, then by the running ones. The router knows
+// both for its own requests.
+func (e *engine) crowd() int { return len(e.prefill)*1000 + e.running }
+
+// insert keeps jobs in order of rank, then of arrival at the engine.
+func insert(js []*job, j *job) []*job {
+	i := len(js)
+	for i > 0 && js[i-1].rank > j.rank {
+		i--
+	}
+	js = append(js, nil)
+	copy(js[i+1:], js[i:])
+	js[i] = j
+	return js
+}
+
+// cache is a prefix cache of a limited number of tokens, least recently used session dropped first.
+type cache struct {
+	limit int
+	size  int
+	all   map[string]*list.Element
+	order list.List
+}
+
+type cached struct {
+	session string
+	tokens  int
+}
+
+func (c *cache) get(session string) int {
+	e := c.all[session]
+	if e == nil {
+		return 0
+	}
+	c.order.MoveToFront(e)
+	return e.Value.(cached).tokens
+}
+
+func (c *cache) put(session string, tokens int) {
+	if c.all == nil {
+		c.all = make(map[string]*list.Element)
+	}
+	if e := c.all[session]; e != nil {
+		c.size -= e.Value.(cached).tokens
+		c.order.Remove(e)
+	}
+	c.all[session] = c.order.PushFront(cached{session, tokens})
+	c.size += tokens
+	for c.size > c.limit && c.order.Len() > 0 {
+		last := c.order.Back()
+		c.order.Remove(last)
+		c.size -= last.Value.(cached).tokens
+		delete(c.all, last.Value.(cached).session)
+	}
+}
+
+// engines returns the replicas of a user, spread over its failure domains.
+func (u user) engines(s *sim) []*engine {
+	var es []*engine
+	for i := range u.replicas {
+		d := u.domains[i%len(u.domains)]
+		es = append(es, &engine{sim: s, name: fmt.Sprintf("%s-%d", d, i), domain: d, slots: slotsEach, cache: cache{limit: cacheTokens}})
+	}
+	return es
+}
--- /dev/null
+++ b/internal/bench/run.go
@@ -0,0 +1,47 @@
+package bench
+
+import (
+	"io"
+
+	"github.com/samber/oops"
+)
+
+// part measures one package for one user.
+type part struct {
+	name string
+	run  func(u user, seeds []uint64) []line
+}
+
+func parts() []part {
+	return []part{
+		{"ranks", ranks},
+		{"tenants", fairness},
+	}
+}
+
+// Run measures all policies for both users' sizes with each of the seeds, and writes one line for each measure. It
+// returns false when a goal is not reached.
+func Run(w io.Writer, seeds []uint64) bool {
+	ok, err := Only(w, "", seeds)
+	return ok && err == nil
+}
+
+// Only is Run for the part of the given name, "" for all. It fails on a name that does not exist.
+func Only(w io.Writer, name string, seeds []uint64) (bool, error) {
+	ok, found := true, false
+	for _, p := range parts() {
+		if name != "" && name != p.name {
+			continue
+		}
+		found = true
+		for _, u := range users() {
+			for _, l := range p.run(u, seeds) {
+				ok = l.write(w) && ok
+			}
+		}
+	}
+	if !found {
+		return false, oops.Errorf("unknown part %q", name)
+	}
+	return ok, nil
+}
--- /dev/null
+++ b/internal/bench/sim.go
@@ -0,0 +1,68 @@
+package bench
+
+import (
+	"container/heap"
+
+	"shallotrun/core/clock"
+)
+
+// micros is virtual time in microseconds: the service model needs a finer unit than [clock.Time].
+type micros int64
+
+const second micros = 1_000_000
+
+// sim is a virtual clock with a heap of events.
+type sim struct {
+	now    micros
+	events eventHeap
+	seq    int
+}
+
+type event struct {
+	at  micros
+	seq int // order among events of the same time
+	do  func()
+}
+
+type eventHeap []event
+
+// at runs do at time t, which must not be past.
+func (s *sim) at(t micros, do func()) {
+	s.seq++
+	heap.Push(&s.events, event{max(t, s.now), s.seq, do})
+}
+
+// after runs do after d.
+func (s *sim) after(d micros, do func()) { s.at(s.now+d, do) }
+
+// run processes the events up to the end.
+func (s *sim) run(end micros) {
+	for len(s.events) > 0 && s.events[0].at <= end {
+		e := heap.Pop(&s.events).(event)
+		s.now = e.at
+		e.do()
+	}
+	s.now = end
+}
+
+// clock returns the present time as the decision code sees it.
+func (s *sim) clock() clock.Time { return clock.Time(s.now / 1000) }
+
+func (h eventHeap) Len() int      { return len(h) }
+func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+
+func (h eventHeap) Less(i, j int) bool {
+	return h[i].at < h[j].at || h[i].at == h[j].at && h[i].seq < h[j].seq
+}
+
+// Push implements [heap.Interface].
+func (h *eventHeap) Push(x any) { *h = append(*h, x.(event)) }
+
+// Pop implements [heap.Interface].
+func (h *eventHeap) Pop() any {
+	old := *h
+	e := old[len(old)-1]
+	old[len(old)-1] = event{}
+	*h = old[:len(old)-1]
+	return e
+}
