retry: measure overload and shorten the longest breaker delay

Ruled out: longer engine queues, which only move the wait. Change: Queue.Margin makes deadlines count earlier by the usual time to the first token. Breakers and ejections probe after at most 3 s. Candidates carry the own requests without a first token.

--- a/core/place/server.go
+++ b/core/place/server.go
@@ -7,10 +7,11 @@
 
 const (
 	// A server is ejected after this many failures in a row, first for ejectBase and twice as long each time
-	// until a success. One failure may be the request's own, three in a row hardly are.
+	// until a success. One failure may be the request's own, three in a row hardly are. The longest one leaves
+	// room in the 5 s within which a pool has to recover.
 	ejectRow  = 3
-	ejectBase = 2 * clock.Second
-	ejectMost = 30 * clock.Second
+	ejectBase = clock.Second
+	ejectMost = 3 * clock.Second
 	// A server that refused is full: it gets nothing until some of its requests may have ended.
 	refuseSpan = 200 * clock.Millisecond
 	// The state of a server without picks or results for this long is forgotten.
--- a/core/place/types.go
+++ b/core/place/types.go
@@ -9,10 +9,12 @@
 type Candidate struct {
 	Name   string
 	Domain string
-	Slots  int       // requests that this VM may have in flight there, 0 for no limit
-	Own    int       // requests that it has in flight there
-	Load   work.Load // latest report
-	Known  bool      // whether there is a report
+	Slots  int // requests that this VM may have in flight there, 0 for no limit
+	Own    int // requests that it has in flight there
+	// Starting is how many of Own have no first token yet. They delay the first token of the next one most.
+	Starting int
+	Load     work.Load // latest report
+	Known    bool      // whether there is a report
 }
 
 // Ask is the request to place.
--- a/core/queue/item.go
+++ b/core/queue/item.go
@@ -14,7 +14,7 @@
 	Tenant   string
 	Weight   int        // weight among the tenants of the rank; below 1 counts as 1
 	Cost     int        // expected tokens; below 1 counts as 1
-	Deadline clock.Time // latest useful start, 0 for none
+	Deadline clock.Time // of the first token, 0 for none
 	Arrived  clock.Time
 }
 
--- a/core/queue/queue.go
+++ b/core/queue/queue.go
@@ -14,6 +14,10 @@
 	// Limit is the number of items that may wait in one rank, 0 means 1000. A tenant may fill at most as many
 	// places of a rank as are still free, so one tenant cannot keep the others out.
 	Limit int
+	// Margin is the time that a request usually still needs after Pop until its first token. Deadlines count as
+	// reached that much earlier, so that overload does not fill the slots with answers that come too late. It may
+	// be changed at any time.
+	Margin clock.Span
 
 	entries   map[string]*entry
 	lanes     [work.Ranks]lane
@@ -62,7 +66,7 @@
 	q.account(now)
 	var late []*entry
 	for e := q.next(free); e != nil; e = q.next(free) {
-		if e.Deadline == 0 || now < e.Deadline {
+		if e.Deadline == 0 || now.Add(q.Margin) < e.Deadline {
 			q.charge(e)
 			l := &q.lanes[e.Rank]
 			l.tick(now)
@@ -84,7 +88,7 @@
 // Expire takes out the items whose deadline has passed.
 func (q *Queue) Expire(now clock.Time) []Item {
 	var out []Item
-	for len(q.deadlines) > 0 && q.deadlines[0].Deadline <= now {
+	for len(q.deadlines) > 0 && q.deadlines[0].Deadline <= now.Add(q.Margin) {
 		e := q.deadlines[0]
 		if e.flow != nil {
 			l := &q.lanes[e.Rank]
@@ -186,7 +190,8 @@
 		ahead = 0
 	}
 	wait, ok := l.rate.wait(ahead)
-	if now < it.Deadline && (!ok || now.Add(wait) < it.Deadline) {
+	start := now.Add(q.Margin)
+	if start < it.Deadline && (!ok || start.Add(wait) < it.Deadline) {
 		return nil
 	}
 	return refuse(work.CodeDeadline, 503, max(wait, 100), "the deadline would pass before the request starts")
--- a/core/retry/breaker.go
+++ b/core/retry/breaker.go
@@ -18,9 +18,10 @@
 	breakerRow  = 5
 	breakerMin  = 10
 	breakerKeep = 0.95 // weight of the past per attempt: about the last 20 count
-	// An open breaker lets one attempt through after this delay, doubled for each failed probe.
+	// An open breaker lets one attempt through after this delay, doubled for each failed probe. The longest one
+	// leaves room in the 5 s within which a pool has to recover.
 	breakerWait    = clock.Second
-	breakerLongest = 30 * clock.Second
+	breakerLongest = 3 * clock.Second
 	// A breaker without attempts for this long is forgotten.
 	breakerIdle = 10 * clock.Minute
 	// A probe whose result is never reported must not keep the breaker half open.
--- a/internal/bench/engine.go
+++ b/internal/bench/engine.go
@@ -3,17 +3,21 @@
 import (
 	"container/list"
 	"fmt"
+	"slices"
 
+	"shallotrun/core/clock"
 	"shallotrun/core/work"
 )
 
 // The service model. With 8 running requests the token interval is 26 ms, the target of the large size.
 const (
-	prefillCost  = 200    // microseconds for each prompt token that is not cached
-	prefillChunk = 256    // prompt tokens that are not interrupted for more urgent work
-	prefillLoad  = 0.1    // part by which a full engine prefills more slowly than an idle one
-	tokenBase    = 20_000 // microseconds between tokens with nothing else running
-	tokenLoad    = 750    // microseconds more for each running request
+	prefillCost  = 200               // microseconds for each prompt token that is not cached
+	prefillChunk = 256               // prompt tokens that are not interrupted for more urgent work
+	prefillLoad  = 0.1               // part by which a full engine prefills more slowly than an idle one
+	tokenBase    = 20_000            // microseconds between tokens with nothing else running
+	tokenLoad    = 750               // microseconds more for each running request
+	silence      = 400 * millisecond // without progress, then the router gives an attempt up
+	roundTrip    = 3 * millisecond
 )
 
 // job is one request in the service model.
@@ -30,6 +34,9 @@
 	first   micros // first token
 	ended   micros
 	failed  bool
+	refused bool
+	gone    bool   // cancelled, or on an engine that went down
+	token   func() // at the first token, nil for nothing
 	done    func(*job)
 
 	left int // prompt tokens still to prefill
@@ -49,14 +56,27 @@
 	running int
 	waiting []*job // for a slot
 	prefill []*job // with a slot, before the first token
+	active  []*job // with a slot
 	busy    bool
 	cache   cache
 	hits    int
 	misses  int
+	limit   int // most that may wait inside the engine, 0 means no limit
+	down    bool
+	report  work.Load
 }
 
 // submit gives the engine a job, which waits inside the engine when all slots are taken.
+// An engine that is down says nothing; the router gives up after the time without progress that it allows.
 func (e *engine) submit(j *job) {
+	if e.down {
+		e.sim.after(silence, func() { e.refuse(j, true) })
+		return
+	}
+	if e.limit > 0 && len(e.waiting) >= e.limit {
+		e.sim.after(roundTrip, func() { e.refuse(j, false) })
+		return
+	}
 	if e.running >= e.slots {
 		e.waiting = insert(e.waiting, j)
 		return
@@ -64,8 +84,43 @@
 	e.start(j)
 }
 
+func (e *engine) refuse(j *job, failed bool) {
+	j.failed, j.refused, j.ended = failed, !failed, e.sim.now
+	j.done(j)
+}
+
+// cancel stops a job. It keeps its slot until its prefill chunk or token is through, which is short enough to ignore.
+func (e *engine) cancel(j *job) {
+	if j.gone || j.ended > 0 {
+		return
+	}
+	j.gone = true
+	if j.started == 0 {
+		e.waiting = without(e.waiting, j)
+		return
+	}
+	e.drop(j)
+	e.running--
+	e.next()
+}
+
+// setDown stops the engine, which loses its requests and its cache, or starts it again.
+func (e *engine) setDown(down bool) {
+	e.down = down
+	if !down {
+		return
+	}
+	e.cache = cache{limit: e.cache.limit}
+	for _, j := range append(e.waiting, e.active...) {
+		j.gone = true
+		e.sim.after(silence, func() { e.refuse(j, true) })
+	}
+	e.waiting, e.active, e.prefill, e.running = nil, nil, nil, 0
+}
+
 func (e *engine) start(j *job) {
 	e.running++
+	e.active = append(e.active, j)
 	j.started = e.sim.now
 	j.left = j.prompt
 	if j.session != "" {
@@ -95,25 +150,32 @@
 	d := float64(max(n, 16)) * prefillCost * (1 + prefillLoad*float64(e.running)/float64(e.slots))
 	e.sim.after(e.scaled(d), func() {
 		j.left -= n
-		if j.left <= 0 {
-			e.drop(j)
+		if j.left <= 0 && !j.gone {
+			e.prefill = without(e.prefill, j)
 			e.decode(j)
 		}
 		e.chunk()
 	})
 }
 
+// drop forgets a job that has a slot.
 func (e *engine) drop(j *job) {
-	for i, k := range e.prefill {
-		if k == j {
-			e.prefill = append(e.prefill[:i], e.prefill[i+1:]...)
-			return
-		}
+	e.prefill = without(e.prefill, j)
+	e.active = without(e.active, j)
+}
+
+func without(js []*job, j *job) []*job {
+	if i := slices.Index(js, j); i >= 0 {
+		return slices.Delete(js, i, i+1)
 	}
+	return js
 }
 
 func (e *engine) decode(j *job) {
 	j.first = e.sim.now
+	if j.token != nil {
+		j.token()
+	}
 	if e.fail != nil && e.fail(j) {
 		j.failed = true
 		e.finish(j)
@@ -124,17 +186,26 @@
 }
 
 func (e *engine) finish(j *job) {
+	if j.gone {
+		return
+	}
 	j.ended = e.sim.now
 	e.running--
+	e.drop(j)
 	if j.session != "" && !j.failed {
 		e.cache.put(j.session, j.prompt+j.out)
 	}
+	e.next()
+	j.done(j)
+}
+
+// next starts the jobs that wait inside the engine.
+func (e *engine) next() {
 	for len(e.waiting) > 0 && e.running < e.slots {
-		next := e.waiting[0]
+		j := e.waiting[0]
 		e.waiting = e.waiting[1:]
-		e.start(next)
+		e.start(j)
 	}
-	j.done(j)
 }
 
 func (e *engine) scaled(d float64) micros {
@@ -148,6 +219,11 @@
 // both for its own requests.
 func (e *engine) crowd() int { return len(e.prefill)*1000 + e.running }
 
+// load takes the figures that the engine reports about itself.
+func (e *engine) load(now clock.Time) {
+	e.report = work.Load{Running: e.running, Waiting: len(e.waiting), Slots: e.slots, At: now}
+}
+
 // insert keeps jobs in order of rank, then of arrival at the engine.
 func insert(js []*job, j *job) []*job {
 	i := len(js)
--- a/internal/bench/run.go
+++ b/internal/bench/run.go
@@ -16,6 +16,7 @@
 	return []part{
 		{"ranks", ranks},
 		{"tenants", fairness},
+		{"retries", overload},
 	}
 }
 
--- a/internal/bench/sim.go
+++ b/internal/bench/sim.go
@@ -9,7 +9,10 @@
 // micros is virtual time in microseconds: the service model needs a finer unit than [clock.Time].
 type micros int64
 
-const second micros = 1_000_000
+const (
+	millisecond micros = 1000
+	second             = 1000 * millisecond
+)
 
 // sim is a virtual clock with a heap of events.
 type sim struct {
@@ -35,6 +38,17 @@
 // after runs do after d.
 func (s *sim) after(d micros, do func()) { s.at(s.now+d, do) }
 
+// every runs do at multiples of d until the end.
+func (s *sim) every(d, end micros, do func()) {
+	if s.now+d > end {
+		return
+	}
+	s.after(d, func() {
+		do()
+		s.every(d, end, do)
+	})
+}
+
 // run processes the events up to the end.
 func (s *sim) run(end micros) {
 	for len(s.events) > 0 && s.events[0].at <= end {
