document: parse, validate and compare the configuration document

Cause: the daemon, the operator command and the console need one validator that reports every fault with its place.

Ruled out: the JSON decoder alone. It accepts duplicate fields and field names in another case, and names no list position for a wrong type.

Change: a token scanner beside the types reports unknown, duplicate and mistyped fields; Validate reports dangling references, shares, missing live versions, hashes, counts and minimum shares; Diff compares by the names of entries. A model without a live version is valid only while no canary of it takes work, so the last version can be withdrawn in one change.

--- /dev/null
+++ b/core/document/document_test.go
@@ -0,0 +1,119 @@
+package document
+
+import (
+	"encoding/json"
+	"errors"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+const good = `{"author":"ana","domains":["loka-a","loka-b"],"ranks":{"normal":10,"batch":5},
+"models":[{"name":"small","versions":[{"name":"1","state":"live","cost":10},{"name":"2","state":"canary","share":5,"cost":10}]}],
+"pools":[{"name":"p","models":["small"],"fenced":true,"slots":4}],
+"services":[{"name":"tags","pool":"tags","calls":[{"method":"POST","path":"/find","repeat":true}]}],
+"workspaces":[{"name":"gate","keys":["` + key + `"],"allow":["small@1"],"services":["tags"],"rank":"urgent","weight":1,"routes":["fast"]}],
+"routes":[{"name":"fast","model":"small"}],
+"cascades":[{"name":"both","stages":["small@1","small@2"],"quality":90,"down":"last"}]}`
+
+const key = "9f86d081884c7d659a2feaa0c55ad015a3bf4f1b2b0b822cd15d6c15b0f00a08"
+
+// Guards against a mistaken document being put in force: each row is one mistake, and the fault has to
+// name its place.
+func TestFaults(t *testing.T) {
+	rows := []struct{ name, from, to, path string }{
+		{"unknown field", `"author":"ana"`, `"author":"ana","autor":"x"`, "autor"},
+		{"field in other case", `"slots":4`, `"Slots":4`, "pools[0].Slots"},
+		{"duplicate field", `"share":5`, `"share":5,"share":6`, "models[0].versions[1].share"},
+		{"wrong type", `"weight":1`, `"weight":"1"`, "workspaces[0].weight"},
+		{"fraction", `"weight":1`, `"weight":1.5`, "workspaces[0].weight"},
+		{"null", `"weight":1`, `"weight":null`, "workspaces[0].weight"},
+		{"no author", `"author":"ana"`, `"author":""`, "author"},
+		{"no domain", `["loka-a","loka-b"]`, `[]`, "domains"},
+		{"dot in domain", `"loka-a"`, `"loka.a"`, "domains[0]"},
+		{"duplicate domain", `"loka-b"`, `"loka-a"`, "domains[1]"},
+		{"minimum shares", `"normal":10`, `"normal":90`, "ranks"},
+		{"negative share", `"batch":5`, `"batch":-5`, "ranks.batch"},
+		{"share over 100", `"share":5`, `"share":101`, "models[0].versions[1].share"},
+		{"share of a live version", `"state":"live"`, `"state":"live","share":3`, "models[0].versions[0].share"},
+		{"no live version", `"state":"live"`, `"state":"draining"`, "models[0].versions"},
+		{"two live versions", `"canary","share":5`, `"live"`, "models[0].versions"},
+		{"unknown state", `"state":"live"`, `"state":"alive"`, "models[0].versions[0].state"},
+		{"stale without limit", `"state":"live"`, `"state":"live","stale":"refuse"`, "models[0].versions[0].limit"},
+		{"duplicate version", `{"name":"2"`, `{"name":"1"`, "models[0].versions[1].name"},
+		{"dangling model in pool", `"models":["small"]`, `"models":["large"]`, "pools[0].models[0]"},
+		{"no slots", `"slots":4`, `"slots":0`, "pools[0].slots"},
+		{"method", `"POST"`, `"post"`, "services[0].calls[0].method"},
+		{"path", `"/find"`, `"find"`, "services[0].calls[0].path"},
+		{"bad hash", key, key[1:], "workspaces[0].keys[0]"},
+		{"dangling allow", `"small@1"],"services"`, `"small@9"],"services"`, "workspaces[0].allow[0]"},
+		{"dangling service", `"services":["tags"]`, `"services":["desk"]`, "workspaces[0].services[0]"},
+		{"dangling route", `"routes":["fast"]`, `"routes":["slow"]`, "workspaces[0].routes[0]"},
+		{"rank", `"rank":"urgent"`, `"rank":"now"`, "workspaces[0].rank"},
+		{"route named as a model", `"name":"fast"`, `"name":"small"`, "routes[0].name"},
+		{"dangling stage", `"small@2"]`, `"small@3"]`, "cascades[0].stages[1]"},
+		{"down", `"down":"last"`, `"down":"none"`, "cascades[0].down"},
+		{"quality", `"quality":90`, `"quality":101`, "cascades[0].quality"},
+		{"hostile name", `"name":"gate"`, `"name":"<b>gate"`, "workspaces[0].name"},
+	}
+	_, err := Parse([]byte(good))
+	assert.NilError(t, err)
+	for _, r := range rows {
+		text := strings.Replace(good, r.from, r.to, 1)
+		assert.Assert(t, text != good, r.name)
+		_, err := Parse([]byte(text))
+		var faults Faults
+		assert.Assert(t, errors.As(err, &faults), "%s: %v", r.name, err)
+		found := false
+		for _, f := range faults {
+			found = found || f.Path == r.path
+		}
+		assert.Check(t, found, "%s: want a fault at %s, got %v", r.name, r.path, err)
+	}
+}
+
+// Guards against a document that fills the memory of every entry VM, or the stack of the parser.
+func TestLimits(t *testing.T) {
+	d := new(Document)
+	assert.NilError(t, json.Unmarshal([]byte(good), d))
+	for range MaxWorkspaces {
+		d.Workspaces = append(d.Workspaces, Workspace{Name: "w", Rank: "batch", Weight: 1})
+	}
+	d.Note = strings.Repeat("n", MaxNote+1)
+	var paths []string
+	for _, f := range Validate(d) {
+		paths = append(paths, f.Path)
+	}
+	assert.Assert(t, len(paths) > MaxWorkspaces-2, "every duplicate name is a fault")
+	assert.Check(t, strings.Contains(strings.Join(paths, " "), "note workspaces "))
+	_, err := Parse([]byte(strings.Repeat(" ", MaxBytes+1)))
+	assert.ErrorContains(t, err, "bytes")
+	_, err = Parse([]byte(strings.Repeat("[", 5000)))
+	assert.ErrorContains(t, err, "nested")
+	_, err = Parse([]byte(good + "{}"))
+	assert.ErrorContains(t, err, "follows")
+	_, err = Parse([]byte(good[:200]))
+	assert.ErrorContains(t, err, "not JSON")
+}
+
+// Guards against a preview that hides a change or reports the position instead of the name.
+func TestDiff(t *testing.T) {
+	a, err := Parse([]byte(good))
+	assert.NilError(t, err)
+	b, err := Parse([]byte(strings.NewReplacer(`"share":5`, `"share":20`, `["small@1"]`, `["small"]`, `"note"`, `"note"`).Replace(good)))
+	assert.NilError(t, err)
+	b.Models = append([]Model{{Name: "big", Versions: []Version{{Name: "1", State: Live}}}}, b.Models...)
+	b.Domains = []string{"loka-b", "loka-a"}
+	var got []string
+	for _, c := range Diff(a, b) {
+		got = append(got, c.String())
+	}
+	assert.DeepEqual(t, got, []string{
+		`~ domains ["loka-a","loka-b"] -> ["loka-b","loka-a"]`,
+		`+ models[big] {"name":"big","versions":[{"cost":0,"name":"1","state":"live"}]}`,
+		`~ models[small].versions[2].share 5 -> 20`,
+		`~ workspaces[gate].allow ["small@1"] -> ["small"]`,
+	})
+	assert.Equal(t, len(Diff(a, a)), 0)
+}
--- /dev/null
+++ b/core/document/names.go
@@ -0,0 +1,63 @@
+package document
+
+import "strings"
+
+// What a cascade uses while ratings are missing.
+const (
+	DownFirst = "first"
+	DownLast  = "last"
+)
+
+// Minimum returns the minimum shares in percent, with the defaults where the document holds 0.
+func (r Ranks) Minimum() (normal, batch int) {
+	normal, batch = r.Normal, r.Batch
+	if normal == 0 {
+		normal = DefaultNormal
+	}
+	if batch == 0 {
+		batch = DefaultBatch
+	}
+	return normal, batch
+}
+
+// Version returns a version of a model, nil if the document has none.
+func (d *Document) Version(model, version string) *Version {
+	for i := range d.Models {
+		if d.Models[i].Name != model {
+			continue
+		}
+		for j := range d.Models[i].Versions {
+			if d.Models[i].Versions[j].Name == version {
+				return &d.Models[i].Versions[j]
+			}
+		}
+	}
+	return nil
+}
+
+// SplitRef splits MODEL@VERSION. pinned is false for a MODEL alone.
+func SplitRef(s string) (model, version string, pinned bool) {
+	return strings.Cut(s, "@")
+}
+
+// ValidName reports whether s may name a model, a version, a workspace or another part of a document.
+func ValidName(s string) bool {
+	if s == "" || len(s) > MaxName || s[0] == '.' || s[0] == '-' {
+		return false
+	}
+	for _, r := range s {
+		ok := r >= 'a' && r <= 'z' || r >= 'A' && r <= 'Z' || r >= '0' && r <= '9' || strings.ContainsRune("._-", r)
+		if !ok {
+			return false
+		}
+	}
+	return true
+}
+
+func hash(s string) bool {
+	return len(s) == 64 && strings.Trim(s, "0123456789abcdef") == ""
+}
+
+func method(s string) bool {
+	return s != "" && len(s) <= 16 && strings.Trim(s, "ABCDEFGHIJKLMNOPQRSTUVWXYZ") == ""
+}
--- /dev/null
+++ b/core/document/parse.go
@@ -0,0 +1,202 @@
+package document
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"reflect"
+	"strconv"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// scanner walks the tokens of a document next to the type that they fill. The JSON decoder alone names
+// neither the position of an unknown field nor a duplicate one, and it ignores the case of field names.
+type scanner struct {
+	dec    *json.Decoder
+	faults Faults
+}
+
+// Parse reads and validates a document. The error is of type [Faults] and holds every fault found.
+func Parse(raw []byte) (*Document, error) {
+	if len(raw) > MaxBytes {
+		return nil, Faults{{Text: fmt.Sprintf("%d bytes, at most %d are allowed", len(raw), MaxBytes)}}
+	}
+	s := &scanner{dec: json.NewDecoder(bytes.NewReader(raw))}
+	s.dec.UseNumber()
+	if err := s.value("", reflect.TypeFor[Document](), 0); err != nil {
+		return nil, append(s.faults, Fault{Text: fmt.Sprintf("not JSON at byte %d: %v", s.dec.InputOffset(), err)})
+	}
+	if _, err := s.dec.Token(); !errors.Is(err, io.EOF) {
+		s.fault("", "something follows the document")
+	}
+	if len(s.faults) > 0 {
+		return nil, s.faults
+	}
+	d := new(Document)
+	if err := json.Unmarshal(raw, d); err != nil {
+		return nil, Faults{{Text: err.Error()}}
+	}
+	if faults := Validate(d); len(faults) > 0 {
+		return nil, Faults(faults)
+	}
+	return d, nil
+}
+
+// Digest returns the hex hash of a document's bytes that snapshots carry.
+func Digest(raw []byte) string {
+	return fmt.Sprintf("%016x", xxhash.Sum64(raw))
+}
+
+// Format returns the bytes of a document as the operator command and the console write them.
+func Format(d *Document) ([]byte, error) {
+	raw, err := json.MarshalIndent(d, "", "  ")
+	if err != nil {
+		return nil, err
+	}
+	return append(raw, '\n'), nil
+}
+
+func (s *scanner) fault(path, format string, args ...any) {
+	s.faults = append(s.faults, Fault{Path: path, Text: fmt.Sprintf(format, args...)})
+}
+
+// value reads one value. It returns an error only where the bytes are not JSON or nested too deeply; t is
+// nil below an unknown field.
+func (s *scanner) value(path string, t reflect.Type, depth int) error {
+	if depth > MaxNesting {
+		return fmt.Errorf("nested deeper than %d", MaxNesting)
+	}
+	tok, err := s.dec.Token()
+	if err != nil {
+		if errors.Is(err, io.EOF) {
+			return io.ErrUnexpectedEOF
+		}
+		return err
+	}
+	if t != nil && !fits(tok, t) {
+		s.fault(path, "want %s, got %s", kindName(t), tokenName(tok))
+		t = nil
+	}
+	switch tok {
+	case json.Delim('{'):
+		return s.object(path, t, depth)
+	case json.Delim('['):
+		return s.array(path, t, depth)
+	}
+	return nil
+}
+
+func (s *scanner) object(path string, t reflect.Type, depth int) error {
+	seen := map[string]bool{}
+	for s.dec.More() {
+		tok, err := s.dec.Token()
+		if err != nil {
+			return err
+		}
+		name, ok := tok.(string)
+		if !ok {
+			return fmt.Errorf("a field name is not a string")
+		}
+		at := join(path, name)
+		if seen[name] {
+			s.fault(at, "the field occurs twice")
+		}
+		seen[name] = true
+		var ft reflect.Type
+		if t != nil {
+			if ft = field(t, name); ft == nil {
+				s.fault(at, "unknown field")
+			}
+		}
+		if err := s.value(at, ft, depth+1); err != nil {
+			return err
+		}
+	}
+	_, err := s.dec.Token()
+	return err
+}
+
+func (s *scanner) array(path string, t reflect.Type, depth int) error {
+	var et reflect.Type
+	if t != nil {
+		et = t.Elem()
+	}
+	for i := 0; s.dec.More(); i++ {
+		if err := s.value(path+"["+strconv.Itoa(i)+"]", et, depth+1); err != nil {
+			return err
+		}
+	}
+	_, err := s.dec.Token()
+	return err
+}
+
+// field returns the type of the field with exactly this JSON name, nil if there is none.
+func field(t reflect.Type, name string) reflect.Type {
+	for i := range t.NumField() {
+		tag, _, _ := strings.Cut(t.Field(i).Tag.Get("json"), ",")
+		if tag == name {
+			return t.Field(i).Type
+		}
+	}
+	return nil
+}
+
+func fits(tok json.Token, t reflect.Type) bool {
+	switch v := tok.(type) {
+	case json.Delim:
+		return v == '{' && t.Kind() == reflect.Struct || v == '[' && t.Kind() == reflect.Slice
+	case string:
+		return t.Kind() == reflect.String
+	case bool:
+		return t.Kind() == reflect.Bool
+	case json.Number:
+		_, err := strconv.ParseInt(v.String(), 10, 64)
+		return t.Kind() == reflect.Int && err == nil
+	default: // null, which the encoder writes for an empty list
+		return t.Kind() == reflect.Slice
+	}
+}
+
+func kindName(t reflect.Type) string {
+	switch t.Kind() {
+	case reflect.Struct:
+		return "an object"
+	case reflect.Slice:
+		return "a list"
+	case reflect.Int:
+		return "a whole number"
+	case reflect.Bool:
+		return "true or false"
+	default:
+		return "a string"
+	}
+}
+
+func tokenName(tok json.Token) string {
+	switch v := tok.(type) {
+	case json.Delim:
+		if v == '{' {
+			return "an object"
+		}
+		return "a list"
+	case string:
+		return "a string"
+	case json.Number:
+		return "the number " + v.String()
+	case nil:
+		return "null"
+	default:
+		return fmt.Sprint(v)
+	}
+}
+
+func join(path, name string) string {
+	if path == "" {
+		return name
+	}
+	return path + "." + name
+}
