platform, settings: client of the object API and the INI settings

Cause: configuration, claims, bills and leases need a client whose failures tell a conflict from an outage; the daemon needs settings whose mistakes are all reported at once.

Ruled out: fasthttp's own repetition of idempotent calls. A repeated conditional PUT conflicts with its own first attempt, which the caller cannot see.

Change: io/platform sends each call once and returns typed errors, watches use a connection of their own; internal/settings reads a table of keys, rejects unknown, duplicate, missing and bad values, and reads secrets from the environment by env:NAME.

Conclusion: go test -race ./io/platform ./internal/settings passes; a server that closes a kept-alive connection after reading the request sees each call once.

--- /dev/null
+++ b/internal/settings/load.go
@@ -0,0 +1,134 @@
+package settings
+
+import (
+	"fmt"
+	"os"
+	"strings"
+
+	"gopkg.in/ini.v1"
+)
+
+// Load reads the settings file. The error is of type [Faults] and holds every fault found, so that a check
+// of the file needs one run.
+func Load(file string) (*Settings, error) {
+	raw, err := os.ReadFile(file)
+	if err != nil {
+		return nil, Faults{{File: file, Text: err.Error()}}
+	}
+	return Parse(file, raw, os.LookupEnv)
+}
+
+// Parse reads settings from raw. file is named in the faults; lookup gives environment variables.
+func Parse(file string, raw []byte, lookup func(string) (string, bool)) (*Settings, error) {
+	options := ini.LoadOptions{
+		AllowShadows:               true, // without it a second key silently replaces the first
+		AllowDuplicateShadowValues: true,
+		IgnoreInlineComment:        true,
+		SkipUnrecognizableLines:    false,
+	}
+	f, err := ini.LoadSources(options, raw)
+	if err != nil {
+		return nil, Faults{{File: file, Text: err.Error()}}
+	}
+	r := &reader{file: file, lookup: lookup, ini: f}
+	r.unknown()
+	s := new(Settings)
+	for _, k := range Reference {
+		r.read(s, k)
+	}
+	r.both(s)
+	if len(r.faults) > 0 {
+		return nil, r.faults
+	}
+	if s.Peers.Announce == "" {
+		s.Peers.Announce = s.Peers.Addr
+	}
+	return s, nil
+}
+
+// reader collects the faults of one file.
+type reader struct {
+	file   string
+	lookup func(string) (string, bool)
+	ini    *ini.File
+	faults Faults
+}
+
+func (r *reader) fault(section, key, format string, args ...any) {
+	r.faults = append(r.faults, Fault{File: r.file, Section: section, Key: key, Text: fmt.Sprintf(format, args...)})
+}
+
+// unknown reports sections and keys that nothing reads: a misspelt key would otherwise leave a default in
+// force.
+func (r *reader) unknown() {
+	known := map[string]map[string]bool{}
+	for _, k := range Reference {
+		if known[k.Section] == nil {
+			known[k.Section] = map[string]bool{}
+		}
+		known[k.Section][k.Name] = true
+	}
+	for _, s := range r.ini.Sections() {
+		keys := known[s.Name()]
+		if keys == nil && s.Name() != ini.DefaultSection {
+			r.fault(s.Name(), "", "unknown section")
+			continue
+		}
+		for _, k := range s.Keys() {
+			switch {
+			case !keys[k.Name()]:
+				r.fault(s.Name(), k.Name(), "unknown key")
+			case len(k.ValueWithShadows()) > 1:
+				r.fault(s.Name(), k.Name(), "the key occurs twice")
+			}
+		}
+	}
+}
+
+func (r *reader) read(s *Settings, k Key) {
+	v := ""
+	if r.ini.HasSection(k.Section) {
+		v = r.ini.Section(k.Section).Key(k.Name).Value()
+	}
+	if env, ok := strings.CutPrefix(v, "env:"); ok {
+		value, found := r.lookup(env)
+		if !found || value == "" {
+			r.fault(k.Section, k.Name, "the environment variable %q is not set", env)
+			return
+		}
+		v = value
+	}
+	if v == "" {
+		v = k.Default
+	}
+	if v == "" {
+		if k.Required {
+			r.fault(k.Section, k.Name, "missing")
+		}
+		return
+	}
+	if err := k.set(s, v); err != nil {
+		r.fault(k.Section, k.Name, "%v", err)
+	}
+}
+
+// both reports faults between keys.
+func (r *reader) both(s *Settings) {
+	for _, v := range s.Operators.Viewers {
+		for _, e := range s.Operators.Editors {
+			if v.Name == e.Name {
+				r.fault("operators", "viewers", "operator %q is also an editor", v.Name)
+			}
+		}
+	}
+	ports := []struct{ section, addr string }{
+		{"callers", s.Callers.Addr}, {"peers", s.Peers.Addr}, {"operators", s.Operators.Addr},
+	}
+	for i, a := range ports {
+		for _, b := range ports[:i] {
+			if a.addr != "" && a.addr == b.addr && !strings.HasSuffix(a.addr, ":0") {
+				r.fault(a.section, "addr", "%s is also the address in [%s]", a.addr, b.section)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/io/platform/client.go
@@ -0,0 +1,181 @@
+package platform
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/url"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"shallotrun/core/clock"
+	"shallotrun/core/work"
+)
+
+// MaxResponse is the largest response that is read, in bytes: a value of 1 MB with its envelope, or a list.
+const MaxResponse = 2 << 20
+
+// MaxValue is the largest value that the platform stores, in bytes.
+const MaxValue = 1_000_000
+
+// Object is one object of the platform.
+type Object struct {
+	Kind    string          `json:"kind"`
+	Name    string          `json:"name"`
+	Version uint64          `json:"version"`           // store-wide, grows with every change
+	Value   json.RawMessage `json:"value,omitempty"`   // one JSON value
+	Deleted bool            `json:"deleted,omitempty"` // in changes only
+}
+
+// Changes is the result of a watch.
+type Changes struct {
+	Version uint64   `json:"version"` // since for the next watch
+	Objects []Object `json:"objects"` // empty when the wait ended without a change
+}
+
+// Client speaks to one platform. Set the exported fields before the first call.
+type Client struct {
+	Addr    string     // IP:port
+	Timeout clock.Span // of one call without a wait, 0 means 2 s
+	Token   string     // bearer token, "" sends none
+
+	calls atomic.Uint64
+	once  sync.Once
+	host  *fasthttp.HostClient
+}
+
+// Calls returns the number of requests sent, watches included. The platform's rate limit counts each.
+func (c *Client) Calls() uint64 { return c.calls.Load() }
+
+// Get returns an object or ErrNotFound.
+func (c *Client) Get(ctx context.Context, kind, name string) (Object, error) {
+	var o Object
+	err := c.call(ctx, request{method: fasthttp.MethodGet, path: objectPath(kind, name), into: &o})
+	if err == nil && o.Version == 0 {
+		err = &Unavailable{Sent: true, Cause: errors.New("an object without a version")}
+	}
+	return o, err
+}
+
+// Create stores an object that does not exist yet, and returns its version. It returns *Conflict if the
+// object exists.
+func (c *Client) Create(ctx context.Context, kind, name string, value []byte) (uint64, error) {
+	return c.put(ctx, kind, name, "?if=absent", value)
+}
+
+// Update replaces an object that has this version, and returns the new version. It returns *Conflict if
+// the version is another.
+func (c *Client) Update(ctx context.Context, kind, name string, version uint64, value []byte) (uint64, error) {
+	return c.put(ctx, kind, name, "?if="+strconv.FormatUint(version, 10), value)
+}
+
+// Put stores an object without a condition, and returns the new version.
+func (c *Client) Put(ctx context.Context, kind, name string, value []byte) (uint64, error) {
+	return c.put(ctx, kind, name, "", value)
+}
+
+// Delete removes an object that has this version.
+func (c *Client) Delete(ctx context.Context, kind, name string, version uint64) error {
+	path := objectPath(kind, name) + "?if=" + strconv.FormatUint(version, 10)
+	return c.call(ctx, request{method: fasthttp.MethodDelete, path: path})
+}
+
+// List returns the objects of a kind whose names begin with prefix.
+func (c *Client) List(ctx context.Context, kind, prefix string) ([]Object, error) {
+	var l Changes
+	path := "/objects/" + url.PathEscape(kind) + "?prefix=" + url.QueryEscape(prefix)
+	err := c.call(ctx, request{method: fasthttp.MethodGet, path: path, into: &l})
+	return l.Objects, err
+}
+
+// Watch waits up to wait for changes of a kind after version since. Cancelling ctx closes the connection.
+func (c *Client) Watch(ctx context.Context, kind string, since uint64, wait clock.Span) (Changes, error) {
+	var l Changes
+	path := fmt.Sprintf("/watch/%s?since=%d&wait=%d", url.PathEscape(kind), since, wait)
+	err := c.call(ctx, request{method: fasthttp.MethodGet, path: path, into: &l, wait: wait})
+	return l, err
+}
+
+// VMs returns the platform's list of VMs, which lags behind their state.
+func (c *Client) VMs(ctx context.Context) ([]work.VM, error) {
+	var l struct {
+		VMs []work.VM `json:"vms"`
+	}
+	err := c.call(ctx, request{method: fasthttp.MethodGet, path: "/vms", into: &l})
+	return l.VMs, err
+}
+
+// Close closes the idle connections.
+func (c *Client) Close() { c.client().CloseIdleConnections() }
+
+func (c *Client) put(ctx context.Context, kind, name, cond string, value []byte) (uint64, error) {
+	if len(value) > MaxValue {
+		return 0, &Unavailable{Cause: fmt.Errorf("a value of %d bytes, at most %d are stored", len(value), MaxValue)}
+	}
+	var o Object
+	path := objectPath(kind, name) + cond
+	if err := c.call(ctx, request{method: fasthttp.MethodPut, path: path, body: value, into: &o}); err != nil {
+		return 0, err
+	}
+	if o.Version == 0 {
+		return 0, &Unavailable{Sent: true, Cause: errors.New("an update without a version in the response")}
+	}
+	return o.Version, nil
+}
+
+// client returns the shared connection pool for calls without a wait.
+func (c *Client) client() *fasthttp.HostClient {
+	c.once.Do(func() { c.host = c.newHost(nil) })
+	return c.host
+}
+
+// newHost returns a connection pool with the library's own repetition off: it would repeat GET, PUT and
+// DELETE up to five times, and a second PUT hides from the caller that the first one took effect.
+func (c *Client) newHost(dial fasthttp.DialFunc) *fasthttp.HostClient {
+	return &fasthttp.HostClient{
+		Addr:                      c.Addr,
+		Name:                      "shallotrun",
+		Dial:                      dial,
+		MaxIdemponentCallAttempts: 1,
+		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
+		MaxResponseBodySize:       MaxResponse,
+		MaxIdleConnDuration:       10 * time.Second,
+		MaxConns:                  64,
+	}
+}
+
+// watchHost returns a pool for one watch, whose connection closes when ctx ends. A watch on a connection of
+// its own also survives a shared connection that went silent.
+func (c *Client) watchHost(ctx context.Context) (host *fasthttp.HostClient, done func()) {
+	var stops []func() bool
+	var conns []net.Conn
+	host = c.newHost(func(addr string) (net.Conn, error) {
+		var d net.Dialer
+		conn, err := d.DialContext(ctx, "tcp", addr)
+		if err != nil {
+			return nil, err
+		}
+		conns = append(conns, conn)
+		// The close fails only for a connection that is closed already.
+		stops = append(stops, context.AfterFunc(ctx, func() { _ = conn.Close() }))
+		return conn, nil
+	})
+	return host, func() {
+		for _, stop := range stops {
+			stop()
+		}
+		for _, conn := range conns {
+			_ = conn.Close()
+		}
+	}
+}
+
+func objectPath(kind, name string) string {
+	return "/objects/" + url.PathEscape(kind) + "/" + url.PathEscape(name)
+}
--- /dev/null
+++ b/io/platform/client_test.go
@@ -0,0 +1,149 @@
+package platform
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"shallotrun/core/clock"
+)
+
+// answer serves one fixed response for each connection and counts the requests read.
+func answer(t *testing.T, text string, keep int) (addr string, requests *atomic.Int64) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	requests = new(atomic.Int64)
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = conn.Close() }()
+				r := bufio.NewReader(conn)
+				for n := 0; ; n++ {
+					req, err := http.ReadRequest(r)
+					if err != nil {
+						return
+					}
+					buf := make([]byte, req.ContentLength+1)
+					_, _ = req.Body.Read(buf)
+					requests.Add(1)
+					if n >= keep {
+						return
+					}
+					if _, err := conn.Write([]byte(text)); err != nil {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return l.Addr().String(), requests
+}
+
+func response(status, body string) string {
+	return "HTTP/1.1 " + status + "\r\nContent-Type: application/json\r\nContent-Length: " +
+		strconv.Itoa(len(body)) + "\r\n\r\n" + body
+}
+
+// Guards against the library's own repetition: a server that closes a kept-alive connection after it read
+// the request would otherwise see a conditional update twice, and the second one reports a conflict with
+// the first.
+func TestNoCallIsRepeated(t *testing.T) {
+	addr, requests := answer(t, response("200 OK", `{"kind":"k","name":"n","version":7}`), 1)
+	c := &Client{Addr: addr}
+	ctx := context.Background()
+	v, err := c.Update(ctx, "k", "n", 6, []byte(`{}`))
+	assert.NilError(t, err)
+	assert.Equal(t, v, uint64(7))
+	for _, call := range []func() error{
+		func() error { _, err := c.Update(ctx, "k", "n", 7, []byte(`{}`)); return err },
+		func() error { return c.Delete(ctx, "k", "n", 7) },
+		func() error { _, err := c.Get(ctx, "k", "n"); return err },
+	} {
+		if _, err := c.Get(ctx, "k", "n"); err != nil { // leaves a kept-alive connection or takes the broken one
+			continue
+		}
+		before := requests.Load()
+		err := call()
+		var u *Unavailable
+		assert.Assert(t, errors.As(err, &u) && u.Sent, "%v", err)
+		assert.Equal(t, requests.Load()-before, int64(1))
+	}
+}
+
+// Guards against a failure that is taken for another: a conflict, a limit and an outage need different
+// reactions.
+func TestErrors(t *testing.T) {
+	ctx := context.Background()
+	rows := []struct {
+		status, body string
+		check        func(error) bool
+	}{
+		{"404 Not Found", `{}`, func(err error) bool { return errors.Is(err, ErrNotFound) }},
+		{"409 Conflict", `{"version":9}`, func(err error) bool {
+			var e *Conflict
+			return errors.As(err, &e) && e.Version == 9
+		}},
+		{"429 Too Many Requests\r\nRetry-After: 1.5", ``, func(err error) bool {
+			var e *Limited
+			return errors.As(err, &e) && e.Retry == 1500
+		}},
+		{"500 Oops", ``, unavailable},
+		{"200 OK", `{"version":`, unavailable},
+		{"200 OK", `{}`, unavailable},
+		{"200 OK", `{"value":"` + strings.Repeat("x", MaxResponse) + `","version":1}`, unavailable},
+	}
+	for _, r := range rows {
+		addr, _ := answer(t, response(r.status, r.body), 1)
+		_, err := (&Client{Addr: addr}).Get(ctx, "k", "n")
+		assert.Check(t, r.check(err), "%s: %v", r.status, err)
+	}
+	_, err := (&Client{Addr: "127.0.0.1:1"}).Get(ctx, "k", "n")
+	var u *Unavailable
+	assert.Check(t, errors.As(err, &u) && !u.Sent, "%v", err)
+	_, err = (&Client{Addr: "127.0.0.1:1"}).Put(ctx, "k", "n", make([]byte, MaxValue+1))
+	assert.ErrorContains(t, err, "at most")
+}
+
+// Guards against a daemon that hangs at its stop, or on a platform that went silent, while a watch waits.
+func TestWaitsEnd(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { _ = l.Close() }()
+	c := &Client{Addr: l.Addr().String(), Timeout: 50}
+	_, err = c.Get(context.Background(), "k", "n")
+	assert.Check(t, unavailable(err), "%v", err)
+	ctx, cancel := context.WithCancel(context.Background())
+	time.AfterFunc(50*time.Millisecond, cancel)
+	done := make(chan error)
+	go func() {
+		_, err := c.Watch(ctx, "k", 1, clock.Hour)
+		done <- err
+	}()
+	select {
+	case err := <-done:
+		assert.Check(t, unavailable(err), "%v", err)
+	case <-time.After(10 * time.Second):
+		t.Fatal("the watch outlived its context")
+	}
+	assert.Equal(t, c.Calls(), uint64(2))
+}
+
+func unavailable(err error) bool {
+	var e *Unavailable
+	return errors.As(err, &e)
+}
