--- /dev/null
+++ b/core/document/edit.go
@@ -0,0 +1,78 @@
+package document
+
+import (
+	"encoding/json"
+
+	"github.com/samber/oops"
+)
+
+// Clone returns a copy of the document that shares nothing with it.
+func (d *Document) Clone() (*Document, error) {
+	raw, err := json.Marshal(d)
+	if err != nil {
+		return nil, oops.Wrapf(err, "document")
+	}
+	out := new(Document)
+	if err := json.Unmarshal(raw, out); err != nil {
+		return nil, oops.Wrapf(err, "document")
+	}
+	return out, nil
+}
+
+// Rollout gives a version percent of the new work of its model. At 100 the version becomes the live one and
+// the live version before it drains. The live version itself cannot be made a canary, because nothing would
+// take the rest of the work.
+func (d *Document) Rollout(model, version string, percent int) error {
+	v := d.Version(model, version)
+	if v == nil {
+		return oops.Errorf("no version %s@%s", model, version)
+	}
+	if percent < 0 || percent > 100 {
+		return oops.Errorf("%d%%, want 0 to 100", percent)
+	}
+	if v.State == Live && percent < 100 {
+		return oops.Errorf("%s@%s is the live version; roll another version out to 100%% instead", model, version)
+	}
+	if percent < 100 {
+		v.State, v.Share = Canary, percent
+		return nil
+	}
+	for i := range d.Models {
+		if d.Models[i].Name != model {
+			continue
+		}
+		for j := range d.Models[i].Versions {
+			if w := &d.Models[i].Versions[j]; w.State == Live && w.Name != version {
+				w.State = Draining
+			}
+		}
+	}
+	v.State, v.Share = Live, 0
+	return nil
+}
+
+// Withdraw stops new work on a version, sessions included. promote names the version that becomes live in
+// its place; "" names none, which is a fault of the document while a canary is left without a live version.
+func (d *Document) Withdraw(model, version, promote string) error {
+	return d.stop(model, version, promote, Withdrawn)
+}
+
+// Drain stops new sessions and work without a session on a version. promote is as for Withdraw.
+func (d *Document) Drain(model, version, promote string) error {
+	return d.stop(model, version, promote, Draining)
+}
+
+func (d *Document) stop(model, version, promote, state string) error {
+	v := d.Version(model, version)
+	if v == nil {
+		return oops.Errorf("no version %s@%s", model, version)
+	}
+	if promote == version {
+		return oops.Errorf("%s@%s cannot take its own place", model, version)
+	}
+	v.State, v.Share = state, 0
+	if promote == "" {
+		return nil
+	}
+	return d.Rollout(model, promote, 100)
+}
--- a/core/document/parse.go
+++ b/core/document/parse.go
@@ -46,9 +46,14 @@
 	return d, nil
 }
 
-// Digest returns the hex hash of a document's bytes that snapshots carry.
-func Digest(raw []byte) string {
-	return fmt.Sprintf("%016x", xxhash.Sum64(raw))
+// Compact returns the document's compact JSON and its hex hash. The hash is taken from these bytes and not
+// from the ones received, because the platform may give a value back with other white space.
+func Compact(d *Document) (raw []byte, digest string, err error) {
+	raw, err = json.Marshal(d)
+	if err != nil {
+		return nil, "", err
+	}
+	return raw, fmt.Sprintf("%016x", xxhash.Sum64(raw)), nil
 }
 
 // Format returns the bytes of a document as the operator command and the console write them.
--- a/core/document/types.go
+++ b/core/document/types.go
@@ -23,7 +23,7 @@
 // Snapshot is a validated document with its place in the order of documents.
 type Snapshot struct {
 	Revision uint64     `json:"revision"` // version of the platform object; only grows
-	Digest   string     `json:"digest"`   // hex xxhash of the document's bytes
+	Digest   string     `json:"digest"`   // hex xxhash of the document's compact JSON
 	At       clock.Time `json:"at"`       // when this process put it in force, wall clock
 	Document *Document  `json:"document"`
 }
--- /dev/null
+++ b/internal/config/writer.go
@@ -0,0 +1,194 @@
+package config
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/samber/oops"
+
+	"shallotrun/core/clock"
+	"shallotrun/core/document"
+	"shallotrun/io/platform"
+)
+
+// Version is a document as the platform has it. Revision is 0 and Document nil where there is none.
+type Version struct {
+	Revision uint64
+	Document *document.Document
+}
+
+// Conflict is returned when somebody else changed the document first.
+type Conflict struct {
+	Base Version            // what this change was made from
+	Now  Version            // what is in the platform
+	Mine *document.Document // what was to be stored
+	Lost bool               // a response was lost before: Mine may have been stored and replaced since
+}
+
+// Writer changes the document in the platform.
+type Writer struct {
+	Client *platform.Client
+	Tries  int // attempts of Edit and of reading back, 0 means 6
+}
+
+// Error names both authors.
+func (c *Conflict) Error() string {
+	outcome := "nothing was stored"
+	if c.Lost {
+		outcome = "a response was lost before, so whether this change was stored in between is not known"
+	}
+	return fmt.Sprintf("the document changed from revision %d to %d by %s; %s",
+		c.Base.Revision, c.Now.Revision, author(c.Now.Document), outcome)
+}
+
+// Theirs returns what the other operators changed.
+func (c *Conflict) Theirs() []document.Change { return document.Diff(c.Base.Document, c.Now.Document) }
+
+// Ours returns what was to be changed.
+func (c *Conflict) Ours() []document.Change { return document.Diff(c.Base.Document, c.Mine) }
+
+// Read returns the document in the platform.
+func (w *Writer) Read(ctx context.Context) (Version, error) {
+	o, err := w.Client.Get(ctx, Kind, Name)
+	if errors.Is(err, platform.ErrNotFound) {
+		return Version{}, nil
+	}
+	if err != nil {
+		return Version{}, err
+	}
+	d, err := document.Parse(o.Value)
+	if err != nil {
+		return Version{}, oops.Wrapf(err, "the document in the platform, revision %d", o.Version)
+	}
+	return Version{Revision: o.Version, Document: d}, nil
+}
+
+// Replace stores d if the platform still has base, and returns the new revision. It returns *Conflict if
+// the document is another by now. A response that is lost after the change took effect is settled by
+// reading the document back and comparing it; the update is sent again only while base is still stored,
+// under the same condition.
+func (w *Writer) Replace(ctx context.Context, base Version, d *document.Document) (uint64, error) {
+	if faults := document.Validate(d); len(faults) > 0 {
+		return 0, document.Faults(faults)
+	}
+	raw, _, err := document.Compact(d)
+	if err != nil {
+		return 0, oops.Wrapf(err, "document")
+	}
+	var last error
+	for try := range w.tries() {
+		revision, err := w.store(ctx, base.Revision, raw)
+		var conflict *platform.Conflict
+		var lost *platform.Unavailable
+		switch {
+		case err == nil:
+			return revision, nil
+		case errors.As(err, &lost) && lost.Sent:
+			last = err
+		case !errors.As(err, &conflict) && last == nil:
+			return 0, err
+		}
+		now, err := w.Read(ctx)
+		switch {
+		case err != nil:
+			last = err
+		case now.Revision == base.Revision:
+		case last != nil && same(now.Document, raw):
+			return now.Revision, nil
+		default:
+			return 0, &Conflict{Base: base, Now: now, Mine: d, Lost: last != nil}
+		}
+		wait(ctx, try)
+	}
+	return 0, oops.Wrapf(last, "the response was lost and the document cannot be read back; whether the change took effect is not known")
+}
+
+// Edit changes the document by a function, and applies the function again to the newer document after a
+// conflict or a response that was lost. change must give the same result when it is applied twice.
+func (w *Writer) Edit(ctx context.Context, author, note string, change func(*document.Document) error) (uint64, error) {
+	var last error
+	for try := range w.tries() {
+		base, err := w.Read(ctx)
+		if err == nil && base.Document == nil {
+			return 0, platform.ErrNotFound
+		}
+		if err == nil {
+			var revision uint64
+			if revision, err = w.edit(ctx, base, author, note, change); err == nil {
+				return revision, nil
+			}
+		}
+		if !again(err) {
+			return 0, err
+		}
+		last = err
+		wait(ctx, try)
+	}
+	return 0, oops.Wrapf(last, "gave up after %d attempts", w.tries())
+}
+
+func (w *Writer) edit(ctx context.Context, base Version, author, note string, change func(*document.Document) error) (uint64, error) {
+	mine, err := base.Document.Clone()
+	if err != nil {
+		return 0, err
+	}
+	if err := change(mine); err != nil {
+		return 0, err
+	}
+	if len(document.Diff(base.Document, mine)) == 0 {
+		return base.Revision, nil
+	}
+	mine.Author, mine.Note = author, note
+	return w.Replace(ctx, base, mine)
+}
+
+func (w *Writer) store(ctx context.Context, revision uint64, raw []byte) (uint64, error) {
+	if revision == 0 {
+		return w.Client.Create(ctx, Kind, Name, raw)
+	}
+	return w.Client.Update(ctx, Kind, Name, revision, raw)
+}
+
+func (w *Writer) tries() int {
+	if w.Tries == 0 {
+		return 6
+	}
+	return w.Tries
+}
+
+// again reports whether another attempt may succeed.
+func again(err error) bool {
+	var conflict *Conflict
+	var limited *platform.Limited
+	var lost *platform.Unavailable
+	return errors.As(err, &conflict) || errors.As(err, &limited) || errors.As(err, &lost)
+}
+
+func same(d *document.Document, raw []byte) bool {
+	if d == nil {
+		return false
+	}
+	stored, _, err := document.Compact(d)
+	return err == nil && bytes.Equal(stored, raw)
+}
+
+func author(d *document.Document) string {
+	if d == nil {
+		return "somebody who deleted it"
+	}
+	return d.Author
+}
+
+// wait sleeps before attempt number try, longer each time.
+func wait(ctx context.Context, try int) {
+	s := min(50*clock.Millisecond<<try, clock.Second)
+	t := time.NewTimer(jitter(s).Std())
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- a/io/platform/client.go
+++ b/io/platform/client.go
@@ -36,7 +36,7 @@
 // Changes is the result of a watch.
 type Changes struct {
 	Version uint64   `json:"version"` // since for the next watch
-	Objects []Object `json:"objects"` // empty when the wait ended without a change
+	Items   []Object `json:"items"`   // empty when the wait ended without a change
 }
 
 // Client speaks to one platform. Set the exported fields before the first call.
@@ -91,7 +91,7 @@
 	var l Changes
 	path := "/objects/" + url.PathEscape(kind) + "?prefix=" + url.QueryEscape(prefix)
 	err := c.call(ctx, request{method: fasthttp.MethodGet, path: path, into: &l})
-	return l.Objects, err
+	return l.Items, err
 }
 
 // Watch waits up to wait for changes of a kind after version since. Cancelling ctx closes the connection.
@@ -104,11 +104,9 @@
 
 // VMs returns the platform's list of VMs, which lags behind their state.
 func (c *Client) VMs(ctx context.Context) ([]work.VM, error) {
-	var l struct {
-		VMs []work.VM `json:"vms"`
-	}
+	var l []work.VM
 	err := c.call(ctx, request{method: fasthttp.MethodGet, path: "/vms", into: &l})
-	return l.VMs, err
+	return l, err
 }
 
 // Close closes the idle connections.
