servers: the most cautious of several sources on leaving servers

Cause: the platform's list lags, so a leaving server would get new work for as long as the list is behind.

Ruled out: lifting a server's own refusal when the list says live, because the list may not have seen the leaving yet. Passing on marks heard from peers, because they would circulate after their source dropped them.

Conclusion: go test -race ./internal/servers passes; each source and its withdrawal has a row.

--- /dev/null
+++ b/internal/servers/servers_test.go
@@ -0,0 +1,120 @@
+package servers
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"shallotrun/core/clock"
+	"shallotrun/core/work"
+	"shallotrun/io/platform"
+)
+
+func row(kind, state string) []work.VM {
+	return []work.VM{
+		{Name: "e1", Addr: "127.0.0.1:1", Kind: kind, Pool: "p", State: state},
+		{Name: "z1", Kind: work.KindEntry, State: work.StateLive},
+	}
+}
+
+// Guards against new work for a server that one source calls leaving, and against a server that stays out
+// for good: each row is a sequence of reports and the state that has to result.
+func TestMostCautiousSourceWins(t *testing.T) {
+	mark := []Mark{{Name: "e1", Addr: "127.0.0.1:1"}}
+	rows := []struct {
+		name string
+		kind string
+		do   func(r *Registry)
+		live bool
+	}{
+		{"all say live", "engine", func(*Registry) {}, true},
+		{"the list says leaving", "engine", func(r *Registry) { r.List(row("engine", "leaving"), 2000) }, false},
+		{"an unknown state", "engine", func(r *Registry) { r.List(row("engine", "parked"), 2000) }, false},
+		{"an older list does not undo it", "engine", func(r *Registry) {
+			r.List(row("engine", "leaving"), 2000)
+			r.List(row("engine", "live"), 1500)
+		}, false},
+		{"the engine reports it", "engine", func(r *Registry) { r.Report("e1", work.Load{Leaving: true, At: 1000}) }, false},
+		{"the engine refused", "engine", func(r *Registry) { r.MarkLeaving("e1") }, false},
+		{"a report from before the refusal", "engine", func(r *Registry) {
+			r.MarkLeaving("e1")
+			r.Report("e1", work.Load{At: 900})
+		}, false},
+		{"a later report lifts the refusal", "engine", func(r *Registry) {
+			r.MarkLeaving("e1")
+			r.Clock.Advance(1000)
+			r.Report("e1", work.Load{At: 1500})
+		}, true},
+		{"the list does not lift the refusal", "engine", func(r *Registry) {
+			r.MarkLeaving("e1")
+			r.Clock.Advance(markLife + 1)
+			r.List(row("engine", "live"), 90_000)
+		}, false},
+		{"a plain service reports nothing", "service", func(r *Registry) { r.MarkLeaving("e1") }, false},
+		{"so its refusal expires", "service", func(r *Registry) {
+			r.MarkLeaving("e1")
+			r.Clock.Advance(markLife + 1)
+			r.Expire()
+		}, true},
+		{"a replacement has another address", "engine", func(r *Registry) {
+			r.MarkLeaving("e1")
+			r.List([]work.VM{{Name: "e1", Addr: "127.0.0.1:9", Kind: "engine", Pool: "p", State: "live"}}, 2000)
+		}, true},
+		{"a peer reports it", "engine", func(r *Registry) { r.Peer("z2", mark) }, false},
+		{"the peer takes it back", "engine", func(r *Registry) { r.Peer("z2", mark); r.Peer("z2", nil) }, true},
+		{"another peer does not", "engine", func(r *Registry) { r.Peer("z2", mark); r.Peer("z3", nil) }, false},
+		{"the peer is gone", "engine", func(r *Registry) {
+			r.Peer("z2", mark)
+			r.Clock.Advance(peerLife + 1)
+			r.Expire()
+		}, true},
+	}
+	for _, x := range rows {
+		r := &Registry{Clock: clock.NewManual(1000)}
+		r.List(row(x.kind, work.StateLive), 1000)
+		x.do(r)
+		assert.Equal(t, r.Servers("p")[0].State == work.StateLive, x.live, x.name)
+	}
+}
+
+// Guards against a mark that circulates among peers after its source dropped it.
+func TestPeersMarksAreNotPassedOn(t *testing.T) {
+	r := &Registry{Clock: clock.NewManual(1000)}
+	r.List(row("engine", work.StateLive), 1000)
+	changes := 0
+	r.Subscribe(func() { changes++ })
+	r.Peer("z2", []Mark{{Name: "e1"}})
+	assert.Equal(t, len(r.Marks()), 0)
+	r.MarkLeaving("e1")
+	assert.Equal(t, len(r.Marks()), 1)
+	assert.Equal(t, changes, 1)
+	assert.Equal(t, len(r.Entries()), 1)
+}
+
+// Guards against an outage of the platform emptying the list of servers.
+func TestListSurvivesOutage(t *testing.T) {
+	down := false
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if down {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		_, _ = w.Write([]byte(`[{"name":"e1","kind":"engine","pool":"p","state":"live"}]`))
+	}))
+	defer s.Close()
+	contacts := 0
+	p := &Poller{Registry: &Registry{}, Contact: func() { contacts++ },
+		Client: &platform.Client{Addr: strings.TrimPrefix(s.URL, "http://")}}
+	assert.NilError(t, p.Poll(context.Background()))
+	down = true
+	err := p.Poll(context.Background())
+	assert.Assert(t, err != nil)
+	assert.Equal(t, len(p.Registry.Servers("p")), 1)
+	assert.Equal(t, contacts, 1)
+	assert.Equal(t, next(clock.Second, clock.Second, err), 2*clock.Second)
+	assert.Equal(t, next(8*clock.Second, clock.Second, &platform.Limited{Retry: clock.Hour}), maxBackoff)
+}
