document: edits of versions, merge of two changes and the conflict type

Cause: the operator command and the console make the same edits and have to show and join the changes of two operators.

Ruled out: merging by position. Two operators who each add an entry to a list would overwrite each other; lists of named entries merge by name, other lists are values as a whole.

Change: Rollout, Withdraw and Drain with a version that takes the place, Merge with the paths that both changed, Conflict with both differences. The writer returns it, and Unsettled where a lost response cannot be settled.

--- a/core/document/document_test.go
+++ b/core/document/document_test.go
@@ -117,3 +117,73 @@
 	})
 	assert.Equal(t, len(Diff(a, a)), 0)
 }
+
+// Guards against a merge that loses one of two operators' changes, or that hides that both changed the
+// same value.
+func TestMerge(t *testing.T) {
+	change := func(f func(d *Document)) *Document {
+		d, err := Parse([]byte(good))
+		assert.NilError(t, err)
+		f(d)
+		return d
+	}
+	base := change(func(*Document) {})
+	mine := change(func(d *Document) {
+		d.Author = "bor"
+		d.Models[0].Versions[1].Share = 20
+		d.Routes = append(d.Routes, Route{Name: "new", Model: "small"})
+	})
+	theirs := change(func(d *Document) {
+		d.Author = "cene"
+		d.Workspaces[0].Weight = 7
+		d.Cascades = nil
+	})
+	got, both, err := Merge(base, mine, theirs)
+	assert.NilError(t, err)
+	assert.Equal(t, len(both), 0, "%v", both)
+	want := change(func(d *Document) {
+		d.Author = "bor"
+		d.Models[0].Versions[1].Share = 20
+		d.Routes = append(d.Routes, Route{Name: "new", Model: "small"})
+		d.Workspaces[0].Weight = 7
+		d.Cascades = nil
+	})
+	assert.Equal(t, len(Diff(got, want)), 0, "%v", Diff(got, want))
+	theirs.Models[0].Versions[1].Share = 30
+	_, both, err = Merge(base, mine, theirs)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, both, []string{"models[small].versions[2].share"})
+}
+
+// Guards against an edit that leaves no version for the rest of the work, or two.
+func TestEdits(t *testing.T) {
+	rows := []struct {
+		name   string
+		edit   func(d *Document) error
+		states string // of the versions 1 and 2, "" means that the edit is refused
+		faults int
+	}{
+		{"more share", func(d *Document) error { return d.Rollout("small", "2", 50) }, "live canary", 0},
+		{"finished", func(d *Document) error { return d.Rollout("small", "2", 100) }, "draining live", 0},
+		{"live again", func(d *Document) error { return d.Rollout("small", "1", 100) }, "live canary", 0},
+		{"live made a canary", func(d *Document) error { return d.Rollout("small", "1", 50) }, "", 0},
+		{"share", func(d *Document) error { return d.Rollout("small", "2", 101) }, "", 0},
+		{"unknown", func(d *Document) error { return d.Withdraw("small", "9", "") }, "", 0},
+		{"canary withdrawn", func(d *Document) error { return d.Withdraw("small", "2", "") }, "live withdrawn", 0},
+		{"live withdrawn", func(d *Document) error { return d.Withdraw("small", "1", "") }, "withdrawn canary", 1},
+		{"live withdrawn, other promoted", func(d *Document) error { return d.Withdraw("small", "1", "2") }, "withdrawn live", 0},
+		{"drained", func(d *Document) error { return d.Drain("small", "1", "2") }, "draining live", 0},
+	}
+	for _, r := range rows {
+		d, err := Parse([]byte(good))
+		assert.NilError(t, err)
+		err = r.edit(d)
+		assert.Equal(t, err != nil, r.states == "", "%s: %v", r.name, err)
+		if err != nil {
+			continue
+		}
+		v := d.Models[0].Versions
+		assert.Equal(t, v[0].State+" "+v[1].State, r.states, r.name)
+		assert.Equal(t, len(Validate(d)), r.faults, r.name)
+	}
+}
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -178,7 +178,7 @@
 	assert.NilError(t, err, "the response was lost, the change took effect")
 	assert.Equal(t, revision, uint64(2))
 
-	var conflict *Conflict
+	var conflict *document.Conflict
 	_, err = w.Replace(ctx, base, mine)
 	assert.Assert(t, errors.As(err, &conflict), "%v", err)
 	assert.Equal(t, len(conflict.Theirs()), 2)
--- a/internal/config/writer.go
+++ b/internal/config/writer.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"errors"
-	"fmt"
 	"time"
 
 	"github.com/samber/oops"
@@ -14,19 +13,9 @@
 	"shallotrun/io/platform"
 )
 
-// Version is a document as the platform has it. Revision is 0 and Document nil where there is none.
-type Version struct {
-	Revision uint64
-	Document *document.Document
-}
-
-// Conflict is returned when somebody else changed the document first.
-type Conflict struct {
-	Base Version            // what this change was made from
-	Now  Version            // what is in the platform
-	Mine *document.Document // what was to be stored
-	Lost bool               // a response was lost before: Mine may have been stored and replaced since
-}
+// Unsettled is returned when a response was lost and the document could not be read back: whether the
+// change took effect is not known.
+type Unsettled struct{ Cause error }
 
 // Writer changes the document in the platform.
 type Writer struct {
@@ -34,43 +23,35 @@
 	Tries  int // attempts of Edit and of reading back, 0 means 6
 }
 
-// Error names both authors.
-func (c *Conflict) Error() string {
-	outcome := "nothing was stored"
-	if c.Lost {
-		outcome = "a response was lost before, so whether this change was stored in between is not known"
-	}
-	return fmt.Sprintf("the document changed from revision %d to %d by %s; %s",
-		c.Base.Revision, c.Now.Revision, author(c.Now.Document), outcome)
+// Error names the cause.
+func (u *Unsettled) Error() string {
+	return "a response was lost and the document cannot be read back, so whether the change took effect is not known: " + u.Cause.Error()
 }
 
-// Theirs returns what the other operators changed.
-func (c *Conflict) Theirs() []document.Change { return document.Diff(c.Base.Document, c.Now.Document) }
-
-// Ours returns what was to be changed.
-func (c *Conflict) Ours() []document.Change { return document.Diff(c.Base.Document, c.Mine) }
+// Unwrap returns the cause.
+func (u *Unsettled) Unwrap() error { return u.Cause }
 
-// Read returns the document in the platform.
-func (w *Writer) Read(ctx context.Context) (Version, error) {
+// Read returns the document in the platform. Revision is 0 and Document nil where there is none.
+func (w *Writer) Read(ctx context.Context) (document.Snapshot, error) {
 	o, err := w.Client.Get(ctx, Kind, Name)
 	if errors.Is(err, platform.ErrNotFound) {
-		return Version{}, nil
+		return document.Snapshot{}, nil
 	}
 	if err != nil {
-		return Version{}, err
+		return document.Snapshot{}, err
 	}
 	d, err := document.Parse(o.Value)
 	if err != nil {
-		return Version{}, oops.Wrapf(err, "the document in the platform, revision %d", o.Version)
+		return document.Snapshot{}, oops.Wrapf(err, "the document in the platform, revision %d", o.Version)
 	}
-	return Version{Revision: o.Version, Document: d}, nil
+	return document.Snapshot{Revision: o.Version, Document: d}, nil
 }
 
-// Replace stores d if the platform still has base, and returns the new revision. It returns *Conflict if
-// the document is another by now. A response that is lost after the change took effect is settled by
+// Replace stores d if the platform still has base, and returns the new revision. It returns
+// *document.Conflict if the document is another by now. A response that is lost after the change took effect is settled by
 // reading the document back and comparing it; the update is sent again only while base is still stored,
 // under the same condition.
-func (w *Writer) Replace(ctx context.Context, base Version, d *document.Document) (uint64, error) {
+func (w *Writer) Replace(ctx context.Context, base document.Snapshot, d *document.Document) (uint64, error) {
 	if faults := document.Validate(d); len(faults) > 0 {
 		return 0, document.Faults(faults)
 	}
@@ -99,11 +80,11 @@
 		case last != nil && same(now.Document, raw):
 			return now.Revision, nil
 		default:
-			return 0, &Conflict{Base: base, Now: now, Mine: d, Lost: last != nil}
+			return 0, &document.Conflict{Base: base, Now: now, Mine: d, Lost: last != nil}
 		}
 		wait(ctx, try)
 	}
-	return 0, oops.Wrapf(last, "the response was lost and the document cannot be read back; whether the change took effect is not known")
+	return 0, &Unsettled{Cause: last}
 }
 
 // Edit changes the document by a function, and applies the function again to the newer document after a
@@ -130,7 +111,7 @@
 	return 0, oops.Wrapf(last, "gave up after %d attempts", w.tries())
 }
 
-func (w *Writer) edit(ctx context.Context, base Version, author, note string, change func(*document.Document) error) (uint64, error) {
+func (w *Writer) edit(ctx context.Context, base document.Snapshot, author, note string, change func(*document.Document) error) (uint64, error) {
 	mine, err := base.Document.Clone()
 	if err != nil {
 		return 0, err
@@ -161,7 +142,7 @@
 
 // again reports whether another attempt may succeed.
 func again(err error) bool {
-	var conflict *Conflict
+	var conflict *document.Conflict
 	var limited *platform.Limited
 	var lost *platform.Unavailable
 	return errors.As(err, &conflict) || errors.As(err, &limited) || errors.As(err, &lost)
@@ -175,13 +156,6 @@
 	return err == nil && bytes.Equal(stored, raw)
 }
 
-func author(d *document.Document) string {
-	if d == nil {
-		return "somebody who deleted it"
-	}
-	return d.Author
-}
-
 // wait sleeps before attempt number try, longer each time.
 func wait(ctx context.Context, try int) {
 	s := min(50*clock.Millisecond<<try, clock.Second)
