shallotctl: the operator command

Cause: changes have to be possible from scripts and without a browser.

Ruled out: repeating an update whose response was lost without reading back. The update is conditional, so the repeated one would report a conflict with the first.

Change: validate, apply, show, diff, withdraw, drain, rollout and status with stable exit codes and -json. Edits of one version are made again on the newer document after a conflict; apply shows both changes.

--- /dev/null
+++ b/internal/command/change.go
@@ -0,0 +1,183 @@
+package command
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"strconv"
+
+	"shallotrun/core/document"
+	"shallotrun/io/platform"
+)
+
+func (c *Command) validate() error {
+	if _, err := read(c.args[1]); err != nil {
+		return err
+	}
+	c.result(outcome{Outcome: "valid"}, "%s is valid", c.args[1])
+	return nil
+}
+
+func (c *Command) show(ctx context.Context) error {
+	v, err := c.writer.Read(ctx)
+	if err != nil {
+		return err
+	}
+	if v.Document == nil {
+		return errors.New("the platform has no document yet")
+	}
+	if c.json {
+		c.print(outcome{Outcome: "shown", Revision: v.Revision, Document: v.Document})
+		return nil
+	}
+	raw, err := document.Format(v.Document)
+	if err != nil {
+		return err
+	}
+	_, _ = c.Out.Write(raw)
+	_, _ = fmt.Fprintf(c.Errors, "revision %d by %s\n", v.Revision, v.Document.Author)
+	return nil
+}
+
+func (c *Command) diff(ctx context.Context) error {
+	mine, err := read(c.args[1])
+	if err != nil {
+		return err
+	}
+	now, err := c.writer.Read(ctx)
+	if err != nil {
+		return err
+	}
+	changes := document.Diff(now.Document, mine)
+	c.result(outcome{Outcome: "compared", Revision: now.Revision, Ours: changes},
+		"%d difference(s) from revision %d", len(changes), now.Revision)
+	c.changes(changes)
+	if len(changes) > 0 {
+		return exit{ExitDifferent}
+	}
+	return nil
+}
+
+func (c *Command) apply(ctx context.Context) error {
+	mine, err := read(c.args[1])
+	if err != nil {
+		return err
+	}
+	mine.Author = c.author
+	if c.note != "" {
+		mine.Note = c.note
+	}
+	base, err := c.writer.Read(ctx)
+	if err != nil {
+		return wrap(err, "reading the document; nothing was changed")
+	}
+	revision, err := uint64(0), c.moved(base, mine)
+	if err == nil {
+		revision, err = c.writer.Replace(ctx, base, mine)
+	}
+	var conflict *document.Conflict
+	if errors.As(err, &conflict) {
+		return c.conflict(conflict)
+	}
+	if err != nil {
+		return err
+	}
+	changes := document.Diff(base.Document, mine)
+	c.result(outcome{Outcome: "applied", Revision: revision, Ours: changes}, "applied as revision %d, before it was %d", revision, base.Revision)
+	c.changes(changes)
+	return nil
+}
+
+// moved returns a conflict if the document in the platform is not the one that the file was edited from.
+func (c *Command) moved(now document.Snapshot, mine *document.Document) error {
+	if c.from != "" {
+		from, err := read(c.from)
+		if err != nil {
+			return err
+		}
+		if len(document.Diff(from, now.Document)) > 0 {
+			return &document.Conflict{Base: document.Snapshot{Revision: c.base, Document: from}, Now: now, Mine: mine}
+		}
+	}
+	if c.base != 0 && c.base != now.Revision {
+		// The platform keeps no older documents, so what the other operators changed can be told apart from
+		// this change only with -from.
+		return &document.Conflict{Base: document.Snapshot{Revision: c.base, Document: now.Document}, Now: now, Mine: mine}
+	}
+	return nil
+}
+
+// conflict shows both changes, so that neither is lost.
+func (c *Command) conflict(e *document.Conflict) error {
+	if c.json {
+		c.print(outcome{Outcome: names[ExitConflict], Revision: e.Now.Revision, Error: e.Error(), Ours: e.Ours(), Theirs: e.Theirs()})
+		return exit{ExitConflict}
+	}
+	_, _ = fmt.Fprintf(c.Errors, "shallotctl: conflict: %v\n", e)
+	_, _ = fmt.Fprintln(c.Out, "changes of the other operators:")
+	c.changes(e.Theirs())
+	_, _ = fmt.Fprintln(c.Out, "changes of this command:")
+	c.changes(e.Ours())
+	return exit{ExitConflict}
+}
+
+// edit changes one version. The change is made again on the newer document after a conflict, because it
+// means the same there.
+func (c *Command) edit(ctx context.Context, name string) error {
+	model, version, err := split(c.args[1])
+	if err != nil {
+		return err
+	}
+	percent := 0
+	if name == "rollout" {
+		if percent, err = strconv.Atoi(c.args[2]); err != nil {
+			return usageError{fmt.Sprintf("%q, want a whole number of percent", c.args[2])}
+		}
+	}
+	var changes []document.Change
+	note := c.note
+	if note == "" {
+		note = name + " " + c.args[1]
+	}
+	revision, err := c.writer.Edit(ctx, c.author, note, func(d *document.Document) error {
+		before, err := d.Clone()
+		if err != nil {
+			return err
+		}
+		switch name {
+		case "withdraw":
+			err = d.Withdraw(model, version, c.promote)
+		case "drain":
+			err = d.Drain(model, version, c.promote)
+		default:
+			err = d.Rollout(model, version, percent)
+		}
+		changes = document.Diff(before, d)
+		return err
+	})
+	if errors.Is(err, platform.ErrNotFound) {
+		return errors.New("the platform has no document yet")
+	}
+	if len(faults(err)) > 0 && c.promote == "" && name != "rollout" {
+		return wrap(err, "a version that takes the place can be named with -promote")
+	}
+	if err != nil {
+		return err
+	}
+	c.result(outcome{Outcome: "applied", Revision: revision, Ours: changes}, "%s %s is in revision %d", name, c.args[1], revision)
+	c.changes(changes)
+	return nil
+}
+
+func read(file string) (*document.Document, error) {
+	raw, err := os.ReadFile(file)
+	if err != nil {
+		return nil, err
+	}
+	d, err := document.Parse(raw)
+	if err != nil {
+		return nil, wrap(err, file)
+	}
+	return d, nil
+}
--- /dev/null
+++ b/internal/command/status.go
@@ -0,0 +1,61 @@
+package command
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"shallotrun/core/clock"
+	"shallotrun/io/operator"
+	"shallotrun/io/platform"
+)
+
+// status asks every operator port named, and the platform for the accepted revision where its address is
+// known. VMs that were not named appear as their peers heard of them.
+func (c *Command) status(ctx context.Context) error {
+	addrs := c.addrs()
+	if len(addrs) == 0 {
+		return usageError{"no entry VM to ask: -entries or SHALLOT_ENTRIES"}
+	}
+	ctx, cancel := context.WithTimeout(ctx, 5*time.Second)
+	defer cancel()
+	var (
+		mu   sync.Mutex
+		wg   sync.WaitGroup
+		all  []operator.Status
+		o    = outcome{Outcome: "status"}
+		last error
+	)
+	for _, addr := range addrs {
+		wg.Go(func() {
+			s, err := operator.Fetch(ctx, addr, c.person())
+			mu.Lock()
+			defer mu.Unlock()
+			if err != nil {
+				last = err
+				o.Missing = append(o.Missing, err.Error())
+				return
+			}
+			all = append(all, s)
+		})
+	}
+	wg.Wait()
+	if len(all) == 0 {
+		return &platform.Unavailable{Cause: last}
+	}
+	if c.platform != "" {
+		if v, err := c.writer.Read(ctx); err != nil {
+			o.Missing = append(o.Missing, err.Error())
+		} else {
+			o.Revision = v.Revision
+		}
+	}
+	now := clock.Clock{}.Wall()
+	f := operator.Join(all, now)
+	o.Fleet = &f
+	c.fleet(o, now)
+	if len(o.Missing) > 0 || len(f.Halts) > 0 || f.Refused != nil || f.Lagging() {
+		return exit{ExitAttention}
+	}
+	return nil
+}
