--- /dev/null
+++ b/core/flow/flow.go
@@ -0,0 +1,393 @@
+package flow
+
+import (
+	"shallotrun/core/clock"
+	"shallotrun/core/work"
+)
+
+// Stage is one model and version that the flow may use.
+type Stage struct {
+	Model, Version string
+	Exact          bool // the same request gives the same tokens on every replica
+}
+
+// Flow is the state of one request. The exported fields are set before the first Step.
+type Flow struct {
+	Stages   []Stage    // in the order of use; more than one for a cascade
+	Deadline clock.Time // for the first token, 0 for none
+	Retries  int        // retries on other servers
+	Resumes  int        // reconnections in a row without a new token
+
+	// Resumed continues a stream that another entry VM or connection started: Server generated it and the
+	// caller has the tokens up to Last.
+	Resumed bool
+	Server  string
+	Last    int
+
+	state    state
+	stage    int
+	attempt  int
+	retry    int
+	resumes  int  // reconnections since the last new token
+	sent     bool // a call left this VM and the server did not say that it refused
+	heard    bool // the current server said that it knows the request
+	began    bool // a token was delivered
+	filed    bool
+	exclude  []string
+	refusal  *work.Refusal // what Refuse or Break will say; nil for Finish
+	dropping bool
+	bill     []work.Stage
+}
+
+type state uint8
+
+const (
+	idle state = iota
+	queued
+	checking
+	calling
+	spending
+	pausing
+	cancelling
+	rating
+	releasing
+	discarding
+	filing
+	done
+)
+
+// Attempt returns the number of the current attempt, counted from 1.
+func (f *Flow) Attempt() int { return f.attempt }
+
+// Stage returns the index of the current stage.
+func (f *Flow) Stage() int { return f.stage }
+
+// Bill returns the stages to bill. It is complete when File is returned.
+func (f *Flow) Bill() []work.Stage { return f.bill }
+
+// Began reports whether a token was delivered.
+func (f *Flow) Began() bool { return f.began }
+
+// Done reports whether the final command was returned.
+func (f *Flow) Done() bool { return f.state == done }
+
+// Step takes an event and returns the next command. Events that do not fit the state, such as late tokens
+// of an earlier attempt, change nothing: the flow asks for the next event with Read.
+func (f *Flow) Step(now clock.Time, ev Event) Command {
+	if _, ok := ev.(Gone); ok {
+		return f.gone()
+	}
+	switch f.state {
+	case idle:
+		return f.start()
+	case queued:
+		return f.onQueue(ev)
+	case checking:
+		return f.onCheck(now, ev)
+	case calling:
+		return f.onCall(now, ev)
+	case spending:
+		return f.onSpent(ev)
+	case pausing:
+		return f.enqueue()
+	case cancelling:
+		return f.onCancelled(ev)
+	case rating:
+		return f.onRated(ev)
+	case discarding:
+		return f.enqueue()
+	case releasing:
+		return f.file()
+	case filing:
+		return f.onFiled(ev)
+	}
+	return Drop{}
+}
+
+func (f *Flow) start() Command {
+	f.began = f.Resumed && f.Last > 0
+	if f.Resumed {
+		f.sent, f.heard = true, true
+		return f.call()
+	}
+	return f.enqueue()
+}
+
+func (f *Flow) enqueue() Command {
+	f.state = queued
+	c := Queue{Exclude: f.exclude}
+	if f.Server != "" && f.sent {
+		c.Abandon = f.Server
+	}
+	f.Server, f.heard, f.resumes = "", false, 0
+	return c
+}
+
+func (f *Flow) onQueue(ev Event) Command {
+	switch e := ev.(type) {
+	case Granted:
+		f.Server = e.Server
+		f.state = checking
+		return Check{}
+	case Refused:
+		return f.fail(e.Refusal)
+	}
+	return f.fail(f.unexpected())
+}
+
+func (f *Flow) onCheck(now clock.Time, ev Event) Command {
+	switch e := ev.(type) {
+	case Checked:
+		if f.late(now) {
+			return f.fail(f.deadline())
+		}
+		return f.call()
+	case Refused:
+		return f.fail(e.Refusal)
+	}
+	return f.fail(f.unexpected())
+}
+
+// call opens the next attempt. A restart asks for all tokens and skips those that the caller has.
+func (f *Flow) call() Command {
+	f.state = calling
+	f.attempt++
+	c := Call{Attempt: f.attempt, Server: f.Server, Resume: f.heard}
+	if f.heard {
+		c.From = f.Last
+	}
+	return c
+}
+
+func (f *Flow) onCall(now clock.Time, ev Event) Command {
+	switch e := ev.(type) {
+	case *Token:
+		return f.onToken(e)
+	case Waiting:
+		if e.Attempt == f.attempt {
+			f.sent, f.heard = true, true
+		}
+		if f.late(now) {
+			f.refusal = f.deadline()
+			return f.cancel()
+		}
+	case End:
+		if e.Attempt == f.attempt {
+			f.sent, f.heard = true, true
+			return f.onEnd(e)
+		}
+	case Failed:
+		if e.Attempt == f.attempt {
+			return f.onFailed(e)
+		}
+	}
+	return Read{}
+}
+
+func (f *Flow) onToken(e *Token) Command {
+	if e.Attempt != f.attempt {
+		return Read{}
+	}
+	f.sent, f.heard = true, true
+	if e.N <= f.Last {
+		return Read{}
+	}
+	if e.N > f.Last+1 { // a gap: the tokens in between must come from a new connection
+		return f.onFailed(Failed{Attempt: f.attempt, How: Broken})
+	}
+	f.Last, f.resumes = e.N, 0
+	if f.stage < len(f.Stages)-1 {
+		return Hold{}
+	}
+	f.began = true
+	return Deliver{}
+}
+
+func (f *Flow) onEnd(e End) Command {
+	switch {
+	case e.Cancelled:
+		return f.fail(f.lost("the generation was cancelled"))
+	case e.Tokens > f.Last: // tokens are missing
+		return f.onFailed(Failed{Attempt: f.attempt, How: Broken})
+	case e.Tokens < f.Last: // not the answer that was delivered so far
+		return f.fail(f.lost("the server ended before the tokens that it sent"))
+	}
+	f.add(e.Tokens, e.Prompt)
+	if f.stage < len(f.Stages)-1 {
+		f.state = rating
+		return Rate{}
+	}
+	return f.file()
+}
+
+func (f *Flow) onFailed(e Failed) Command {
+	switch e.How {
+	case Silent, Broken:
+		f.sent = true
+		f.resumes++
+		if f.resumes > f.Resumes {
+			return f.lose()
+		}
+		if f.heard {
+			return f.call()
+		}
+		// The server may not have the request, so this call may start it: check again.
+		f.state = checking
+		return Check{}
+	case Rejected:
+		f.refusal = e.Refusal
+	case Errored:
+		f.sent = true
+	}
+	return f.lose()
+}
+
+// lose gives up the current server. The request goes to another one if nothing was given to the caller, or
+// if every replica gives the same tokens.
+func (f *Flow) lose() Command {
+	if f.Last > 0 && (f.Resumed || !f.Stages[f.stage].Exact) {
+		return f.fail(f.lost("the backend server was lost"))
+	}
+	if f.retry >= f.Retries {
+		return f.fail(f.lost("every attempt failed"))
+	}
+	f.state = spending
+	return Spend{}
+}
+
+func (f *Flow) onSpent(ev Event) Command {
+	if e, ok := ev.(Spent); !ok || !e.OK {
+		return f.fail(f.lost("the retry budget is spent"))
+	}
+	f.refusal = nil
+	f.retry++
+	f.exclude = append(f.exclude, f.Server)
+	f.state = pausing
+	return Pause{Retry: f.retry}
+}
+
+func (f *Flow) onRated(ev Event) Command {
+	if e, ok := ev.(Rated); ok && !e.Accept {
+		f.stage++
+		f.Last, f.Server, f.sent, f.exclude, f.retry = 0, "", false, nil, 0
+		f.state = discarding
+		return Discard{}
+	}
+	f.began = true
+	f.state = releasing
+	return Release{}
+}
+
+// gone ends the request of a caller that went away: what was generated is billed.
+func (f *Flow) gone() Command {
+	f.dropping = true
+	switch f.state {
+	case done:
+		return Drop{}
+	case filing:
+		return f.file()
+	case calling, spending, pausing:
+		return f.cancel()
+	case queued, checking:
+		f.add(f.Last, 0)
+	}
+	return f.file()
+}
+
+func (f *Flow) cancel() Command {
+	if f.Server == "" || !f.sent && f.state != calling {
+		return f.file()
+	}
+	f.state = cancelling
+	return Cancel{Server: f.Server}
+}
+
+func (f *Flow) onCancelled(ev Event) Command {
+	if e, ok := ev.(Cancelled); ok && e.Tokens > f.Last {
+		f.Last = e.Tokens
+	}
+	f.add(f.Last, 0)
+	return f.file()
+}
+
+// fail ends the request with a refusal after billing what was generated.
+func (f *Flow) fail(r *work.Refusal) Command {
+	if f.sent && r.Ran == work.NotRun {
+		c := *r
+		c.Ran = work.Unknown
+		r = &c
+	}
+	f.refusal = r
+	if f.state != cancelling {
+		f.add(f.Last, 0)
+	}
+	return f.file()
+}
+
+func (f *Flow) add(tokens, prompt int) {
+	if tokens == 0 && prompt == 0 {
+		return
+	}
+	s := f.Stages[f.stage]
+	f.bill = append(f.bill, work.Stage{Model: s.Model, Version: s.Version, Tokens: tokens, Prompt: prompt})
+}
+
+func (f *Flow) file() Command {
+	if f.filed || len(f.bill) == 0 {
+		return f.finish()
+	}
+	f.state, f.filed = filing, true
+	return File{}
+}
+
+func (f *Flow) onFiled(ev Event) Command {
+	if e, ok := ev.(Filed); ok && e.Taken {
+		f.dropping = true
+	}
+	return f.finish()
+}
+
+func (f *Flow) finish() Command {
+	f.state = done
+	switch {
+	case f.dropping:
+		return Drop{}
+	case f.refusal == nil:
+		return Finish{}
+	case f.began:
+		return Break{Refusal: f.refusal}
+	}
+	return Refuse{Refusal: f.refusal}
+}
+
+func (f *Flow) late(now clock.Time) bool {
+	return f.Deadline > 0 && f.Last == 0 && !f.Resumed && !now.Before(f.Deadline)
+}
+
+func (f *Flow) deadline() *work.Refusal {
+	return &work.Refusal{Code: work.CodeDeadline, Status: 504, Ran: f.ran(),
+		Detail: "the deadline passed before the first token"}
+}
+
+// lost describes the end of the last attempt. A server's own refusal is passed on.
+func (f *Flow) lost(detail string) *work.Refusal {
+	if f.refusal != nil {
+		return f.refusal
+	}
+	if f.Resumed {
+		return &work.Refusal{Code: work.CodeResumeGone, Status: 410, Ran: work.Unknown, Detail: detail}
+	}
+	return &work.Refusal{Code: work.CodeBackendFailed, Status: 502, Ran: f.ran(), Detail: detail}
+}
+
+func (f *Flow) unexpected() *work.Refusal {
+	return &work.Refusal{Code: work.CodeBackendFailed, Status: 500, Ran: f.ran(),
+		Detail: "an event arrived that does not fit the state"}
+}
+
+func (f *Flow) ran() work.Ran {
+	if f.sent {
+		return work.Unknown
+	}
+	return work.NotRun
+}
--- /dev/null
+++ b/core/route/choose.go
@@ -0,0 +1,149 @@
+package route
+
+import (
+	"slices"
+	"strings"
+
+	"shallotrun/core/clock"
+	"shallotrun/core/document"
+	"shallotrun/core/token"
+	"shallotrun/core/work"
+)
+
+// Facts is what the rest of the daemon knows about a version at this moment.
+type Facts struct {
+	Halted func(model, version string) bool // nil for none
+	Silent clock.Span                       // since the platform last answered
+}
+
+// Ask is what a caller asked for.
+type Ask struct {
+	Workspace *Workspace
+	Name      string         // route, cascade, MODEL or MODEL@VERSION
+	Session   *token.Session // nil without a session
+	Random    float64        // in [0, 1), decides between versions
+}
+
+// Choice is what serves a request.
+type Choice struct {
+	Stages  []Target
+	Cascade *document.Cascade // nil for a single model
+	Rank    string            // rank of the route, "" for none
+}
+
+// Choose maps a name to targets.
+func (t *Table) Choose(a Ask, f Facts) (Choice, *work.Refusal) {
+	var c Choice
+	name := a.Name
+	if r := t.cascades[name]; r != nil {
+		if !slices.Contains(a.Workspace.Routes, name) {
+			return c, notAllowed(name)
+		}
+		c.Cascade = r
+		for _, s := range r.Stages {
+			v, err := t.pick(a, s, f)
+			if err != nil {
+				return c, err
+			}
+			c.Stages = append(c.Stages, v)
+		}
+		return c, nil
+	}
+	if r := t.routes[name]; r != nil {
+		if !slices.Contains(a.Workspace.Routes, name) {
+			return c, notAllowed(name)
+		}
+		name, c.Rank = r.Model, r.Rank
+	}
+	v, err := t.pick(a, name, f)
+	c.Stages = []Target{v}
+	return c, err
+}
+
+// Check says whether a workspace may start work on a version now. It is called at dispatch, whatever was
+// chosen earlier. Session says that the work belongs to a session that has this version.
+func (t *Table) Check(w *Workspace, v Target, session bool, f Facts) *work.Refusal {
+	d := t.versions[v]
+	switch {
+	case w == nil:
+		return refuse(work.CodeKeyUnknown, 401, "the workspace is not in the document any more")
+	case d == nil:
+		return refuse(work.CodeModelUnknown, 404, "the document has no "+v.String())
+	case !w.Allows(v):
+		return notAllowed(v.String())
+	case d.State == document.Withdrawn:
+		return refuse(work.CodeVersionWithdrawn, 409, v.String()+" is withdrawn")
+	case d.State == document.Draining && !session:
+		return refuse(work.CodeVersionDraining, 409, v.String()+" gets no new sessions")
+	case f.Halted != nil && f.Halted(v.Model, v.Version):
+		return refuse(work.CodeVersionHalted, 409, v.String()+" is halted because its results are bad")
+	case d.Stale == document.StaleRefuse && f.Silent > clock.Span(d.Limit)*clock.Second:
+		return refuse(work.CodeStale, 503, "the platform was not reached for too long to use "+v.String())
+	}
+	return nil
+}
+
+// pick chooses the version of MODEL or MODEL@VERSION.
+func (t *Table) pick(a Ask, name string, f Facts) (Target, *work.Refusal) {
+	model, version, fixed := strings.Cut(name, "@")
+	m := t.models[model]
+	if m == nil {
+		return Target{}, refuse(work.CodeModelUnknown, 404, "there is no model, route or cascade "+name)
+	}
+	if a.Session != nil && len(a.Session.Pins) > 0 {
+		v, ok := a.Session.Version(model)
+		if !ok || fixed && v != version {
+			return Target{}, refuse(work.CodeSessionInvalid, 400, "the session belongs to another model or version")
+		}
+		return Target{model, v}, t.Check(a.Workspace, Target{model, v}, true, f)
+	}
+	if fixed {
+		return Target{model, version}, t.Check(a.Workspace, Target{model, version}, false, f)
+	}
+	return t.spread(a, m, f)
+}
+
+// spread chooses among the versions that may get new work: canaries get their share, live ones the rest.
+func (t *Table) spread(a Ask, m *document.Model, f Facts) (Target, *work.Refusal) {
+	var live, canary []*document.Version
+	var first *work.Refusal
+	for i := range m.Versions {
+		d := &m.Versions[i]
+		if err := t.Check(a.Workspace, Target{m.Name, d.Name}, false, f); err != nil {
+			if first == nil || first.Code == work.CodeNotAllowed {
+				first = err
+			}
+			continue
+		}
+		if d.State == document.Canary {
+			canary = append(canary, d)
+		} else {
+			live = append(live, d)
+		}
+	}
+	if first == nil {
+		first = refuse(work.CodeModelUnknown, 404, "the model has no version")
+	}
+	x := a.Random * 100
+	for _, d := range canary {
+		if x < float64(d.Share) {
+			return Target{m.Name, d.Name}, nil
+		}
+		x -= float64(d.Share)
+	}
+	if len(live) == 0 {
+		return Target{}, first
+	}
+	// The rest of the random number is spread evenly over the live versions.
+	rest := a.Random*100 - x
+	i := int(x / (100 - rest) * float64(len(live)))
+	return Target{m.Name, live[min(i, len(live)-1)].Name}, nil
+}
+
+func notAllowed(name string) *work.Refusal {
+	return refuse(work.CodeNotAllowed, 403, "the workspace does not allow "+name)
+}
+
+func refuse(code string, status int, detail string) *work.Refusal {
+	return &work.Refusal{Code: code, Status: status, Ran: work.NotRun, Detail: detail}
+}
--- /dev/null
+++ b/core/route/table.go
@@ -0,0 +1,147 @@
+package route
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"strings"
+
+	"shallotrun/core/document"
+	"shallotrun/core/work"
+)
+
+// Table is a document prepared for look-ups.
+type Table struct {
+	Document *document.Document
+
+	keys       map[string]*Workspace // by hex SHA-256 of the key
+	workspaces map[string]*Workspace
+	models     map[string]*document.Model
+	versions   map[Target]*document.Version
+	routes     map[string]*document.Route
+	cascades   map[string]*document.Cascade
+	services   map[string]*document.Service
+	pools      map[string]string // model to pool
+}
+
+// Workspace is a workspace prepared for look-ups.
+type Workspace struct {
+	document.Workspace
+	Top   work.Rank // the most urgent rank that it may ask for
+	allow map[string]bool
+}
+
+// Target is a version of a model.
+type Target struct{ Model, Version string }
+
+// String returns MODEL@VERSION.
+func (t Target) String() string { return t.Model + "@" + t.Version }
+
+// Compile prepares a validated document.
+func Compile(d *document.Document) *Table {
+	t := &Table{
+		Document:   d,
+		keys:       make(map[string]*Workspace),
+		workspaces: make(map[string]*Workspace),
+		models:     make(map[string]*document.Model),
+		versions:   make(map[Target]*document.Version),
+		routes:     make(map[string]*document.Route),
+		cascades:   make(map[string]*document.Cascade),
+		services:   make(map[string]*document.Service),
+		pools:      make(map[string]string),
+	}
+	for i := range d.Models {
+		m := &d.Models[i]
+		t.models[m.Name] = m
+		for j := range m.Versions {
+			t.versions[Target{m.Name, m.Versions[j].Name}] = &m.Versions[j]
+		}
+	}
+	for i := range d.Routes {
+		t.routes[d.Routes[i].Name] = &d.Routes[i]
+	}
+	for i := range d.Cascades {
+		t.cascades[d.Cascades[i].Name] = &d.Cascades[i]
+	}
+	for i := range d.Services {
+		t.services[d.Services[i].Name] = &d.Services[i]
+	}
+	for i := range d.Pools {
+		for _, m := range d.Pools[i].Models {
+			if _, ok := t.pools[m]; !ok {
+				t.pools[m] = d.Pools[i].Name
+			}
+		}
+	}
+	for _, w := range d.Workspaces {
+		t.addWorkspace(w)
+	}
+	return t
+}
+
+// Key returns the workspace of an API key, nil if the key is unknown.
+func (t *Table) Key(key string) *Workspace {
+	sum := sha256.Sum256([]byte(key))
+	var buf [2 * sha256.Size]byte
+	hex.Encode(buf[:], sum[:])
+	return t.keys[string(buf[:])]
+}
+
+// Workspace returns a workspace by name, nil if the document has none.
+func (t *Table) Workspace(name string) *Workspace { return t.workspaces[name] }
+
+// Version returns a version, nil if the document has none.
+func (t *Table) Version(v Target) *document.Version { return t.versions[v] }
+
+// Pool returns the pool that serves a model. Where several do, it is the first one of the document.
+func (t *Table) Pool(model string) string { return t.pools[model] }
+
+// Slots returns the concurrent requests that each backend server of a pool takes, 0 if not configured.
+func (t *Table) Slots(pool string) int {
+	for i := range t.Document.Pools {
+		if t.Document.Pools[i].Name == pool {
+			return t.Document.Pools[i].Slots
+		}
+	}
+	return 0
+}
+
+// Names lists what a workspace may ask for: models, MODEL@VERSION where it may use only some versions,
+// routes and cascades.
+func (t *Table) Names(w *Workspace) []string {
+	var out []string
+	for _, m := range t.Document.Models {
+		if w.allow[m.Name] {
+			out = append(out, m.Name)
+		}
+		for _, v := range m.Versions {
+			if v.State != document.Withdrawn && w.Allows(Target{m.Name, v.Name}) {
+				out = append(out, m.Name+"@"+v.Name)
+			}
+		}
+	}
+	for _, n := range w.Routes {
+		if t.routes[n] != nil || t.cascades[n] != nil {
+			out = append(out, n)
+		}
+	}
+	return out
+}
+
+// Allows reports whether the workspace may use a version.
+func (w *Workspace) Allows(v Target) bool { return w.allow[v.Model] || w.allow[v.String()] }
+
+func (t *Table) addWorkspace(d document.Workspace) {
+	w := &Workspace{Workspace: d, allow: make(map[string]bool)}
+	if r, err := work.ParseRank(d.Rank); err == nil {
+		w.Top = r
+	} else {
+		w.Top = work.Batch
+	}
+	for _, a := range d.Allow {
+		w.allow[a] = true
+	}
+	for _, k := range d.Keys {
+		t.keys[strings.ToLower(k)] = w
+	}
+	t.workspaces[d.Name] = w
+}
--- /dev/null
+++ b/core/token/token.go
@@ -0,0 +1,165 @@
+package token
+
+import (
+	"crypto/hmac"
+	"crypto/sha256"
+	"encoding/base64"
+	"strconv"
+	"strings"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/samber/oops"
+
+	"shallotrun/core/clock"
+	"shallotrun/core/work"
+)
+
+// Limit is the largest length of a token in bytes.
+const Limit = 2048
+
+// Session keeps the versions of a session. It has one pin for a model and one for each stage of a cascade.
+type Session struct {
+	_         struct{} `cbor:",toarray"`
+	ID        string
+	Workspace string
+	Pins      []Pin
+}
+
+// Pin is the version that a session has for a model.
+type Pin struct {
+	_       struct{} `cbor:",toarray"`
+	Model   string
+	Version string
+}
+
+// Resume is what an entry VM needs to continue a stream that another one started.
+type Resume struct {
+	_         struct{} `cbor:",toarray"`
+	Request   string
+	Workspace string
+	Model     string
+	Version   string
+	Server    string     // name of the backend server that generates
+	Addr      string     // its address when the stream started
+	Holder    string     // VM that holds the copy of the bill
+	Attempt   int        // attempt that was current when the token was made
+	Prior     []Stage    // finished stages of a cascade, which belong on the same bill
+	At        clock.Time // start of the request, wall clock
+}
+
+// Stage is a finished stage of a cascade.
+type Stage struct {
+	_       struct{} `cbor:",toarray"`
+	Model   string
+	Version string
+	Prompt  int
+	Tokens  int
+}
+
+// Signer signs and verifies tokens.
+type Signer struct {
+	Keys [][]byte // the first signs, all verify
+}
+
+// Version returns the version that the session has for a model.
+func (s *Session) Version(model string) (string, bool) {
+	for _, p := range s.Pins {
+		if p.Model == model {
+			return p.Version, true
+		}
+	}
+	return "", false
+}
+
+// Bill converts the finished stages for a bill.
+func (r *Resume) Bill() []work.Stage {
+	var out []work.Stage
+	for _, s := range r.Prior {
+		out = append(out, work.Stage{Model: s.Model, Version: s.Version, Prompt: s.Prompt, Tokens: s.Tokens})
+	}
+	return out
+}
+
+// Session returns the signed form of a session.
+func (s *Signer) Session(v *Session) (string, error) { return s.seal(sessionKind, v) }
+
+// Resume returns the signed form of a resume token.
+func (s *Signer) Resume(v *Resume) (string, error) { return s.seal(resumeKind, v) }
+
+// ReadSession verifies and reads a session token.
+func (s *Signer) ReadSession(text string) (*Session, error) {
+	v := new(Session)
+	return v, s.open(sessionKind, text, v)
+}
+
+// ReadEvent verifies and reads an event id RESUMETOKEN.N and returns the token and N.
+func (s *Signer) ReadEvent(id string) (*Resume, int, error) {
+	i := strings.LastIndexByte(id, '.')
+	if i < 0 {
+		return nil, 0, oops.Errorf("event id has no dot")
+	}
+	n, err := strconv.Atoi(id[i+1:])
+	if err != nil || n < 0 || n > maxTokens {
+		return nil, 0, oops.Errorf("event id has no valid number after the dot")
+	}
+	v := new(Resume)
+	return v, n, s.open(resumeKind, id[:i], v)
+}
+
+// Kinds keep one sort of token from passing as the other.
+const (
+	sessionKind = 's'
+	resumeKind  = 'r'
+)
+
+const (
+	macSize   = 16
+	maxTokens = 1 << 30
+)
+
+var decoder = func() cbor.DecMode {
+	m, err := cbor.DecOptions{
+		DupMapKey: cbor.DupMapKeyEnforcedAPF, IndefLength: cbor.IndefLengthForbidden,
+		MaxNestedLevels: 4, MaxArrayElements: 64, MaxMapPairs: 16,
+	}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return m
+}()
+
+func (s *Signer) seal(kind byte, v any) (string, error) {
+	if len(s.Keys) == 0 {
+		return "", oops.Errorf("no key to sign tokens with")
+	}
+	body, err := cbor.Marshal(v)
+	if err != nil {
+		return "", oops.Wrapf(err, "token")
+	}
+	body = append(body, mac(s.Keys[0], kind, body)...)
+	return base64.RawURLEncoding.EncodeToString(body), nil
+}
+
+func (s *Signer) open(kind byte, text string, v any) error {
+	if len(text) > Limit {
+		return oops.Errorf("token has %d bytes, at most %d are read", len(text), Limit)
+	}
+	raw, err := base64.RawURLEncoding.Strict().DecodeString(text)
+	if err != nil || len(raw) < macSize {
+		return oops.Errorf("token is not base64url or too short")
+	}
+	body, sum := raw[:len(raw)-macSize], raw[len(raw)-macSize:]
+	for _, k := range s.Keys {
+		if hmac.Equal(sum, mac(k, kind, body)) {
+			return oops.Wrapf(decoder.Unmarshal(body, v), "token")
+		}
+	}
+	return oops.Errorf("token is not signed with a known key")
+}
+
+func mac(key []byte, kind byte, body []byte) []byte {
+	h := hmac.New(sha256.New, key)
+	h.Write([]byte{kind})
+	h.Write(body)
+	return h.Sum(nil)[:macSize]
+}
--- /dev/null
+++ b/io/caller/answer.go
@@ -0,0 +1,110 @@
+package caller
+
+import (
+	"bytes"
+	"encoding/json"
+	"strconv"
+
+	"github.com/samber/oops"
+	"github.com/valyala/fasthttp"
+)
+
+// Answer is what ends an answer.
+type Answer struct {
+	Request, Model string
+	Text           []byte // content of a JSON string without its quotes; only for an answer in one piece
+	Reason         string
+	Prompt, Tokens int
+}
+
+// Chunks writes the events of one stream. The unchanging part of a chunk is encoded once.
+type Chunks struct {
+	head, tail []byte
+}
+
+type chunk struct {
+	ID      string   `json:"id"`
+	Object  string   `json:"object"`
+	Model   string   `json:"model"`
+	Choices []choice `json:"choices"`
+	Usage   *usage   `json:"usage,omitempty"`
+}
+
+type choice struct {
+	Index   int      `json:"index"`
+	Message *content `json:"message,omitempty"`
+	Delta   *content `json:"delta,omitempty"`
+	Reason  *string  `json:"finish_reason"`
+}
+
+type content struct {
+	Role    string          `json:"role,omitempty"`
+	Content json.RawMessage `json:"content,omitempty"`
+}
+
+type usage struct {
+	Prompt int `json:"prompt_tokens"`
+	Tokens int `json:"completion_tokens"`
+}
+
+// NewChunks prepares the events of a stream.
+func NewChunks(request, model string) (*Chunks, error) {
+	mark := []byte(`"\u0000"`)
+	b, err := json.Marshal(chunk{ID: request, Object: objectChunk, Model: model,
+		Choices: []choice{{Delta: &content{Content: mark}}}})
+	if err != nil {
+		return nil, oops.Wrapf(err, "stream chunk")
+	}
+	head, tail, ok := bytes.Cut(b, mark)
+	if !ok {
+		return nil, oops.Errorf("stream chunk cannot be split")
+	}
+	return &Chunks{
+		head: append([]byte("\ndata: "), head...),
+		tail: append(bytes.Clone(tail), "\n\n"...),
+	}, nil
+}
+
+// Append appends the event of one token. Prefix is RESUMETOKEN and a dot; text is a JSON string.
+func (c *Chunks) Append(b, prefix []byte, n int, text []byte) []byte {
+	b = append(b, "id: "...)
+	b = append(b, prefix...)
+	b = strconv.AppendInt(b, int64(n), 10)
+	b = append(b, c.head...)
+	b = append(b, text...)
+	return append(b, c.tail...)
+}
+
+// AppendEnd appends the last chunk and the end of the stream.
+func (a *Answer) AppendEnd(b []byte) ([]byte, error) {
+	v, err := json.Marshal(chunk{ID: a.Request, Object: objectChunk, Model: a.Model,
+		Choices: []choice{{Delta: &content{}, Reason: &a.Reason}}, Usage: &usage{a.Prompt, a.Tokens}})
+	if err != nil {
+		return b, oops.Wrapf(err, "end of stream")
+	}
+	b = append(b, "data: "...)
+	b = append(b, v...)
+	return append(b, "\n\ndata: [DONE]\n\n"...), nil
+}
+
+// AppendError appends the event that ends a stream that could not be completed.
+func AppendError(b, problem []byte) []byte {
+	b = append(b, "event: error\ndata: "...)
+	b = append(b, problem...)
+	return append(b, "\n\n"...)
+}
+
+// Write answers with the whole answer in one piece.
+func (a *Answer) Write(ctx *fasthttp.RequestCtx) error {
+	text := append(append([]byte{'"'}, a.Text...), '"')
+	b, err := json.Marshal(chunk{ID: a.Request, Object: "chat.completion", Model: a.Model,
+		Choices: []choice{{Message: &content{"assistant", text}, Reason: &a.Reason}}, Usage: &usage{a.Prompt, a.Tokens}})
+	if err != nil {
+		return oops.Wrapf(err, "answer")
+	}
+	ctx.SetContentType("application/json")
+	ctx.Response.SetBodyRaw(b)
+	return nil
+}
+
+const objectChunk = "chat.completion.chunk"
--- /dev/null
+++ b/io/caller/chat.go
@@ -0,0 +1,125 @@
+package caller
+
+import (
+	"encoding/json"
+	"fmt"
+	"strconv"
+	"strings"
+
+	"github.com/valyala/fasthttp"
+
+	"shallotrun/core/clock"
+	"shallotrun/core/work"
+)
+
+// Chat is the body of POST /v1/chat/completions.
+type Chat struct {
+	Model     string    `json:"model"`
+	Messages  []Message `json:"messages"`
+	MaxTokens int       `json:"max_tokens"`
+	Stream    bool      `json:"stream"`
+}
+
+// Message is one message of a chat.
+type Message struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+// Head is what the request headers say, copied out of fasthttp's buffers.
+type Head struct {
+	Key      string // API key
+	Rank     string // "" for none
+	Session  string // "new", a token, or ""
+	Deadline clock.Span
+	Once     string // Idempotency-Key
+	Last     string // Last-Event-ID
+	Trace    string // traceparent
+}
+
+// ReadHead reads the headers.
+func ReadHead(h *fasthttp.RequestHeader) (Head, *work.Refusal) {
+	key, ok := strings.CutPrefix(string(h.Peek("Authorization")), "Bearer ")
+	out := Head{
+		Key: key, Rank: string(h.Peek("Shallot-Rank")), Session: string(h.Peek("Shallot-Session")),
+		Once: string(h.Peek("Idempotency-Key")), Last: string(h.Peek("Last-Event-ID")), Trace: string(h.Peek("traceparent")),
+	}
+	if !ok || len(key) > KeyLimit {
+		return out, &work.Refusal{Code: work.CodeKeyUnknown, Status: 401, Ran: work.NotRun, Detail: "no valid API key was given"}
+	}
+	if len(out.Once) > KeyLimit {
+		return out, tooLarge("the Idempotency-Key exceeds %d bytes", KeyLimit)
+	}
+	if d := h.Peek("Shallot-Deadline"); len(d) > 0 {
+		ms, err := strconv.ParseInt(string(d), 10, 64)
+		if err != nil || ms <= 0 {
+			return out, bad("Shallot-Deadline is not a positive number of milliseconds")
+		}
+		out.Deadline = min(clock.Span(ms), 24*clock.Hour)
+	}
+	return out, nil
+}
+
+// ReadChat reads and bounds the body of a chat.
+func ReadChat(body []byte) (*Chat, *work.Refusal) {
+	if depth(body) > NestingLimit {
+		return nil, tooLarge("the body is nested more than %d levels deep", NestingLimit)
+	}
+	c := new(Chat)
+	if err := json.Unmarshal(body, c); err != nil {
+		return nil, bad("the body is not a valid chat: %v", err)
+	}
+	switch {
+	case c.Model == "" || len(c.Model) > KeyLimit:
+		return nil, bad("model is missing or longer than %d bytes", KeyLimit)
+	case len(c.Messages) == 0:
+		return nil, bad("messages is empty")
+	case len(c.Messages) > MessageLimit:
+		return nil, tooLarge("more than %d messages", MessageLimit)
+	case c.MaxTokens < 0:
+		return nil, bad("max_tokens is negative")
+	}
+	return c, nil
+}
+
+// Prompt returns the messages as one text, a line with the role before each.
+func (c *Chat) Prompt() string {
+	var b strings.Builder
+	for i, m := range c.Messages {
+		if i > 0 {
+			b.WriteByte('\n')
+		}
+		b.WriteString(m.Role)
+		b.WriteString(": ")
+		b.WriteString(m.Content)
+	}
+	return b.String()
+}
+
+// depth returns how deep a JSON text is nested.
+func depth(b []byte) int {
+	most, now, quoted := 0, 0, false
+	for i := 0; i < len(b); i++ {
+		switch c := b[i]; {
+		case quoted && c == '\\':
+			i++
+		case c == '"':
+			quoted = !quoted
+		case quoted:
+		case c == '{' || c == '[':
+			now++
+			most = max(most, now)
+		case c == '}' || c == ']':
+			now--
+		}
+	}
+	return most
+}
+
+func bad(format string, args ...any) *work.Refusal {
+	return &work.Refusal{Code: work.CodeBadRequest, Status: 400, Ran: work.NotRun, Detail: fmt.Sprintf(format, args...)}
+}
+
+func tooLarge(format string, args ...any) *work.Refusal {
+	return &work.Refusal{Code: work.CodeTooLarge, Status: 413, Ran: work.NotRun, Detail: fmt.Sprintf(format, args...)}
+}
--- /dev/null
+++ b/io/caller/server.go
@@ -0,0 +1,131 @@
+package caller
+
+import (
+	"context"
+	"errors"
+	"net"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/samber/oops"
+	"github.com/valyala/fasthttp"
+
+	"shallotrun/core/clock"
+	"shallotrun/core/work"
+)
+
+// Input limits.
+const (
+	BodyLimit     = 1 << 20  // bytes of a request body
+	HeaderLimit   = 16 << 10 // bytes of request line and headers
+	MessageLimit  = 64       // messages of a chat
+	NestingLimit  = 16       // levels of JSON
+	KeyLimit      = 128      // bytes of an API key or an Idempotency-Key
+	ParallelLimit = 64 << 10 // open connections
+)
+
+// Server accepts callers' connections. The fields are set before Run.
+type Server struct {
+	Listener net.Listener
+	Handler  fasthttp.RequestHandler
+	Progress clock.Span // time in which a caller must read something, 0 means 10 s
+	Arrive   clock.Span // time in which a request must arrive whole, 0 means 30 s
+	Idle     clock.Span // time that a connection may stay idle, 0 means 60 s
+	Log      zerolog.Logger
+}
+
+// Run serves until the context ends, then shuts down gracefully: it accepts no new connections, closes idle
+// ones and returns when every response is finished, however long that takes.
+func (s *Server) Run(ctx context.Context) error {
+	srv := &fasthttp.Server{
+		Handler:               s.Handler,
+		ErrorHandler:          s.failed,
+		MaxRequestBodySize:    BodyLimit,
+		ReadBufferSize:        HeaderLimit,
+		Concurrency:           ParallelLimit,
+		ReadTimeout:           or(s.Arrive, 30*clock.Second).Std(),
+		IdleTimeout:           or(s.Idle, 60*clock.Second).Std(),
+		ReduceMemoryUsage:     true,
+		CloseOnShutdown:       true,
+		NoDefaultServerHeader: true,
+		NoDefaultDate:         true,
+		NoDefaultContentType:  true,
+		Logger:                quiet{&s.Log},
+	}
+	done := make(chan error, 1)
+	go func() { done <- srv.Serve(&listener{s.Listener, or(s.Progress, 10*clock.Second).Std()}) }()
+	select {
+	case err := <-done:
+		return oops.Wrapf(err, "caller server")
+	case <-ctx.Done():
+	}
+	if err := srv.ShutdownWithContext(context.Background()); err != nil {
+		return oops.Wrapf(err, "caller server shutdown")
+	}
+	return oops.Wrapf(<-done, "caller server")
+}
+
+// failed answers a request that could not be read. Nothing of it ran.
+func (s *Server) failed(ctx *fasthttp.RequestCtx, err error) {
+	r := &work.Refusal{Code: work.CodeBadRequest, Status: fasthttp.StatusBadRequest, Ran: work.NotRun, Detail: "the request could not be read"}
+	var small *fasthttp.ErrSmallBuffer
+	var timeout net.Error
+	switch {
+	case errors.As(err, &small):
+		r.Code, r.Status, r.Detail = work.CodeTooLarge, fasthttp.StatusRequestHeaderFieldsTooLarge, "the headers exceed 16 KiB"
+	case errors.Is(err, fasthttp.ErrBodyTooLarge):
+		r.Code, r.Status, r.Detail = work.CodeTooLarge, fasthttp.StatusRequestEntityTooLarge, "the body exceeds 1 MiB"
+	case errors.As(err, &timeout) && timeout.Timeout():
+		r.Status, r.Detail = fasthttp.StatusRequestTimeout, "the request did not arrive in time"
+	}
+	Problem(ctx, r, "")
+	ctx.SetConnectionClose()
+}
+
+// listener gives every connection a progress deadline for its writes.
+type listener struct {
+	net.Listener
+	progress time.Duration
+}
+
+func (l *listener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &progressConn{c, l.progress}, nil
+}
+
+// progressConn fails a write when the caller reads nothing for the progress time. The server's own write
+// timeout is not used because it covers a whole response and would cut long streams.
+type progressConn struct {
+	net.Conn
+	progress time.Duration
+}
+
+func (c *progressConn) Write(b []byte) (int, error) {
+	total := 0
+	for {
+		if err := c.SetWriteDeadline(time.Now().Add(c.progress)); err != nil {
+			return total, err
+		}
+		n, err := c.Conn.Write(b[total:])
+		total += n
+		var timeout net.Error
+		if err == nil || n == 0 || !errors.As(err, &timeout) || !timeout.Timeout() {
+			return total, err
+		}
+	}
+}
+
+// quiet logs what fasthttp logs, which is mostly about broken connections, at debug level.
+type quiet struct{ log *zerolog.Logger }
+
+func (q quiet) Printf(format string, args ...any) { q.log.Debug().Msgf("caller: "+format, args...) }
+
+func or(s, def clock.Span) clock.Span {
+	if s == 0 {
+		return def
+	}
+	return s
+}
--- /dev/null
+++ b/io/conn/pool.go
@@ -0,0 +1,249 @@
+package conn
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"net"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"shallotrun/core/clock"
+)
+
+// Errors of a call. They are wrapped in an [Error].
+var (
+	// ErrSilent means that a read or write made no progress in time.
+	ErrSilent = errors.New("no progress in time")
+	// ErrHeaders means that the response's headers exceed the limit.
+	ErrHeaders = errors.New("response headers too large")
+)
+
+// Error is a failed call.
+type Error struct {
+	Addr string
+	Sent bool // a byte of the request may have reached the server
+	Err  error
+}
+
+// Pool keeps idle connections by address. The fields are set before the first Call.
+type Pool struct {
+	Clock   clock.Clock
+	Connect clock.Span // time to open a connection, 0 means 300 ms
+	Age     clock.Span // oldest use of an idle connection that is used again, 0 means 1 s
+	Idle    int        // idle connections for each address, 0 means 32
+	Buffer  int        // size of a read buffer, and so of the largest header, 0 means 4096
+
+	mu   sync.Mutex
+	idle map[string][]*link
+}
+
+// Options bound one call.
+type Options struct {
+	Progress clock.Span // time for each read and write, 0 means 400 ms
+	First    clock.Span // time until the response's header, 0 means Progress
+	Fresh    bool       // use a new connection
+}
+
+// Response is an open response. It is closed by Close.
+type Response struct {
+	Status int
+	Header *fasthttp.ResponseHeader
+	Body   io.Reader // reads time out with ErrSilent; nil if the response has no body
+
+	pool *Pool
+	link *link
+	resp *fasthttp.Response
+}
+
+// Error describes the failure.
+func (e *Error) Error() string { return e.Addr + ": " + e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
+// Call sends the request once and reads the header of the response.
+func (p *Pool) Call(addr string, req *fasthttp.Request, o Options) (*Response, error) {
+	l, err := p.take(addr, o.Fresh)
+	if err != nil {
+		return nil, &Error{Addr: addr, Err: Cause(err)}
+	}
+	l.progress = span(o.Progress, 400).Std()
+	if err := l.send(req); err != nil {
+		sent := l.written > 0
+		_ = l.conn.Close()
+		return nil, &Error{Addr: addr, Sent: sent, Err: Cause(err)}
+	}
+	resp := fasthttp.AcquireResponse()
+	resp.StreamBody = true
+	resp.SkipBody = req.Header.IsHead()
+	first := l.progress
+	if o.First > 0 {
+		l.progress = o.First.Std()
+	}
+	err = resp.ReadLimitBody(l.reader(p), 0)
+	l.progress = first
+	if err != nil {
+		_ = l.conn.Close()
+		fasthttp.ReleaseResponse(resp)
+		return nil, &Error{Addr: addr, Sent: true, Err: Cause(err)}
+	}
+	return &Response{Status: resp.StatusCode(), Header: &resp.Header, Body: resp.BodyStream(), pool: p, link: l, resp: resp}, nil
+}
+
+// Progress changes the time that each read may take.
+func (r *Response) Progress(s clock.Span) { r.link.progress = s.Std() }
+
+// Buffered returns the number of bytes that can be read without waiting.
+func (r *Response) Buffered() int { return r.link.br.Buffered() }
+
+// Close ends the use of the response. Whole says that the body was read to its end: the connection may then
+// be used again, otherwise it is closed.
+func (r *Response) Close(whole bool) {
+	keep := whole && !r.Header.ConnectionClose() && r.link.br.Buffered() == 0
+	_ = r.resp.CloseBodyStream()
+	fasthttp.ReleaseResponse(r.resp)
+	r.resp, r.Body = nil, nil
+	if !keep || !r.pool.put(r.link) {
+		_ = r.link.conn.Close()
+		r.link.release()
+	}
+}
+
+// Close closes the idle connections.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, ls := range p.idle {
+		for _, l := range ls {
+			_ = l.conn.Close()
+		}
+	}
+	p.idle = nil
+}
+
+// link is one connection.
+type link struct {
+	conn     net.Conn
+	addr     string
+	br       *bufio.Reader
+	progress time.Duration
+	used     clock.Time
+	written  int64 // bytes of the current request
+}
+
+func (p *Pool) take(addr string, fresh bool) (*link, error) {
+	now := p.Clock.Now()
+	if l := p.reuse(addr, now, fresh); l != nil {
+		return l, nil
+	}
+	c, err := net.DialTimeout("tcp", addr, span(p.Connect, 300).Std())
+	if err != nil {
+		return nil, err
+	}
+	return &link{conn: c, addr: addr}, nil
+}
+
+// reuse returns the connection that was used last, if that is recent enough. All older ones are closed.
+func (p *Pool) reuse(addr string, now clock.Time, fresh bool) *link {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	ls := p.idle[addr]
+	if len(ls) == 0 || fresh {
+		return nil
+	}
+	l := ls[len(ls)-1]
+	if now.Sub(l.used) <= span(p.Age, 1000) {
+		p.idle[addr] = ls[:len(ls)-1]
+		return l
+	}
+	for _, l := range ls {
+		_ = l.conn.Close()
+	}
+	delete(p.idle, addr)
+	return nil
+}
+
+func (p *Pool) put(l *link) bool {
+	l.used = p.Clock.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.idle == nil {
+		p.idle = make(map[string][]*link)
+	}
+	limit := p.Idle
+	if limit == 0 {
+		limit = 32
+	}
+	ls := p.idle[l.addr]
+	if len(ls) >= limit { // the oldest makes room
+		_ = ls[0].conn.Close()
+		copy(ls, ls[1:])
+		ls = ls[:len(ls)-1]
+	}
+	p.idle[l.addr] = append(ls, l)
+	return true
+}
+
+func (l *link) send(req *fasthttp.Request) error {
+	l.written = 0
+	_, err := req.WriteTo(l)
+	return err
+}
+
+func (l *link) reader(p *Pool) *bufio.Reader {
+	if l.br == nil {
+		size := p.Buffer
+		if size == 0 {
+			size = 4096
+		}
+		l.br = bufio.NewReaderSize((*reads)(l), size)
+	}
+	return l.br
+}
+
+func (l *link) release() { l.br = nil }
+
+// Write sends with a progress deadline.
+func (l *link) Write(b []byte) (int, error) {
+	if err := l.conn.SetWriteDeadline(time.Now().Add(l.progress)); err != nil {
+		return 0, err
+	}
+	n, err := l.conn.Write(b)
+	l.written += int64(n)
+	return n, err
+}
+
+// reads is the reading side of a link: each read has its own deadline.
+type reads link
+
+func (l *reads) Read(b []byte) (int, error) {
+	if err := l.conn.SetReadDeadline(time.Now().Add(l.progress)); err != nil {
+		return 0, err
+	}
+	return l.conn.Read(b)
+}
+
+// Cause replaces a timeout by ErrSilent and a header that does not fit the buffer by ErrHeaders.
+func Cause(err error) error {
+	var n net.Error
+	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded), errors.As(err, &n) && n.Timeout():
+		return ErrSilent
+	}
+	var small *fasthttp.ErrSmallBuffer
+	if errors.As(err, &small) {
+		return ErrHeaders
+	}
+	return err
+}
+
+func span(s, def clock.Span) clock.Span {
+	if s == 0 {
+		return def
+	}
+	return s
+}
--- /dev/null
+++ b/io/engine/client.go
@@ -0,0 +1,187 @@
+package engine
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+
+	"github.com/samber/oops"
+	"github.com/valyala/fasthttp"
+
+	"shallotrun/core/clock"
+	"shallotrun/core/work"
+	"shallotrun/io/conn"
+)
+
+// Client calls model engines.
+type Client struct {
+	Pool   *conn.Pool
+	Silent clock.Span // longest time without a token or a wait comment, 0 means 400 ms
+	Short  clock.Span // time for cancel, load and order calls, 0 means 400 ms
+}
+
+// Generate is the request of POST /v1/generate.
+type Generate struct {
+	Request  string `json:"request"`
+	Attempt  int    `json:"attempt"`
+	Model    string `json:"model"`
+	Version  string `json:"version"`
+	Prompt   string `json:"prompt"`
+	Limit    int    `json:"limit,omitempty"`
+	Priority int    `json:"priority"` // the rank, 0 is the most urgent
+	From     int    `json:"from,omitempty"`
+	Session  string `json:"session,omitempty"`
+	Attach   bool   `json:"attach,omitempty"` // join a generation that the engine already has; it answers 404 without one
+}
+
+// Refused is an engine's own refusal: it did not run the call.
+type Refused struct {
+	Status  int
+	Code    string        `json:"code"`
+	Ran     *bool         `json:"ran"`
+	Retry   clock.Span    `json:"retry,omitempty"`
+	Leaving bool          `json:"leaving,omitempty"`
+	Refusal *work.Refusal `json:"-"`
+}
+
+// Cancelled is the answer of POST /v1/cancel.
+type Cancelled struct {
+	Tokens int `json:"tokens"` // generated until the cancellation, 0 if the engine does not say
+}
+
+// Errors of Generate besides [Refused].
+var (
+	// ErrForgotten means that the engine does not know the request that was to be resumed.
+	ErrForgotten = errors.New("the engine does not know the request")
+	// ErrFailed means that the engine answered with an error and did not say that nothing ran.
+	ErrFailed = errors.New("the engine failed")
+)
+
+// Error describes the refusal.
+func (r *Refused) Error() string { return "the engine refused with " + r.Code }
+
+// Generate starts or resumes a generation. Errors are a *Refused, ErrForgotten, ErrFailed or a
+// *conn.Error.
+// The remaining time until the deadline is carried on in Shallot-Deadline, trace in traceparent.
+func (c *Client) Generate(addr string, g *Generate, left clock.Span, trace string) (*Stream, error) {
+	req, err := post(addr, "/v1/generate", g)
+	if err != nil {
+		return nil, err
+	}
+	defer fasthttp.ReleaseRequest(req)
+	if left > 0 {
+		req.Header.Set("Shallot-Deadline", itoa(int64(left)))
+	}
+	if trace != "" {
+		req.Header.Set("traceparent", trace)
+	}
+	resp, err := c.Pool.Call(addr, req, conn.Options{Progress: or(c.Silent, 400), Fresh: g.Attempt > 1})
+	if err != nil {
+		return nil, err
+	}
+	if resp.Header.StatusCode() != fasthttp.StatusOK {
+		return nil, c.refused(addr, resp)
+	}
+	if resp.Body == nil {
+		resp.Close(false)
+		return nil, &conn.Error{Addr: addr, Sent: true, Err: io.ErrUnexpectedEOF}
+	}
+	if h := resp.Header.Peek("Shallot-Request"); len(h) > 0 && string(h) != g.Request {
+		resp.Close(false)
+		return nil, &conn.Error{Addr: addr, Sent: true, Err: oops.Errorf("the answer belongs to another request")}
+	}
+	return newStream(addr, resp), nil
+}
+
+// Cancel ends a generation and returns how many tokens were generated.
+func (c *Client) Cancel(addr, request, model, version string) (Cancelled, error) {
+	var out Cancelled
+	req, err := post(addr, "/v1/cancel", struct {
+		Request string `json:"request"`
+		Model   string `json:"model"`
+		Version string `json:"version"`
+	}{request, model, version})
+	if err != nil {
+		return out, err
+	}
+	defer fasthttp.ReleaseRequest(req)
+	return out, c.short(addr, req, &out)
+}
+
+// Load reads an engine's report about itself.
+func (c *Client) Load(addr string) (work.Load, error) {
+	var out work.Load
+	req := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(req)
+	req.SetRequestURI("http://" + addr + "/v1/load")
+	return out, c.short(addr, req, &out)
+}
+
+// maxAnswer is the size limit of an answer that is not a stream, in bytes.
+const maxAnswer = 64 << 10
+
+// short makes a call with a small JSON answer.
+func (c *Client) short(addr string, req *fasthttp.Request, out any) error {
+	resp, err := c.Pool.Call(addr, req, conn.Options{Progress: or(c.Short, 400)})
+	if err != nil {
+		return err
+	}
+	b, err := readAll(resp)
+	resp.Close(err == nil)
+	if err != nil {
+		return oops.Wrapf(err, "engine %s", addr)
+	}
+	if s := resp.Status; s != fasthttp.StatusOK {
+		return oops.Errorf("engine %s answered with status %d", addr, s)
+	}
+	if len(b) == 0 {
+		return nil
+	}
+	return oops.Wrapf(json.Unmarshal(b, out), "engine %s", addr)
+}
+
+// refused reads the body of an answer that is not 200.
+func (c *Client) refused(addr string, resp *conn.Response) error {
+	status := resp.Status
+	b, err := readAll(resp)
+	resp.Close(err == nil)
+	if status == fasthttp.StatusNotFound || status == fasthttp.StatusGone {
+		return ErrForgotten
+	}
+	r := &Refused{Status: status}
+	if err == nil && json.Unmarshal(b, r) == nil && r.Ran != nil && !*r.Ran {
+		return r
+	}
+	return oops.Wrapf(ErrFailed, "engine %s answered with status %d", addr, status)
+}
+
+func readAll(resp *conn.Response) ([]byte, error) {
+	if resp.Body == nil {
+		return nil, nil
+	}
+	b, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer+1))
+	if err == nil && len(b) > maxAnswer {
+		err = oops.Errorf("the answer exceeds %d bytes", maxAnswer)
+	}
+	return b, err
+}
+
+func post(addr, path string, body any) (*fasthttp.Request, error) {
+	b, err := json.Marshal(body)
+	if err != nil {
+		return nil, oops.Wrapf(err, "engine call")
+	}
+	req := fasthttp.AcquireRequest()
+	req.SetRequestURI("http://" + addr + path)
+	req.Header.SetMethod(fasthttp.MethodPost)
+	req.Header.SetContentType("application/json")
+	req.SetBodyRaw(b)
+	return req, nil
+}
+
+func or(s, def clock.Span) clock.Span {
+	if s == 0 {
+		return def
+	}
+	return s
+}
--- /dev/null
+++ b/io/engine/stream.go
@@ -0,0 +1,163 @@
+package engine
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"errors"
+	"io"
+	"strconv"
+
+	"github.com/samber/oops"
+
+	"shallotrun/io/conn"
+)
+
+// Kinds of event.
+const (
+	Wait  Kind = iota // the request waits in the engine
+	Token             // one token
+	End               // the generation ended
+)
+
+// Limit is the size limit of one event, in bytes.
+const Limit = 64 << 10
+
+// Kind is the kind of an event.
+type Kind uint8
+
+// Event is one event of a generation. The text is valid until the next call of Next.
+type Event struct {
+	Kind   Kind
+	N      int             // number of the token, counted from 1
+	Text   json.RawMessage // the text as a JSON string
+	Tokens int             // generated tokens, End only
+	Prompt int             // prompt tokens, End only
+	Reason string          // stop, length or cancel, End only
+}
+
+// Stream reads the events of one attempt.
+type Stream struct {
+	addr string
+	resp *conn.Response
+	br   *bufio.Reader
+	data []byte
+	done bool
+}
+
+// Next reads the next event. Errors are a *conn.Error: the attempt is over.
+func (s *Stream) Next(ev *Event) error {
+	if err := s.next(ev); err != nil {
+		if errors.Is(err, io.EOF) {
+			err = io.ErrUnexpectedEOF // a stream ends with an end event
+		}
+		return &conn.Error{Addr: s.addr, Sent: true, Err: conn.Cause(err)}
+	}
+	return nil
+}
+
+// Buffered reports whether more of the stream can be read without waiting.
+func (s *Stream) Buffered() bool { return s.br.Buffered() > 0 || s.resp.Buffered() > 0 }
+
+// Close ends the attempt. The connection is used again only after the end event.
+func (s *Stream) Close() {
+	if s.resp == nil {
+		return
+	}
+	whole := false
+	if s.done && s.br.Buffered() == 0 {
+		n, err := s.resp.Body.Read(make([]byte, 1))
+		whole = n == 0 && errors.Is(err, io.EOF)
+	}
+	s.resp.Close(whole)
+	s.resp = nil
+}
+
+func newStream(addr string, resp *conn.Response) *Stream {
+	return &Stream{addr: addr, resp: resp, br: bufio.NewReaderSize(resp.Body, 1024)}
+}
+
+var (
+	fieldID    = []byte("id:")
+	fieldData  = []byte("data:")
+	fieldEvent = []byte("event:")
+)
+
+func (s *Stream) next(ev *Event) error {
+	*ev = Event{Text: ev.Text[:0]}
+	s.data = s.data[:0]
+	kind, size := "", 0
+	for {
+		line, err := s.line()
+		if err != nil {
+			return err
+		}
+		if size += len(line); size > Limit {
+			return oops.Errorf("event exceeds %d bytes", Limit)
+		}
+		switch {
+		case len(line) == 0:
+			if len(s.data) > 0 {
+				return s.parse(ev, kind)
+			}
+		case line[0] == ':':
+			ev.Kind = Wait
+			return nil
+		case bytes.HasPrefix(line, fieldID):
+			if ev.N, err = strconv.Atoi(string(bytes.TrimSpace(line[len(fieldID):]))); err != nil {
+				return oops.Wrapf(err, "event id")
+			}
+		case bytes.HasPrefix(line, fieldData):
+			s.data = append(s.data, bytes.TrimSpace(line[len(fieldData):])...)
+		case bytes.HasPrefix(line, fieldEvent):
+			kind = string(bytes.TrimSpace(line[len(fieldEvent):]))
+		}
+	}
+}
+
+// line reads one line without its end.
+func (s *Stream) line() ([]byte, error) {
+	b, err := s.br.ReadSlice('\n')
+	if errors.Is(err, bufio.ErrBufferFull) {
+		long := bytes.Clone(b)
+		for errors.Is(err, bufio.ErrBufferFull) {
+			if len(long) > Limit {
+				return nil, oops.Errorf("event exceeds %d bytes", Limit)
+			}
+			b, err = s.br.ReadSlice('\n')
+			long = append(long, b...)
+		}
+		b = long
+	}
+	if err != nil {
+		return nil, err
+	}
+	return bytes.TrimRight(b, "\r\n"), nil
+}
+
+func (s *Stream) parse(ev *Event, kind string) error {
+	var v struct {
+		Text   json.RawMessage `json:"text"`
+		Tokens int             `json:"tokens"`
+		Prompt int             `json:"prompt"`
+		Reason string          `json:"reason"`
+	}
+	if err := json.Unmarshal(s.data, &v); err != nil {
+		return oops.Wrapf(err, "event data")
+	}
+	switch kind {
+	case "end":
+		s.done = true
+		ev.Kind, ev.Tokens, ev.Prompt, ev.Reason = End, v.Tokens, v.Prompt, v.Reason
+	case "":
+		if ev.N < 1 || len(v.Text) < 2 || v.Text[0] != '"' {
+			return oops.Errorf("token event without a number or text")
+		}
+		ev.Kind, ev.Text = Token, v.Text
+	default:
+		return oops.Errorf("unknown event %q", kind)
+	}
+	return nil
+}
+
+func itoa(n int64) string { return strconv.FormatInt(n, 10) }
