--- a/core/flow/flow.go
+++ b/core/flow/flow.go
@@ -23,6 +23,7 @@
 	Resumed bool
 	Server  string
 	Last    int
+	Before  int // attempts that were made before
 
 	state    state
 	stage    int
@@ -57,7 +58,7 @@
 )
 
 // Attempt returns the number of the current attempt, counted from 1.
-func (f *Flow) Attempt() int { return f.attempt }
+func (f *Flow) Attempt() int { return f.Before + f.attempt }
 
 // Stage returns the index of the current stage.
 func (f *Flow) Stage() int { return f.stage }
@@ -152,7 +153,7 @@
 func (f *Flow) call() Command {
 	f.state = calling
 	f.attempt++
-	c := Call{Attempt: f.attempt, Server: f.Server, Resume: f.heard}
+	c := Call{Attempt: f.Attempt(), Server: f.Server, Resume: f.heard}
 	if f.heard {
 		c.From = f.Last
 	}
@@ -164,7 +165,7 @@
 	case *Token:
 		return f.onToken(e)
 	case Waiting:
-		if e.Attempt == f.attempt {
+		if e.Attempt == f.Attempt() {
 			f.sent, f.heard = true, true
 		}
 		if f.late(now) {
@@ -172,12 +173,12 @@
 			return f.cancel()
 		}
 	case End:
-		if e.Attempt == f.attempt {
+		if e.Attempt == f.Attempt() {
 			f.sent, f.heard = true, true
 			return f.onEnd(e)
 		}
 	case Failed:
-		if e.Attempt == f.attempt {
+		if e.Attempt == f.Attempt() {
 			return f.onFailed(e)
 		}
 	}
@@ -185,7 +186,7 @@
 }
 
 func (f *Flow) onToken(e *Token) Command {
-	if e.Attempt != f.attempt {
+	if e.Attempt != f.Attempt() {
 		return Read{}
 	}
 	f.sent, f.heard = true, true
@@ -193,7 +194,7 @@
 		return Read{}
 	}
 	if e.N > f.Last+1 { // a gap: the tokens in between must come from a new connection
-		return f.onFailed(Failed{Attempt: f.attempt, How: Broken})
+		return f.onFailed(Failed{Attempt: f.Attempt(), How: Broken})
 	}
 	f.Last, f.resumes = e.N, 0
 	if f.stage < len(f.Stages)-1 {
@@ -208,7 +209,7 @@
 	case e.Cancelled:
 		return f.fail(f.lost("the generation was cancelled"))
 	case e.Tokens > f.Last: // tokens are missing
-		return f.onFailed(Failed{Attempt: f.attempt, How: Broken})
+		return f.onFailed(Failed{Attempt: f.Attempt(), How: Broken})
 	case e.Tokens < f.Last: // not the answer that was delivered so far
 		return f.fail(f.lost("the server ended before the tokens that it sent"))
 	}
--- /dev/null
+++ b/internal/entry/chat_test.go
@@ -0,0 +1,83 @@
+package entry
+
+import (
+	"encoding/json"
+	"io"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+const fiveText = " t1 t2 t3 t4 t5"
+
+// Guards against a request path that loses, repeats or reorders tokens, or that ends an answer without a bill.
+func TestChat(t *testing.T) {
+	f := &fakes{}
+	d := start(t, f, []string{fake(t, five).addr}, nil)
+
+	resp := post(t, d, chatBody("m", false))
+	b, err := io.ReadAll(resp.Body)
+	assert.NilError(t, err)
+	assert.Equal(t, resp.StatusCode, 200, string(b))
+	var v struct {
+		Choices []struct{ Message struct{ Content string } }
+		Usage   struct{ Completion_tokens, Prompt_tokens int } //nolint:revive // names of the format
+	}
+	assert.NilError(t, json.Unmarshal(b, &v))
+	assert.Equal(t, v.Choices[0].Message.Content, fiveText)
+	assert.Equal(t, v.Usage.Completion_tokens, 5)
+	assert.Equal(t, resp.Header.Get("Shallot-Model"), "m@v1")
+
+	resp = post(t, d, chatBody("m", true))
+	e := readEvents(resp)
+	assert.NilError(t, e.err)
+	assert.Equal(t, e.text, fiveText)
+	assert.Check(t, e.done && strings.HasSuffix(e.last, ".5"))
+
+	bills := f.billed()
+	assert.Equal(t, len(bills), 2)
+	assert.Equal(t, bills[1].Request, resp.Header.Get("Shallot-Request"))
+	assert.Equal(t, bills[1].Stages[0].Tokens, 5)
+	assert.Equal(t, bills[1].Stages[0].Prompt, 3)
+}
+
+// Guards against refusals with a wrong code, and against work that a workspace is not allowed.
+func TestRefusals(t *testing.T) {
+	f := &fakes{}
+	e := fake(t, five)
+	d := start(t, f, []string{e.addr}, nil)
+	for _, c := range []struct {
+		name, body, code string
+		status           int
+		headers          []string
+	}{
+		{"key", chatBody("m", false), "key-unknown", 401, []string{"Authorization", "Bearer nobody"}},
+		{"model", chatBody("none", false), "model-unknown", 404, nil},
+		{"allowed", chatBody("other", false), "not-allowed", 403, nil},
+		{"rank", chatBody("m", false), "rank-not-allowed", 403, []string{"Shallot-Rank", "urgent"}},
+		{"rank name", chatBody("m", false), "bad-request", 400, []string{"Shallot-Rank", "now"}},
+		{"session", chatBody("m", false), "session-invalid", 400, []string{"Shallot-Session", "forged"}},
+		{"resume", chatBody("m", true), "resume-invalid", 400, []string{"Last-Event-ID", "forged.3"}},
+		{"deadline", chatBody("m", false), "bad-request", 400, []string{"Shallot-Deadline", "-1"}},
+		{"json", `{"model":`, "bad-request", 400, nil},
+		{"max_tokens", `{"model":"m","max_tokens":101,"messages":[{"role":"user","content":"a"}]}`, "too-large", 413, nil},
+		{"nesting", `{"model":"m","messages":[{"role":"user","content":"a"}],"x":` + strings.Repeat("[", 16) + strings.Repeat("]", 16) + `}`, "too-large", 413, nil},
+		{"messages", `{"model":"m","messages":[` + strings.Repeat(`{"role":"user","content":"a"},`, 64) + `{"role":"user","content":"a"}]}`, "too-large", 413, nil},
+		{"body", strings.Repeat(" ", 1<<20+1), "too-large", 413, nil},
+		{"headers", chatBody("m", false), "too-large", 431, []string{"X-Large", strings.Repeat("a", 16<<10)}},
+		{"key length", chatBody("m", false), "too-large", 413, []string{"Idempotency-Key", strings.Repeat("a", 129)}},
+	} {
+		resp := post(t, d, c.body, c.headers...)
+		assert.Equal(t, resp.Header.Get("Content-Type"), "application/problem+json", c.name)
+		got, ran := code(t, resp)
+		assert.Check(t, got == c.code && resp.StatusCode == c.status, "%s: %s %d", c.name, got, resp.StatusCode)
+		if c.name != "resume" { // the request to be resumed may have run
+			assert.Check(t, ran == "not run", c.name)
+		}
+	}
+	assert.Equal(t, e.count(generate), 0)
+	resp := do(t, d, "GET", "/v1/models", "")
+	b, _ := io.ReadAll(resp.Body)
+	assert.Check(t, strings.Contains(string(b), `"m@v1"`) && !strings.Contains(string(b), "other"), string(b))
+}
--- /dev/null
+++ b/internal/entry/exchange.go
@@ -0,0 +1,479 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"time"
+
+	"github.com/samber/oops"
+
+	"shallotrun/core/clock"
+	"shallotrun/core/document"
+	"shallotrun/core/flow"
+	"shallotrun/core/retry"
+	"shallotrun/core/route"
+	"shallotrun/core/token"
+	"shallotrun/core/work"
+	"shallotrun/io/caller"
+	"shallotrun/io/conn"
+	"shallotrun/io/engine"
+)
+
+// exchange drives the flow of one request to a model. It runs on the goroutine of the caller's connection:
+// first in the handler, then, for a stream, in Read, which fasthttp calls when the last events are written.
+type exchange struct {
+	d         *Daemon
+	request   *request
+	conn      net.Conn
+	name      string // model, route or cascade asked for
+	prompt    string
+	limit     int
+	streaming bool
+	session   *token.Session
+	pinned    bool // the session already had its versions
+	cascade   *document.Cascade
+	resumed   *token.Resume
+	holder    string
+	prior     []work.Stage
+	unbilled  bool // another VM keeps the bill
+
+	flow    flow.Flow
+	event   flow.Event // to be given to the flow next; nil to read one
+	final   flow.Command
+	looked  clock.Time // when the caller's connection was looked at
+	pool    *pool
+	held    bool // a slot of vm is held
+	vm      work.VM
+	stream  *engine.Stream
+	attempt attempt
+	read    engine.Event
+	token   flow.Token
+	end     engine.Event
+
+	chunks *caller.Chunks
+	prefix []byte // RESUMETOKEN and a dot
+	out    []byte // written by the flow, not read by the caller yet
+	sent   int    // bytes of out that were read
+	text   []byte // answer of a request that is not streamed
+	hold   []held // tokens of a stage that waits for its rating
+}
+
+// held is a token that waits for a rating.
+type held struct {
+	n    int
+	text []byte
+}
+
+// attempt is what is measured of an attempt.
+type attempt struct {
+	start  clock.Time
+	first  clock.Span
+	tokens int
+}
+
+// batchBytes bounds the events that are collected while more can be read without waiting.
+const batchBytes = 2 << 10
+
+// errBroken ends the response without a normal end.
+var errBroken = errors.New("the stream could not be completed")
+
+// Read gives the next events of a stream to the caller's connection.
+func (x *exchange) Read(p []byte) (int, error) {
+	for x.sent == len(x.out) {
+		x.out, x.sent = x.out[:0], 0
+		if x.flow.Done() {
+			if _, ok := x.final.(flow.Finish); ok {
+				return 0, io.EOF
+			}
+			return 0, errBroken
+		}
+		x.advance()
+	}
+	n := copy(p, x.out[x.sent:])
+	x.sent += n
+	return n, nil
+}
+
+// Close ends the exchange. If the flow is not done, the caller went away.
+func (x *exchange) Close() error {
+	if !x.flow.Done() {
+		x.event = flow.Gone{}
+		for !x.flow.Done() {
+			x.advance()
+		}
+	}
+	x.hangup()
+	x.letGo()
+	x.d.done()
+	return nil
+}
+
+// advance steps the flow until there is something to write, or to the end.
+func (x *exchange) advance() {
+	for !x.flow.Done() {
+		if x.event == nil {
+			if len(x.out) > x.sent && (len(x.out) > batchBytes || !x.stream.Buffered()) {
+				return
+			}
+			x.event = x.next()
+		}
+		c := x.flow.Step(x.d.Clock.Now(), x.event)
+		x.event = nil
+		x.do(c)
+	}
+}
+
+// do carries out a command. Commands other than Read and Deliver set the next event.
+func (x *exchange) do(c flow.Command) {
+	switch c := c.(type) {
+	case flow.Read:
+	case flow.Deliver:
+		x.deliver(x.token.N, x.read.Text)
+	case flow.Hold:
+		x.hold = append(x.hold, held{x.token.N, append([]byte(nil), x.read.Text...)})
+	case flow.Queue:
+		x.event = x.enqueue(c)
+	case flow.Check:
+		x.event = x.check()
+	case flow.Call:
+		x.event = x.call(c)
+	case flow.Spend:
+		x.event = flow.Spent{OK: x.pool == nil || x.pool.spend()}
+	case flow.Pause:
+		x.event = x.pause(c)
+	case flow.Cancel:
+		x.event = x.cancel()
+	case flow.Rate:
+		x.event = x.rate()
+	case flow.Discard:
+		x.hold = nil
+		x.event = flow.Start{}
+	case flow.Release:
+		for _, h := range x.hold {
+			x.deliver(h.n, h.text)
+		}
+		x.event = flow.Start{}
+	case flow.File:
+		x.event = x.file()
+	default:
+		x.finish(c)
+	}
+}
+
+func (x *exchange) target() route.Target {
+	s := x.flow.Stages[x.flow.Stage()]
+	return route.Target{Model: s.Model, Version: s.Version}
+}
+
+// deliver writes a token for the caller.
+func (x *exchange) deliver(n int, text []byte) {
+	if !x.streaming {
+		x.text = append(x.text, text[1:len(text)-1]...)
+		return
+	}
+	if x.chunks == nil {
+		c, err := caller.NewChunks(x.request.id, x.target().String())
+		if err != nil {
+			x.d.Log.Error().Err(err).Msg("caller: no stream chunk")
+			return
+		}
+		x.chunks = c
+	}
+	x.out = x.chunks.Append(x.out, x.prefix, n, text)
+}
+
+// enqueue waits for a server.
+func (x *exchange) enqueue(c flow.Queue) flow.Event {
+	x.hangup()
+	x.letGo()
+	if c.Abandon != "" {
+		vm, t := x.vm, x.target()
+		go func() { _, _ = x.d.engines.Cancel(vm.Addr, x.request.id, t.Model, t.Version) }()
+	}
+	t := x.d.table()
+	model := x.target().Model
+	name := t.Pool(model)
+	if name == "" {
+		return flow.Refused{Refusal: refuse(work.CodeNoServer, 503, "no pool serves model "+model)}
+	}
+	x.pool = x.d.pool(name, t.Slots(name))
+	start := x.d.Clock.Now()
+	it, ask := x.want(c.Exclude)
+	ticket, refusal := x.pool.enter(it, ask)
+	if refusal != nil {
+		return flow.Refused{Refusal: refusal}
+	}
+	g, gone := x.pool.await(ticket, x.gone)
+	switch {
+	case gone:
+		return flow.Gone{}
+	case g.refusal != nil:
+		return flow.Refused{Refusal: g.refusal}
+	}
+	x.vm, x.held = g.server, true
+	x.d.metrics.queued.WithLabelValues(x.request.rank.String()).Observe(x.d.Clock.Now().Sub(start).Std().Seconds())
+	return flow.Granted{Server: x.vm.Name}
+}
+
+// freshWait is how long a dispatch waits after a pause of the process for a current document.
+const freshWait = 3 * clock.Second
+
+// check decides with the document in force now whether the version may get this work.
+func (x *exchange) check() flow.Event {
+	until := x.d.Clock.Now().Add(freshWait)
+	for !x.d.Documents.Fresh() {
+		if !x.d.Clock.Now().Before(until) {
+			return flow.Refused{Refusal: again(refuse(work.CodeNoDocument, 503, "the configuration may be out of date"))}
+		}
+		time.Sleep((5 * clock.Millisecond).Std())
+	}
+	t := x.d.table()
+	w := t.Workspace(x.request.space.Name)
+	refusal := t.Check(w, x.target(), x.pinned, x.d.facts())
+	if refusal == nil {
+		return flow.Checked{}
+	}
+	if x.rechoose(t, w) {
+		return flow.Checked{}
+	}
+	return flow.Refused{Refusal: refusal}
+}
+
+// rechoose moves a request that waited while its version was withdrawn or halted to another version, if the
+// caller named only a model and has seen nothing yet.
+func (x *exchange) rechoose(t *route.Table, w *route.Workspace) bool {
+	if w == nil || x.session != nil || x.resumed != nil || x.flow.Last > 0 || x.cascade != nil {
+		return false
+	}
+	a := x.ask()
+	a.Workspace = w
+	c, refusal := t.Choose(a, x.d.facts())
+	if refusal != nil || c.Cascade != nil || c.Stages[0].Model != x.target().Model {
+		return false
+	}
+	x.flow.Stages = stages(t, c.Stages)
+	return true
+}
+
+// call opens an attempt.
+func (x *exchange) call(c flow.Call) flow.Event {
+	x.hangup()
+	now := x.d.Clock.Now()
+	x.attempt = attempt{start: now}
+	if c.Resume {
+		x.d.metrics.resumes.Inc()
+	} else if x.pool != nil {
+		x.pool.attempt()
+	}
+	t := x.target()
+	g := &engine.Generate{
+		Request: x.request.id, Attempt: c.Attempt, Model: t.Model, Version: t.Version, Prompt: x.prompt,
+		Limit: x.limit, Priority: int(x.request.rank), From: c.From, Attach: c.Resume,
+	}
+	if x.session != nil {
+		g.Session = x.session.ID
+	}
+	s, err := x.d.engines.Generate(x.vm.Addr, g, x.request.left(now, 0), x.request.head.Trace)
+	if err != nil {
+		return x.failed(err)
+	}
+	x.stream = s
+	if x.streaming {
+		x.sign(c.Attempt)
+	}
+	return nil
+}
+
+// sign makes the resume token of the attempt.
+func (x *exchange) sign(attempt int) {
+	t := x.target()
+	r := &token.Resume{
+		Request: x.request.id, Workspace: x.request.space.Name, Model: t.Model, Version: t.Version,
+		Server: x.vm.Name, Addr: x.vm.Addr, Holder: x.holder, Attempt: attempt, At: x.request.arrived,
+	}
+	for _, s := range append(x.prior, x.flow.Bill()...) {
+		r.Prior = append(r.Prior, token.Stage{Model: s.Model, Version: s.Version, Prompt: s.Prompt, Tokens: s.Tokens})
+	}
+	text, err := x.d.signer.Resume(r)
+	if err != nil {
+		x.d.Log.Error().Err(err).Msg("caller: no resume token")
+	}
+	x.prefix = append(append(x.prefix[:0], text...), '.')
+}
+
+// next reads the next event of the attempt.
+func (x *exchange) next() flow.Event {
+	if now := x.d.Clock.Now(); now.Sub(x.looked) >= waitCheck {
+		x.looked = now
+		if x.gone() {
+			return flow.Gone{}
+		}
+	}
+	if err := x.stream.Next(&x.read); err != nil {
+		return x.failed(err)
+	}
+	n := x.flow.Attempt()
+	switch x.read.Kind {
+	case engine.Token:
+		x.seen()
+		x.token = flow.Token{Attempt: n, N: x.read.N}
+		return &x.token
+	case engine.End:
+		x.end = x.read
+		x.seen()
+		cancelled := x.read.Reason == "cancelled"
+		x.result(work.Result{Failed: cancelled && x.resumed == nil})
+		x.hangup()
+		return flow.End{Attempt: n, Tokens: x.end.Tokens, Prompt: x.end.Prompt, Cancelled: cancelled}
+	}
+	return flow.Waiting{Attempt: n}
+}
+
+// seen measures the first token.
+func (x *exchange) seen() {
+	x.attempt.tokens++
+	if x.attempt.first != 0 {
+		return
+	}
+	now := x.d.Clock.Now()
+	x.attempt.first = max(now.Sub(x.attempt.start), 1)
+	if x.flow.Last == 0 {
+		x.d.metrics.first.WithLabelValues(x.request.rank.String()).Observe(now.Sub(x.request.arrived).Std().Seconds())
+	}
+}
+
+// failed reports a failed attempt and says how it failed.
+func (x *exchange) failed(err error) flow.Event {
+	x.hangup()
+	ev := flow.Failed{Attempt: x.flow.Attempt()}
+	var own *engine.Refused
+	var link *conn.Error
+	switch {
+	case errors.As(err, &own):
+		ev.How, ev.Refusal = flow.Rejected, x.rejected(own)
+	case errors.Is(err, engine.ErrForgotten):
+		ev.How = flow.Forgotten
+	case errors.Is(err, conn.ErrSilent) && errors.As(err, &link) && link.Sent:
+		ev.How = flow.Silent
+	case errors.As(err, &link) && !link.Sent:
+		ev.How = flow.Unsent
+	case errors.As(err, &link):
+		ev.How = flow.Broken
+	default:
+		ev.How = flow.Errored
+	}
+	x.result(work.Result{Failed: own == nil, Refused: own != nil})
+	x.d.Log.Debug().Err(err).Str("request", x.request.id).Str("server", x.vm.Name).Msg("engine: attempt failed")
+	return ev
+}
+
+// rejected converts an engine's own refusal.
+func (x *exchange) rejected(r *engine.Refused) *work.Refusal {
+	if r.Code == "leaving" {
+		x.d.Servers.MarkLeaving(x.vm.Name)
+	}
+	out := again(refuse(work.CodeOverloaded, 503, "the backend server refused: "+r.Code))
+	if r.Retry > 0 {
+		out.Retry = r.Retry
+	}
+	return out
+}
+
+func (x *exchange) result(r work.Result) {
+	if x.pool == nil {
+		return
+	}
+	t := x.target()
+	r.Server, r.Model, r.Version = x.vm.Name, t.Model, t.Version
+	r.First, r.Total, r.Tokens = x.attempt.first, x.d.Clock.Now().Sub(x.attempt.start), x.attempt.tokens
+	x.d.report(x.pool, r)
+}
+
+func (x *exchange) pause(c flow.Pause) flow.Event {
+	x.d.metrics.retries.Inc()
+	s := retry.Backoff{Max: clock.Second}.After(c.Retry, x.d.random())
+	time.Sleep(s.Std())
+	if x.gone() {
+		return flow.Gone{}
+	}
+	return flow.Elapsed{}
+}
+
+func (x *exchange) cancel() flow.Event {
+	x.hangup()
+	t := x.target()
+	out, err := x.d.engines.Cancel(x.vm.Addr, x.request.id, t.Model, t.Version)
+	if err != nil {
+		x.d.Log.Debug().Err(err).Str("server", x.vm.Name).Msg("engine: not cancelled")
+	}
+	return flow.Cancelled{Tokens: out.Tokens}
+}
+
+// rate decides whether a held answer is given to the caller.
+func (x *exchange) rate() flow.Event { return flow.Rated{Accept: true} }
+
+// file files the bill.
+func (x *exchange) file() flow.Event {
+	x.letGo()
+	if x.unbilled {
+		return flow.Filed{}
+	}
+	b := work.Bill{Request: x.request.id, Workspace: x.request.space.Name, At: x.d.Clock.Wall()}
+	b.Stages = append(append(b.Stages, x.prior...), x.flow.Bill()...)
+	if err := x.d.Bills.File(context.Background(), b, x.holder); err != nil {
+		x.d.Log.Info().Err(err).Str("request", x.request.id).Msg("caller: the request was taken over")
+		return flow.Filed{Taken: true}
+	}
+	return flow.Filed{}
+}
+
+// finish carries out a final command.
+func (x *exchange) finish(c flow.Command) {
+	x.final = c
+	switch c := c.(type) {
+	case flow.Finish:
+		if !x.streaming {
+			return
+		}
+		a := x.answer()
+		out, err := a.AppendEnd(x.out)
+		if err != nil {
+			x.final = flow.Drop{}
+			x.d.Log.Error().Err(oops.Wrap(err)).Msg("caller: no end of stream")
+			return
+		}
+		x.out = out
+	case flow.Break:
+		if x.streaming {
+			x.d.metrics.refusals.WithLabelValues(c.Refusal.Code).Inc()
+			x.out = caller.AppendError(x.out, caller.ProblemJSON(c.Refusal, x.request.id))
+		}
+	case flow.Drop:
+		x.d.metrics.gone.Inc()
+	}
+}
+
+func (x *exchange) answer() *caller.Answer {
+	return &caller.Answer{
+		Request: x.request.id, Model: x.target().String(), Text: x.text, Reason: x.end.Reason,
+		Prompt: x.end.Prompt, Tokens: x.end.Tokens,
+	}
+}
+
+// hangup closes the connection of the attempt.
+func (x *exchange) hangup() {
+	if x.stream != nil {
+		x.stream.Close()
+		x.stream = nil
+	}
+}
+
+// letGo gives the slot back.
+func (x *exchange) letGo() {
+	if x.held {
+		x.held = false
+		x.pool.release(x.vm.Name)
+	}
+}
--- /dev/null
+++ b/internal/entry/fake_test.go
@@ -0,0 +1,345 @@
+package entry
+
+import (
+	"bufio"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"gotest.tools/v3/assert"
+
+	"shallotrun/core/clock"
+	"shallotrun/core/document"
+	"shallotrun/core/work"
+)
+
+// fakes implements the ports of a daemon in memory.
+type fakes struct {
+	mu      sync.Mutex
+	snap    *document.Snapshot
+	halted  map[string]bool
+	servers map[string][]work.VM
+	leaving []string
+	bills   []work.Bill
+	taken   map[string]bool
+	claims  map[string]string
+	full    bool
+	stale   atomic.Bool
+}
+
+func (f *fakes) Current() *document.Snapshot {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.snap
+}
+
+func (f *fakes) Fresh() bool        { return !f.stale.Load() }
+func (f *fakes) Silent() clock.Span { return 0 }
+
+func (f *fakes) Halted(m, v string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.halted[m+"@"+v]
+}
+
+func (f *fakes) Servers(pool string) []work.VM {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.servers[pool]
+}
+
+func (f *fakes) MarkLeaving(name string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.leaving = append(f.leaving, name)
+}
+
+func (f *fakes) Holder(string) string { return "holder" }
+func (f *fakes) Full() bool           { return f.full }
+
+func (f *fakes) File(_ context.Context, b work.Bill, _ string) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.taken[b.Request] {
+		return errors.New("taken")
+	}
+	f.bills = append(f.bills, b)
+	return nil
+}
+
+func (f *fakes) Take(_ context.Context, request, _ string) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, b := range f.bills {
+		if b.Request == request {
+			return errors.New("billed")
+		}
+	}
+	return nil
+}
+
+func (f *fakes) Claim(_ context.Context, space, key, request string) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if by, ok := f.claims[space+"/"+key]; ok && by != request {
+		return &work.Refusal{Code: work.CodeClaimTaken, Status: 409, Ran: work.Unknown, Detail: "taken"}
+	}
+	f.claims[space+"/"+key] = request
+	return nil
+}
+
+func (f *fakes) billed() []work.Bill {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return append([]work.Bill(nil), f.bills...)
+}
+
+// change puts a changed document in force.
+func (f *fakes) change(edit func(d *document.Document)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	b, _ := json.Marshal(f.snap.Document)
+	d := new(document.Document)
+	if err := json.Unmarshal(b, d); err != nil {
+		panic(err)
+	}
+	edit(d)
+	f.snap = &document.Snapshot{Revision: f.snap.Revision + 1, Document: d}
+}
+
+const testKey = "key-of-yard"
+
+func testDocument() *document.Document {
+	sum := sha256.Sum256([]byte(testKey))
+	return &document.Document{
+		Domains: []string{"a"},
+		Models: []document.Model{
+			{Name: "m", Versions: []document.Version{{Name: "v1", State: document.Live}}},
+			{Name: "x", Versions: []document.Version{{Name: "v1", State: document.Live, Exact: true}}},
+			{Name: "other", Versions: []document.Version{{Name: "v1", State: document.Live}}},
+		},
+		Pools:    []document.Pool{{Name: "engines", Models: []string{"m", "x", "other"}, Slots: 4}},
+		Services: []document.Service{{Name: "tags", Pool: "desk", Slots: 4, Calls: []document.Call{{Method: "POST", Path: "/find", Repeat: true}}}},
+		Workspaces: []document.Workspace{{Name: "yard", Keys: []string{hex.EncodeToString(sum[:])}, Allow: []string{"m", "x"},
+			Services: []string{"tags"}, Rank: "normal", Weight: 1, Limit: 100, Routes: []string{"both"}}},
+		Cascades: []document.Cascade{{Name: "both", Stages: []string{"m", "x"}, Quality: 80, Down: "last", Wait: 200}},
+	}
+}
+
+// start runs a daemon with the given engines and services until the test ends.
+func start(t testing.TB, f *fakes, engines, services []string, edit ...func(*Daemon)) *Daemon {
+	t.Helper()
+	list := func(kind, pool string, addrs []string) (out []work.VM) {
+		for i, a := range addrs {
+			out = append(out, work.VM{Name: fmt.Sprint(pool, i), Addr: a, Domain: "a", Kind: kind, Pool: pool, State: work.StateLive})
+		}
+		return out
+	}
+	f.snap = &document.Snapshot{Revision: 1, Document: testDocument()}
+	f.halted, f.taken, f.claims = map[string]bool{}, map[string]bool{}, map[string]string{}
+	f.servers = map[string][]work.VM{"engines": list("other", "engines", engines), "desk": list(work.KindService, "desk", services)}
+	d := &Daemon{Name: "e1", Domain: "a", Listen: "127.0.0.1:0", Keys: [][]byte{[]byte("secret")},
+		Documents: f, Servers: f, Bills: f, Claims: f, Registry: prometheus.NewRegistry()}
+	for _, e := range edit {
+		e(d)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- d.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		assert.NilError(t, <-done)
+	})
+	for i := 0; i < 500 && !d.Ready(); i++ {
+		time.Sleep(time.Millisecond)
+	}
+	assert.Assert(t, d.Ready())
+	return d
+}
+
+// script answers one connection of a fake backend server. It gets the number of the call, counted from 1.
+type script func(n int, c net.Conn, r *http.Request, body map[string]any)
+
+// backend is a fake backend server with full control of each connection.
+type backend struct {
+	addr  string
+	mu    sync.Mutex
+	calls []string // method and path
+	sent  []map[string]any
+}
+
+func fake(t testing.TB, s script) *backend {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = ln.Close() })
+	b := &backend{addr: ln.Addr().String()}
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go b.serve(c, s)
+		}
+	}()
+	return b
+}
+
+func (b *backend) serve(c net.Conn, s script) {
+	defer c.Close() //nolint:errcheck // a test server
+	br := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		var body map[string]any
+		_ = json.NewDecoder(r.Body).Decode(&body)
+		b.mu.Lock()
+		b.calls = append(b.calls, r.Method+" "+r.URL.Path)
+		b.sent = append(b.sent, body)
+		n := 0
+		for _, k := range b.calls {
+			if k == r.Method+" "+r.URL.Path {
+				n++
+			}
+		}
+		b.mu.Unlock()
+		s(n, c, r, body)
+	}
+}
+
+// count returns the number of calls of a path.
+func (b *backend) count(call string) (n int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, c := range b.calls {
+		if c == call {
+			n++
+		}
+	}
+	return n
+}
+
+const generate = "POST /v1/generate"
+
+// open starts an event stream whose end is the end of the connection.
+func open(c net.Conn) {
+	fmt.Fprint(c, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n")
+}
+
+func tokens(c net.Conn, from, to int) {
+	for n := from; n <= to; n++ {
+		fmt.Fprintf(c, "id: %d\ndata: {\"text\":\" t%d\"}\n\n", n, n)
+	}
+}
+
+func end(c net.Conn, n int) {
+	fmt.Fprintf(c, "event: end\ndata: {\"tokens\":%d,\"reason\":\"stop\",\"prompt\":3}\n\n", n)
+	_ = c.Close()
+}
+
+func reply(c net.Conn, status int, body string) {
+	fmt.Fprintf(c, "HTTP/1.1 %d X\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", status, len(body), body)
+}
+
+// from returns the token number after which a call resumes.
+func from(body map[string]any) int {
+	f, _ := body["from"].(float64)
+	return int(f)
+}
+
+// five answers every generation with five tokens.
+func five(_ int, c net.Conn, r *http.Request, body map[string]any) {
+	if r.URL.Path != "/v1/generate" {
+		reply(c, 200, "{}")
+		return
+	}
+	open(c)
+	tokens(c, from(body)+1, 5)
+	end(c, 5)
+}
+
+// post sends a chat. Headers are given in pairs.
+func post(t testing.TB, d *Daemon, body string, headers ...string) *http.Response {
+	t.Helper()
+	return do(t, d, "POST", "/v1/chat/completions", body, headers...)
+}
+
+func do(t testing.TB, d *Daemon, method, path, body string, headers ...string) *http.Response {
+	t.Helper()
+	r, err := http.NewRequest(method, "http://"+d.Addr().String()+path, strings.NewReader(body))
+	assert.NilError(t, err)
+	r.Header.Set("Authorization", "Bearer "+testKey)
+	for i := 0; i+1 < len(headers); i += 2 {
+		r.Header.Set(headers[i], headers[i+1])
+	}
+	c := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 20 * time.Second}
+	resp, err := c.Do(r)
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = resp.Body.Close() })
+	return resp
+}
+
+func chatBody(model string, stream bool) string {
+	return fmt.Sprintf(`{"model":%q,"stream":%v,"messages":[{"role":"user","content":"hello"}]}`, model, stream)
+}
+
+// events reads a stream and returns its text, the last event id, the error event and whether it ended
+// with [DONE].
+type events struct {
+	text, last, problem string
+	done                bool
+	err                 error
+}
+
+func readEvents(resp *http.Response) (e events) {
+	s := bufio.NewScanner(resp.Body)
+	kind := ""
+	for s.Scan() {
+		line := s.Text()
+		switch data, ok := strings.CutPrefix(line, "data: "); {
+		case strings.HasPrefix(line, "id: "):
+			e.last = line[4:]
+		case strings.HasPrefix(line, "event: "):
+			kind = line[7:]
+		case ok && data == "[DONE]":
+			e.done = true
+		case ok && kind == "error":
+			e.problem = data
+		case ok:
+			var v struct {
+				Choices []struct {
+					Delta struct{ Content string }
+				}
+			}
+			if err := json.Unmarshal([]byte(data), &v); err != nil {
+				e.err = err
+				return e
+			}
+			e.text += v.Choices[0].Delta.Content
+		}
+	}
+	e.err = s.Err()
+	return e
+}
+
+// code returns the code and ran of a refusal.
+func code(t testing.TB, resp *http.Response) (string, string) {
+	t.Helper()
+	var p struct{ Code, Ran string }
+	assert.NilError(t, json.NewDecoder(resp.Body).Decode(&p))
+	return p.Code, p.Ran
+}
--- /dev/null
+++ b/internal/entry/metrics.go
@@ -0,0 +1,61 @@
+package entry
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+
+	"shallotrun/core/work"
+)
+
+// metrics are the counters of the request path. Labels never carry values that a caller chooses: models,
+// versions and codes come from the document and from this program.
+type metrics struct {
+	requests *prometheus.CounterVec // kind, rank
+	refusals *prometheus.CounterVec // code
+	attempts *prometheus.CounterVec // model, version, result
+	tokens   *prometheus.CounterVec // model, version
+	resumes  prometheus.Counter
+	retries  prometheus.Counter
+	gone     prometheus.Counter
+	open     prometheus.Gauge
+	first    *prometheus.HistogramVec // rank
+	queued   *prometheus.HistogramVec // rank
+}
+
+func newMetrics(r *prometheus.Registry) *metrics {
+	counter := func(name, help string, labels ...string) *prometheus.CounterVec {
+		return prometheus.NewCounterVec(prometheus.CounterOpts{Name: name, Help: help}, labels)
+	}
+	span := func(name, help string) *prometheus.HistogramVec {
+		return prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: name, Help: help, Buckets: prometheus.ExponentialBuckets(0.001, 2, 16),
+		}, []string{"rank"})
+	}
+	m := &metrics{
+		requests: counter("shallot_requests_total", "Requests accepted from callers.", "kind", "rank"),
+		refusals: counter("shallot_refusals_total", "Requests refused.", "code"),
+		attempts: counter("shallot_attempts_total", "Attempts at backend servers.", "model", "version", "result"),
+		tokens:   counter("shallot_tokens_total", "Tokens of finished attempts.", "model", "version"),
+		resumes:  prometheus.NewCounter(prometheus.CounterOpts{Name: "shallot_resumes_total", Help: "Streams resumed on a new connection."}),
+		retries:  prometheus.NewCounter(prometheus.CounterOpts{Name: "shallot_retries_total", Help: "Attempts on another server."}),
+		gone:     prometheus.NewCounter(prometheus.CounterOpts{Name: "shallot_gone_total", Help: "Requests whose caller went away."}),
+		open:     prometheus.NewGauge(prometheus.GaugeOpts{Name: "shallot_open", Help: "Requests that are open."}),
+		first:    span("shallot_first_seconds", "Time to the first token."),
+		queued:   span("shallot_queue_seconds", "Time in the queue."),
+	}
+	if r != nil {
+		r.MustRegister(m.requests, m.refusals, m.attempts, m.tokens, m.resumes, m.retries, m.gone, m.open, m.first, m.queued)
+	}
+	return m
+}
+
+func (m *metrics) attempt(r work.Result) {
+	result := "ok"
+	switch {
+	case r.Refused:
+		result = "refused"
+	case r.Failed:
+		result = "failed"
+	}
+	m.attempts.WithLabelValues(r.Model, r.Version, result).Inc()
+	m.tokens.WithLabelValues(r.Model, r.Version).Add(float64(r.Tokens))
+}
--- /dev/null
+++ b/internal/entry/pool.go
@@ -0,0 +1,290 @@
+package entry
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"shallotrun/core/clock"
+	"shallotrun/core/place"
+	"shallotrun/core/queue"
+	"shallotrun/core/retry"
+	"shallotrun/core/work"
+)
+
+// pool is the queue, slots and placement for one pool of backend servers.
+type pool struct {
+	d    *Daemon
+	name string
+
+	mu      sync.Mutex
+	slots   int // configured slots of each server, 0 for no limit
+	queue   queue.Queue
+	placer  place.Placer
+	budget  retry.Budget
+	tickets map[string]*ticket
+	parked  []*ticket // popped, waiting for a server that fits
+	own     map[string]int
+	loads   map[string]work.Load
+	cands   []place.Candidate // reused
+}
+
+// ticket is a request that waits for a server.
+type ticket struct {
+	item  queue.Item
+	ask   place.Ask
+	grant chan grant // buffered
+}
+
+type grant struct {
+	server  work.VM
+	refusal *work.Refusal
+}
+
+// waitCheck is how often a waiting request looks whether its caller is still there.
+const waitCheck = 100 * clock.Millisecond
+
+// parkLimit is the number of popped requests that may wait for a fitting server before popping stops.
+const parkLimit = 16
+
+// pool returns the pool of that name.
+func (d *Daemon) pool(name string, slots int) *pool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	p := d.pools[name]
+	if p == nil {
+		p = &pool{
+			d: d, name: name,
+			queue:   queue.Queue{Limit: d.Wait},
+			placer:  place.Placer{Domain: d.Domain, Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))},
+			tickets: make(map[string]*ticket),
+			own:     make(map[string]int),
+			loads:   make(map[string]work.Load),
+		}
+		if t := d.table(); t != nil {
+			p.queue.Policy = queue.Fair{Normal: t.Document.Ranks.Normal, Batch: t.Document.Ranks.Batch}
+		}
+		d.pools[name] = p
+	}
+	p.mu.Lock()
+	p.slots = slots
+	p.mu.Unlock()
+	return p
+}
+
+// enter queues a request. The result arrives on the ticket's channel.
+func (p *pool) enter(it queue.Item, ask place.Ask) (*ticket, *work.Refusal) {
+	now := p.d.Clock.Now()
+	t := &ticket{item: it, ask: ask, grant: make(chan grant, 1)}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if _, live := p.candidates(); live == 0 {
+		r := refuse(work.CodeNoServer, 503, "no backend server of pool "+p.name+" is live")
+		r.Retry = clock.Second
+		return nil, r
+	}
+	if r := p.queue.Push(now, it); r != nil {
+		return nil, r
+	}
+	p.tickets[it.ID] = t
+	p.pump(now)
+	return t, nil
+}
+
+// await waits for a ticket's grant and looks from time to time whether the caller is still there.
+func (p *pool) await(t *ticket, gone func() bool) (g grant, left bool) {
+	select {
+	case g = <-t.grant:
+		return g, false
+	default:
+	}
+	timer := time.NewTicker(waitCheck.Std())
+	defer timer.Stop()
+	for {
+		select {
+		case g = <-t.grant:
+			return g, false
+		case <-timer.C:
+			if gone() {
+				p.leave(t)
+				return grant{}, true
+			}
+		}
+	}
+}
+
+// leave withdraws a ticket. It gives back the server if one was granted meanwhile.
+func (p *pool) leave(t *ticket) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.tickets[t.item.ID] == t {
+		delete(p.tickets, t.item.ID)
+		p.queue.Remove(t.item.ID)
+		p.parked = slices.DeleteFunc(p.parked, func(x *ticket) bool { return x == t })
+		return
+	}
+	select {
+	case g := <-t.grant:
+		if g.refusal == nil {
+			p.free(g.server.Name)
+		}
+	default:
+	}
+}
+
+// release gives a server's slot back.
+func (p *pool) release(server string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.free(server)
+	p.pump(p.d.Clock.Now())
+}
+
+func (p *pool) report(r work.Result) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.placer.Report(p.d.Clock.Now(), r)
+}
+
+// attempt records a first attempt for the retry budget.
+func (p *pool) attempt() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.budget.Attempt(p.d.Clock.Now())
+}
+
+// spend takes one extra attempt from the retry budget.
+func (p *pool) spend() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.budget.Retry(p.d.Clock.Now())
+}
+
+// load records a load report.
+func (p *pool) load(server string, l work.Load) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.loads[server] = l
+	p.pump(p.d.Clock.Now())
+}
+
+// run starts what may start and refuses what is late. It is called from time to time, because servers come
+// and go and deadlines pass without an event.
+func (p *pool) run() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.pump(p.d.Clock.Now())
+}
+
+func (p *pool) free(server string) {
+	if p.own[server]--; p.own[server] <= 0 {
+		delete(p.own, server)
+	}
+}
+
+// pump grants servers while there are waiting requests and free slots. The lock is held.
+func (p *pool) pump(now clock.Time) {
+	if len(p.tickets) == 0 {
+		return
+	}
+	for _, it := range p.queue.Expire(now) {
+		p.answer(it.ID, grant{refusal: p.late()})
+	}
+	free, _ := p.candidates()
+	for _, t := range slices.Clone(p.parked) {
+		switch {
+		case t.item.Deadline != 0 && !now.Before(t.item.Deadline):
+			p.answer(t.item.ID, grant{refusal: p.late()})
+		case free > 0 && p.place(now, t):
+			free--
+		}
+	}
+	for free > 0 && len(p.parked) < parkLimit {
+		it, ok := p.queue.PopFree(now, free)
+		if !ok {
+			return
+		}
+		t := p.tickets[it.ID]
+		if t == nil {
+			continue
+		}
+		if p.place(now, t) {
+			free--
+		} else {
+			p.parked = append(p.parked, t)
+		}
+	}
+}
+
+// place grants a server to a ticket if one fits.
+func (p *pool) place(now clock.Time, t *ticket) bool {
+	name, ok := p.placer.Pick(now, t.ask, p.cands)
+	if !ok && len(t.ask.Exclude) >= len(p.cands) {
+		// Every server failed this request: after the backoff any of them may be tried again.
+		ask := t.ask
+		ask.Exclude = nil
+		name, ok = p.placer.Pick(now, ask, p.cands)
+	}
+	if !ok {
+		return false
+	}
+	for i := range p.cands {
+		if p.cands[i].Name == name {
+			p.cands[i].Own++
+		}
+	}
+	p.own[name]++
+	p.answer(t.item.ID, grant{server: p.server(name)})
+	return true
+}
+
+func (p *pool) answer(id string, g grant) {
+	t := p.tickets[id]
+	if t == nil {
+		return
+	}
+	delete(p.tickets, id)
+	p.parked = slices.DeleteFunc(p.parked, func(x *ticket) bool { return x == t })
+	t.grant <- g
+}
+
+// candidates prepares the live servers and returns the number of free slots and of live servers.
+func (p *pool) candidates() (free, live int) {
+	p.cands = p.cands[:0]
+	for _, v := range p.d.Servers.Servers(p.name) {
+		l, known := p.loads[v.Name]
+		if v.State == work.StateLeaving || l.Leaving {
+			continue
+		}
+		c := place.Candidate{Name: v.Name, Domain: v.Domain, Slots: p.slots, Own: p.own[v.Name], Load: l, Known: known}
+		if p.d.Slots != nil {
+			c.Slots = p.d.Slots(p.name, v.Name, p.slots)
+		}
+		live++
+		switch {
+		case c.Slots <= 0 && p.slots > 0: // no share of this server now
+			continue
+		case c.Slots <= 0:
+			free = math.MaxInt32
+		default:
+			free += max(c.Slots-c.Own, 0)
+		}
+		p.cands = append(p.cands, c)
+	}
+	return min(free, math.MaxInt32), live
+}
+
+func (p *pool) server(name string) work.VM {
+	for _, v := range p.d.Servers.Servers(p.name) {
+		if v.Name == name {
+			return v
+		}
+	}
+	return work.VM{Name: name}
+}
+
+func (p *pool) late() *work.Refusal {
+	return refuse(work.CodeDeadline, 504, "the deadline passed in the queue")
+}
--- /dev/null
+++ b/internal/entry/service.go
@@ -0,0 +1,257 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"strings"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"shallotrun/core/clock"
+	"shallotrun/core/document"
+	"shallotrun/core/place"
+	"shallotrun/core/queue"
+	"shallotrun/core/retry"
+	"shallotrun/core/route"
+	"shallotrun/core/work"
+	"shallotrun/io/caller"
+	"shallotrun/io/conn"
+	"shallotrun/io/plain"
+)
+
+const (
+	servicePrefix = "/services/"
+	// serviceWait is the time that a plain service has for an answer where the caller set no deadline.
+	serviceWait = 30 * clock.Second
+	// serviceCost is what a plain call counts in the fair order, in tokens.
+	serviceCost = 16
+)
+
+// plainCall is one call to a plain service.
+type plainCall struct {
+	d       *Daemon
+	request *request
+	service *document.Service
+	call    plain.Call
+	repeat  bool
+	claimed bool
+	conn    net.Conn // of the caller
+	holder  string
+	pool    *pool
+	vm      work.VM
+}
+
+// service serves ANY /services/NAME/....
+func (d *Daemon) service(ctx *fasthttp.RequestCtx, r *request) *work.Refusal {
+	c, refusal := d.plainCall(ctx, r)
+	if refusal != nil {
+		d.done()
+		return refusal
+	}
+	d.metrics.requests.WithLabelValues("service", r.rank.String()).Inc()
+	a, refusal := c.run()
+	if refusal != nil {
+		d.done()
+		return refusal
+	}
+	return c.answer(ctx, a)
+}
+
+func (d *Daemon) plainCall(ctx *fasthttp.RequestCtx, r *request) (*plainCall, *work.Refusal) {
+	uri := string(ctx.RequestURI())
+	name, rest, _ := strings.Cut(strings.TrimPrefix(uri, servicePrefix), "/")
+	path, _, _ := strings.Cut("/"+rest, "?")
+	// A path that the service may read as another one must not decide whether a call may be repeated.
+	if !strings.HasPrefix(uri, servicePrefix) || strings.Contains(path, "..") || strings.Contains(path, "//") ||
+		strings.Contains(path, "/./") || strings.ContainsAny(path, "%\\;") {
+		return nil, refuse(work.CodeBadRequest, 400, "the path is not in its plain form")
+	}
+	s, refusal := r.table.Service(r.space, name)
+	if refusal != nil {
+		return nil, refusal
+	}
+	if refusal := r.setRank(s.Rank); refusal != nil {
+		return nil, refusal
+	}
+	if d.Bills.Full() {
+		return nil, again(refuse(work.CodeBillingFull, 503, "too many bills wait to be stored"))
+	}
+	method := string(ctx.Method())
+	return &plainCall{
+		d: d, request: r, service: s, repeat: route.Repeats(s, method, path), conn: ctx.Conn(),
+		call: plain.Call{
+			Method: method, URI: "/" + rest, Header: &ctx.Request.Header, Body: ctx.PostBody(), Request: r.id,
+			Trace: r.head.Trace,
+		},
+	}, nil
+}
+
+// run sends the call, and again as far as that is allowed.
+func (c *plainCall) run() (*plain.Answer, *work.Refusal) {
+	c.holder = c.d.Bills.Holder(c.request.id)
+	var exclude []string
+	for n := 1; ; n++ {
+		a, refusal := c.try(exclude)
+		if refusal == nil {
+			return a, nil
+		}
+		// What certainly did not run may be sent to another server. A call that may not be repeated and has
+		// no claim is only sent again if the connection could not even be opened.
+		again := c.vm.Name != "" && (c.repeat || refusal.Ran == work.NotRun && (c.claimed || refusal.Code == work.CodeNoServer))
+		now := c.d.Clock.Now()
+		pause := retry.Backoff{Max: clock.Second}.After(n, c.d.random())
+		if !again || n > maxRetries || !retry.InTime(now, pause, 0, c.request.end) || !c.pool.spend() {
+			return nil, refusal
+		}
+		exclude = append(exclude, c.vm.Name)
+		c.d.metrics.retries.Inc()
+		time.Sleep(pause.Std())
+	}
+}
+
+// try waits for a server and sends the call to it once.
+func (c *plainCall) try(exclude []string) (*plain.Answer, *work.Refusal) {
+	c.vm = work.VM{}
+	t := c.d.table()
+	c.pool = c.d.pool(c.service.Pool, c.service.Slots)
+	ticket, refusal := c.pool.enter(queue.Item{
+		ID: c.request.id, Rank: c.request.rank, Tenant: c.request.space.Name, Weight: c.request.space.Weight,
+		Cost: serviceCost, Deadline: c.request.end, Arrived: c.request.arrived,
+	}, place.Ask{Exclude: exclude})
+	if refusal != nil {
+		return nil, refusal
+	}
+	g, gone := c.pool.await(ticket, func() bool { return caller.Gone(c.conn) })
+	switch {
+	case gone:
+		return nil, refuse(work.CodeDeadline, 504, "the caller went away")
+	case g.refusal != nil:
+		return nil, g.refusal
+	}
+	c.vm = g.server
+	defer c.pool.release(c.vm.Name)
+	if _, refusal := t.Service(t.Workspace(c.request.space.Name), c.service.Name); refusal != nil {
+		c.vm.Name = ""
+		return nil, refusal
+	}
+	if refusal := c.claim(); refusal != nil {
+		c.vm.Name = ""
+		return nil, refusal
+	}
+	return c.send()
+}
+
+// claim makes sure that a call with a key runs only here.
+func (c *plainCall) claim() *work.Refusal {
+	if c.repeat || c.request.head.Once == "" || c.claimed {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), c.request.left(c.d.Clock.Now(), serviceWait).Std())
+	defer cancel()
+	err := c.d.Claims.Claim(ctx, c.request.space.Name, c.request.head.Once, c.request.id)
+	if err == nil {
+		c.claimed = true
+		return nil
+	}
+	var r *work.Refusal
+	if errors.As(err, &r) {
+		return r
+	}
+	return again(refuse(work.CodeClaimUnavailable, 503, "the key could not be claimed"))
+}
+
+func (c *plainCall) send() (*plain.Answer, *work.Refusal) {
+	start := c.d.Clock.Now()
+	c.call.Left = c.request.left(start, serviceWait)
+	a, err := c.d.plains.Do(c.vm.Addr, &c.call)
+	res := work.Result{Server: c.vm.Name, Total: c.d.Clock.Now().Sub(start)}
+	var own *plain.Refused
+	var link *conn.Error
+	switch {
+	case err == nil:
+		res.First = res.Total
+		c.d.report(c.pool, res)
+		return a, nil
+	case errors.As(err, &own):
+		res.Refused = true
+		c.d.report(c.pool, res)
+		if own.Code == "leaving" {
+			c.d.Servers.MarkLeaving(c.vm.Name)
+		}
+		return nil, again(refuse(work.CodeOverloaded, 503, "the service refused: "+own.Code))
+	}
+	res.Failed = true
+	c.d.report(c.pool, res)
+	if errors.As(err, &link) && !link.Sent {
+		return nil, again(refuse(work.CodeNoServer, 503, "the backend server could not be reached"))
+	}
+	r := &work.Refusal{Code: work.CodeBackendFailed, Status: 502, Ran: work.Unknown, Detail: "no answer came from the backend server"}
+	if errors.Is(err, conn.ErrSilent) {
+		r.Code, r.Status = work.CodeDeadline, 504
+	}
+	return nil, r
+}
+
+// answer passes the service's answer on.
+func (c *plainCall) answer(ctx *fasthttp.RequestCtx, a *plain.Answer) *work.Refusal {
+	ctx.SetStatusCode(a.Status)
+	a.CopyHeader(&ctx.Response.Header)
+	ctx.Response.Header.Set("Shallot-Request", c.request.id)
+	b := &body{call: c, answer: a}
+	if a.Body == nil {
+		defer b.Close() //nolint:errcheck // it always returns nil
+		b.file()
+		ctx.SetBody(a.Small)
+		return nil
+	}
+	n := a.Header.ContentLength()
+	ctx.SetBodyStream(b, max(n, -1))
+	return nil
+}
+
+// body reads a service's answer. It files the bill before the end of the body is passed on.
+type body struct {
+	call   *plainCall
+	answer *plain.Answer
+	filed  bool
+	whole  bool
+}
+
+func (b *body) Read(p []byte) (int, error) {
+	n, err := b.answer.Body.Read(p)
+	if err == nil {
+		return n, nil
+	}
+	b.file()
+	if errors.Is(err, io.EOF) {
+		b.whole = true
+		return n, io.EOF
+	}
+	return n, conn.Cause(err)
+}
+
+// Close ends the answer, also when the caller went away before its end.
+func (b *body) Close() error {
+	b.file()
+	b.answer.Close(b.whole || b.answer.Body == nil)
+	b.call.d.done()
+	return nil
+}
+
+func (b *body) file() {
+	if b.filed {
+		return
+	}
+	b.filed = true
+	c := b.call
+	err := c.d.Bills.File(context.Background(), work.Bill{
+		Request: c.request.id, Workspace: c.request.space.Name, At: c.d.Clock.Wall(),
+		Stages: []work.Stage{{Service: c.service.Name, Calls: 1}},
+	}, c.holder)
+	if err != nil {
+		c.d.Log.Warn().Err(err).Str("request", c.request.id).Msg("caller: bill not filed")
+	}
+}
--- /dev/null
+++ b/internal/entry/view.go
@@ -0,0 +1,36 @@
+package entry
+
+import (
+	"shallotrun/core/document"
+	"shallotrun/core/route"
+	"shallotrun/core/work"
+)
+
+// view is the document in force, prepared for look-ups.
+type view struct {
+	snapshot *document.Snapshot
+	table    *route.Table
+}
+
+// table returns the prepared document in force, nil before the first one.
+func (d *Daemon) table() *route.Table {
+	s := d.Documents.Current()
+	if s == nil {
+		return nil
+	}
+	if v := d.view.Load(); v != nil && v.snapshot == s {
+		return v.table
+	}
+	v := &view{snapshot: s, table: route.Compile(s.Document)}
+	d.view.Store(v)
+	return v.table
+}
+
+func (d *Daemon) facts() route.Facts {
+	return route.Facts{Halted: d.Documents.Halted, Silent: d.Documents.Silent()}
+}
+
+// refuse returns a refusal of a request of which nothing was sent to a backend server.
+func refuse(code string, status int, detail string) *work.Refusal {
+	return &work.Refusal{Code: code, Status: status, Ran: work.NotRun, Detail: detail}
+}
