entry, conn: tests of faults, limits, sessions and plain calls

Cause: the request path had tests of the good case only, and a refusal sent before the end of a large request was lost when the connection was reset. Ruled out: reading every oversized request to its end, which has no bound. After an early refusal the connection lingers for 500 ms or 4 MiB. fasthttp's own timeout error counts as a silent connection.

--- a/internal/entry/chat_test.go
+++ b/internal/entry/chat_test.go
@@ -22,11 +22,11 @@
 	assert.Equal(t, resp.StatusCode, 200, string(b))
 	var v struct {
 		Choices []struct{ Message struct{ Content string } }
-		Usage   struct{ Completion_tokens, Prompt_tokens int } //nolint:revive // names of the format
+		Usage   map[string]int
 	}
 	assert.NilError(t, json.Unmarshal(b, &v))
 	assert.Equal(t, v.Choices[0].Message.Content, fiveText)
-	assert.Equal(t, v.Usage.Completion_tokens, 5)
+	assert.Equal(t, v.Usage["completion_tokens"], 5)
 	assert.Equal(t, resp.Header.Get("Shallot-Model"), "m@v1")
 
 	resp = post(t, d, chatBody("m", true))
--- /dev/null
+++ b/internal/entry/service_test.go
@@ -0,0 +1,122 @@
+package entry
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"shallotrun/core/work"
+)
+
+// Guards against calls that run twice, against repeats that are not made where they are allowed, and against a
+// wrong "not run".
+func TestServiceCalls(t *testing.T) {
+	ok := func(c net.Conn) { reply(c, 201, `{"number":1}`) }
+	closed := func(c net.Conn) { _ = c.Close() }
+	refused := func(c net.Conn) { reply(c, 503, ownRefusal) }
+	busy := func(c net.Conn) { reply(c, 503, `{"error":"busy"}`) }
+	for _, c := range []struct {
+		name, method, path, key string
+		answers                 []func(net.Conn) // then ok
+		status                  int
+		code, ran               string
+		calls                   int // at all replicas
+	}{
+		{"issue", "POST", "/issue", "", nil, 201, "", "", 1},
+		{"issue, connection closed", "POST", "/issue", "", []func(net.Conn){closed}, 502, "backend-failed", "unknown", 1},
+		{"issue, own refusal", "POST", "/issue", "", []func(net.Conn){refused}, 503, "overloaded", "not run", 1},
+		{"issue, status without refusal", "POST", "/issue", "", []func(net.Conn){busy}, 503, "", "", 1},
+		{"issue with key", "POST", "/issue", "k1", nil, 201, "", "", 1},
+		{"issue with key, connection closed", "POST", "/issue", "k2", []func(net.Conn){closed}, 502, "backend-failed", "unknown", 1},
+		{"issue with key, own refusal", "POST", "/issue", "k3", []func(net.Conn){refused}, 201, "", "", 2},
+		{"find, connection closed", "POST", "/find", "", []func(net.Conn){closed}, 201, "", "", 2},
+		{"find, own refusal", "POST", "/find", "", []func(net.Conn){refused, refused}, 201, "", "", 3},
+		{"path that only starts like find", "POST", "/findorissue", "", []func(net.Conn){closed}, 502, "backend-failed", "unknown", 1},
+		{"get, connection closed", "GET", "/1", "", []func(net.Conn){closed}, 201, "", "", 2},
+		{"path with dots", "POST", "/find/../issue", "", nil, 400, "bad-request", "not run", 0},
+		{"path with escapes", "POST", "/find/%2e%2e/issue", "", nil, 400, "bad-request", "not run", 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			f := &fakes{}
+			var calls atomic.Int64
+			s := func(_ int, conn net.Conn, _ *http.Request, _ map[string]any) {
+				if n := int(calls.Add(1)); n <= len(c.answers) {
+					c.answers[n-1](conn)
+					return
+				}
+				ok(conn)
+			}
+			a, b := fake(t, s), fake(t, s)
+			d := start(t, f, nil, []string{a.addr, b.addr})
+			resp := do(t, d, c.method, "/services/tags"+c.path, "{}", "Idempotency-Key", c.key)
+			assert.Equal(t, resp.StatusCode, c.status)
+			bills := 1
+			if c.code != "" {
+				bills = 0
+				got, ran := code(t, resp)
+				assert.Check(t, got == c.code && ran == c.ran, "%s %s", got, ran)
+			} else if c.status == 201 {
+				v, _ := io.ReadAll(resp.Body)
+				assert.Equal(t, string(v), `{"number":1}`)
+			}
+			call := c.method + " " + c.path
+			assert.Equal(t, a.count(call)+b.count(call), c.calls)
+			waitFor(t, func() bool { return len(f.billed()) == bills })
+			if c.key != "" { // the same call again
+				got, _ := code(t, do(t, d, c.method, "/services/tags"+c.path, "{}", "Idempotency-Key", c.key))
+				assert.Equal(t, got, work.CodeClaimTaken)
+				assert.Equal(t, a.count(call)+b.count(call), c.calls)
+			}
+		})
+	}
+}
+
+// Guards against a call that may not be repeated going out on a connection that was idle for long: the server
+// may have closed it, and whether the call ran would not be known.
+func TestOldConnectionIsNotUsed(t *testing.T) {
+	f := &fakes{}
+	conns := make(chan net.Conn, 3)
+	s := fake(t, func(_ int, c net.Conn, _ *http.Request, _ map[string]any) {
+		conns <- c
+		reply(c, 201, "{}")
+	})
+	d := start(t, f, nil, []string{s.addr})
+	for _, wait := range []time.Duration{0, 0, 1200 * time.Millisecond} {
+		time.Sleep(wait)
+		resp := do(t, d, "POST", "/services/tags/issue", "{}")
+		_, err := io.Copy(io.Discard, resp.Body)
+		assert.NilError(t, err)
+		assert.Equal(t, resp.StatusCode, 201)
+	}
+	a, b, c := <-conns, <-conns, <-conns
+	assert.Check(t, a == b && b != c)
+}
+
+// Guards against bodies and headers that do not pass through unchanged, and against the API key reaching a
+// service.
+func TestPassThrough(t *testing.T) {
+	f := &fakes{}
+	seen := make(chan *http.Request, 1)
+	big := strings.Repeat("0123456789", 20000)
+	s := fake(t, func(_ int, c net.Conn, r *http.Request, _ map[string]any) {
+		seen <- r
+		reply(c, 200, big)
+	})
+	d := start(t, f, nil, []string{s.addr})
+	resp := do(t, d, "PUT", "/services/tags/7/state?by=gate", `{"state":"open"}`, "X-Gate", "4", "Shallot-Deadline", "5000")
+	b, err := io.ReadAll(resp.Body)
+	assert.NilError(t, err)
+	assert.Check(t, string(b) == big)
+	r := <-seen
+	assert.Equal(t, r.URL.String(), "/7/state?by=gate")
+	assert.Equal(t, r.Header.Get("X-Gate"), "4")
+	assert.Equal(t, r.Header.Get("Authorization"), "")
+	assert.Check(t, r.Header.Get("Shallot-Deadline") != "" && r.Header.Get("Shallot-Request") != "")
+}
--- /dev/null
+++ b/internal/entry/session_test.go
@@ -0,0 +1,137 @@
+package entry
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"shallotrun/core/document"
+)
+
+// Guards against a session that changes its version, and against work on withdrawn or draining versions.
+func TestSessionKeepsItsVersion(t *testing.T) {
+	f := &fakes{}
+	d := start(t, f, []string{fake(t, five).addr}, nil)
+	resp := post(t, d, chatBody("m", false), "Shallot-Session", "new")
+	session := resp.Header.Get("Shallot-Session")
+	assert.Check(t, session != "" && resp.Header.Get("Shallot-Model") == "m@v1")
+
+	state := func(s string) func(*document.Document) {
+		return func(x *document.Document) {
+			x.Models[0].Versions = []document.Version{{Name: "v1", State: s}, {Name: "v2", State: document.Live}}
+		}
+	}
+	for _, c := range []struct {
+		name, session, state, model, code string
+	}{
+		{"live session", session, document.Live, "m@v1", ""},
+		{"draining session", session, document.Draining, "m@v1", ""},
+		{"draining, no session", "", document.Draining, "m@v2", ""},
+		{"withdrawn session", session, document.Withdrawn, "", "version-withdrawn"},
+		{"withdrawn, no session", "", document.Withdrawn, "m@v2", ""},
+	} {
+		f.change(state(c.state))
+		var h []string
+		if c.session != "" {
+			h = []string{"Shallot-Session", c.session}
+		}
+		resp := post(t, d, chatBody("m", true), h...)
+		if c.code != "" {
+			got, ran := code(t, resp)
+			assert.Check(t, got == c.code && ran == "not run", "%s: %s", c.name, got)
+			continue
+		}
+		_, err := io.Copy(io.Discard, resp.Body)
+		assert.NilError(t, err)
+		if c.name == "live session" {
+			assert.Equal(t, resp.Header.Get("Shallot-Session"), session)
+		}
+		assert.Equal(t, resp.Header.Get("Shallot-Model"), c.model, c.name)
+	}
+	got, _ := code(t, post(t, d, chatBody("x", false), "Shallot-Session", session))
+	assert.Equal(t, got, "session-invalid")
+}
+
+// Guards against a version check that is made only on arrival: work that waits while its version is withdrawn
+// must not run on it.
+func TestCheckAtDispatch(t *testing.T) {
+	f := &fakes{}
+	e := fake(t, five)
+	var slots atomic.Int64
+	slots.Store(-1)
+	d := start(t, f, []string{e.addr}, nil, func(d *Daemon) {
+		d.Slots = func(string, string, int) int { return int(slots.Load()) }
+	})
+	fixed := make(chan string, 1)
+	go func() { c, _ := code(t, post(t, d, chatBody("m@v1", false))); fixed <- c }()
+	moved := make(chan string, 1)
+	go func() { moved <- post(t, d, chatBody("m", false)).Header.Get("Shallot-Model") }()
+	waitFor(t, func() bool {
+		if len(d.all()) == 0 {
+			return false
+		}
+		p := d.all()[0]
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		return len(p.tickets) == 2
+	})
+	f.change(func(x *document.Document) {
+		x.Models[0].Versions = []document.Version{{Name: "v1", State: document.Withdrawn}, {Name: "v2", State: document.Live}}
+	})
+	slots.Store(4)
+	assert.Equal(t, <-fixed, "version-withdrawn")
+	assert.Equal(t, <-moved, "m@v2")
+	assert.Equal(t, e.count(generate), 1)
+}
+
+// Guards against a stream that cannot be continued at another entry VM, or that is billed by both.
+func TestResumeAtAnotherVM(t *testing.T) {
+	f := &fakes{}
+	gate := make(chan struct{})
+	e := fake(t, func(n int, c net.Conn, r *http.Request, body map[string]any) {
+		if r.URL.Path == "/v1/generate" && n == 1 {
+			open(c)
+			tokens(c, 1, 2)
+			<-gate
+			time.Sleep(time.Second)
+			return
+		}
+		five(n, c, r, body)
+	})
+	d := start(t, f, []string{e.addr}, nil)
+	first := post(t, d, chatBody("m", true))
+	id := ""
+	s := bufio.NewScanner(first.Body)
+	for s.Scan() && !strings.HasSuffix(id, ".2") {
+		if v, ok := strings.CutPrefix(s.Text(), "id: "); ok {
+			id = v
+		}
+	}
+	// The first VM is cut off from the caller and the engine: it only learns that the bill was taken.
+	f.mu.Lock()
+	f.taken[first.Header.Get("Shallot-Request")] = true
+	f.mu.Unlock()
+
+	g := &fakes{}
+	d2 := start(t, g, nil, nil)
+	resp := post(t, d2, "", "Last-Event-ID", id)
+	got := readEvents(resp)
+	close(gate)
+	assert.Check(t, got.done, "%+v", got)
+	assert.Equal(t, got.text, " t3 t4 t5")
+	assert.Check(t, strings.HasSuffix(got.last, ".5"))
+	assert.Equal(t, resp.Header.Get("Shallot-Request"), first.Header.Get("Shallot-Request"))
+	assert.Equal(t, len(g.billed()), 1)
+	assert.Equal(t, g.billed()[0].Stages[0].Tokens, 5)
+
+	rest := readEvents(first)
+	assert.Check(t, !rest.done && rest.err != nil, "the first VM must not end the stream normally: %+v", rest)
+	assert.Equal(t, len(f.billed()), 0)
+}
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"time"
 
@@ -69,7 +70,7 @@
 func (s *Server) failed(ctx *fasthttp.RequestCtx, err error) {
 	r := &work.Refusal{Code: work.CodeBadRequest, Status: fasthttp.StatusBadRequest, Ran: work.NotRun, Detail: "the request could not be read"}
 	var small *fasthttp.ErrSmallBuffer
-	var timeout net.Error
+	var timeout interface{ Timeout() bool }
 	switch {
 	case errors.As(err, &small):
 		r.Code, r.Status, r.Detail = work.CodeTooLarge, fasthttp.StatusRequestHeaderFieldsTooLarge, "the headers exceed 16 KiB"
@@ -80,6 +81,9 @@
 	}
 	Problem(ctx, r, "")
 	ctx.SetConnectionClose()
+	if c, ok := ctx.Conn().(*progressConn); ok {
+		c.linger = true
+	}
 }
 
 // listener gives every connection a progress deadline for its writes.
@@ -93,7 +97,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &progressConn{c, l.progress}, nil
+	return &progressConn{Conn: c, progress: l.progress}, nil
 }
 
 // progressConn fails a write when the caller reads nothing for the progress time. The server's own write
@@ -101,6 +105,22 @@
 type progressConn struct {
 	net.Conn
 	progress time.Duration
+	linger   bool // the rest of a request that was refused early may still arrive
+}
+
+// Bounds on what is read after a request was refused before its end.
+const (
+	lingerTime  = 500 * time.Millisecond
+	lingerBytes = 4 << 20
+)
+
+// Close reads for a moment what the caller still sends after an early refusal. Closing with unread data would
+// reset the connection, and the caller would lose the refusal.
+func (c *progressConn) Close() error {
+	if t, ok := c.Conn.(*net.TCPConn); ok && c.linger && t.CloseWrite() == nil && t.SetReadDeadline(time.Now().Add(lingerTime)) == nil {
+		_, _ = io.CopyN(io.Discard, t, lingerBytes)
+	}
+	return c.Conn.Close()
 }
 
 func (c *progressConn) Write(b []byte) (int, error) {
--- a/io/conn/pool.go
+++ b/io/conn/pool.go
@@ -5,7 +5,6 @@
 	"errors"
 	"io"
 	"net"
-	"os"
 	"sync"
 	"time"
 
@@ -229,9 +228,9 @@
 
 // Cause replaces a timeout by ErrSilent and a header that does not fit the buffer by ErrHeaders.
 func Cause(err error) error {
-	var n net.Error
-	switch {
-	case errors.Is(err, os.ErrDeadlineExceeded), errors.As(err, &n) && n.Timeout():
+	// fasthttp's own timeout error has Timeout but is no net.Error.
+	var timeout interface{ Timeout() bool }
+	if errors.As(err, &timeout) && timeout.Timeout() {
 		return ErrSilent
 	}
 	var small *fasthttp.ErrSmallBuffer
