standin: stand-ins for engines, services, platform, ratings, weights and links

Cause: nothing in the tree answers as the systems that entry VMs work with, so the request path can't be run outside unit tests.

Change: one command with a mode for each stand-in. Each has a serving port and a control port with an append-only record, counts and faults. A listener shared by all can make its open connections silent while new ones work. The engine batches continuously, admits by priority, keeps outputs for resumed streams and gives texts that the load tool can recompute.

Ruled out: goroutines per generation with timers, because the time between tokens would not depend on the batch.

--- /dev/null
+++ b/internal/standin/engine/engine.go
@@ -0,0 +1,204 @@
+package engine
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"shallotrun/core/clock"
+	"shallotrun/core/work"
+	"shallotrun/internal/standin/ledger"
+)
+
+// Faults are the names of the faults of an engine.
+var Faults = []string{"error", "refuse", "slow", "silent", "close", "bad", "crash", "leaving"}
+
+// Engine is one stand-in model engine. The exported fields are set before Run.
+type Engine struct {
+	Name    string
+	Ledger  *ledger.Ledger
+	Models  []string // loaded at the start, as MODEL@VERSION
+	Slots   int
+	Queue   int                     // waiting generations beyond which calls are refused
+	Token   time.Duration           // time between tokens with a batch of one
+	Batch   float64                 // part of Token added for each further member of the batch
+	Prefill time.Duration           // time for each prompt token that is not cached
+	Cache   int                     // blocks of the prefix cache
+	Lag     clock.Span              // age that a load report reaches
+	Delay   clock.Span              // delay of cache events
+	Gap     float64                 // part of the cache events that is lost
+	Keep    clock.Span              // how long a finished output can be fetched
+	Load    time.Duration           // time that loading a model takes
+	Fetch   func(name string) error // fetches weights before loading; may be nil
+	Fenced  bool                    // refuses orders with an old fencing number
+	Inexact bool                    // texts also depend on the engine and the request
+
+	clock   clock.Clock
+	mu      sync.Mutex
+	wake    chan struct{}
+	waiting []*generation
+	running []*generation
+	known   map[string]*generation
+	loaded  map[string]bool
+	cache   cache
+	report  work.Load
+	fence   uint64
+	orders  map[string]orderReply
+	role    string
+}
+
+// Run runs the batch until ctx ends. It has to be called before the handler is used.
+func (e *Engine) Run(ctx context.Context) {
+	e.init()
+	go e.housekeep(ctx)
+	go e.loop(ctx)
+}
+
+func (e *Engine) init() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.wake = make(chan struct{}, 1)
+	e.known, e.loaded, e.orders = map[string]*generation{}, map[string]bool{}, map[string]orderReply{}
+	for _, m := range e.Models {
+		e.loaded[m] = true
+	}
+	e.cache.size = e.Cache
+	e.report = e.load()
+	if e.Ledger.Faults.On == nil {
+		e.Ledger.Faults.On = map[string]func(ledger.Fault){}
+	}
+	e.Ledger.Faults.On["crash"] = func(x ledger.Fault) {
+		if x.For >= 0 {
+			e.crash()
+		}
+	}
+}
+
+// loop admits and advances the batch, one token for each running generation and step.
+func (e *Engine) loop(ctx context.Context) {
+	for ctx.Err() == nil {
+		e.mu.Lock()
+		e.admit()
+		n := len(e.running)
+		e.mu.Unlock()
+		if n == 0 {
+			select {
+			case <-e.wake:
+			case <-ctx.Done():
+			}
+			continue
+		}
+		time.Sleep(e.step(n))
+		e.mu.Lock()
+		e.advance()
+		e.mu.Unlock()
+	}
+}
+
+// step returns how long one step takes with a batch of n.
+func (e *Engine) step(n int) time.Duration {
+	d := time.Duration(float64(e.Token) * (1 + e.Batch*float64(n-1)))
+	if f := e.Ledger.Faults.Number("slow"); f > 0 {
+		d = time.Duration(float64(d) * f)
+	}
+	return d
+}
+
+// admit fills the free slots, the lowest priority number first.
+func (e *Engine) admit() {
+	for len(e.running) < e.Slots && len(e.waiting) > 0 {
+		g := slices.MinFunc(e.waiting, func(a, b *generation) int { return a.priority - b.priority })
+		e.waiting = remove(e.waiting, g)
+		bs := blocks(g.prompt)
+		cold := max(g.promptTokens-e.cache.hit(bs), 0)
+		now := e.clock.Now()
+		g.ready = now.Add(clock.FromStd(time.Duration(cold) * e.Prefill))
+		e.cache.store(bs, g.request, g.session, now.Add(e.Delay), func() bool {
+			return e.Gap > 0 && e.Ledger.Faults.Roll() < e.Gap
+		})
+		e.running = append(e.running, g)
+	}
+}
+
+func (e *Engine) advance() {
+	now := e.clock.Now()
+	for _, g := range slices.Clone(e.running) {
+		if now.Before(g.ready) {
+			continue
+		}
+		g.tokens++
+		if g.tokens >= g.length {
+			e.finish(g, outcomeDone)
+		}
+		g.signal()
+	}
+}
+
+// finish ends g and records it. The caller holds the lock.
+func (e *Engine) finish(g *generation, outcome string) {
+	if g.outcome != "" {
+		return
+	}
+	g.outcome, g.ended = outcome, e.clock.Now()
+	e.running, e.waiting = remove(e.running, g), remove(e.waiting, g)
+	e.Ledger.Add(ledger.Entry{
+		Kind: "end", Request: g.request, Model: g.model, Version: g.version, Outcome: outcome,
+		Tokens: g.tokens, Prompt: g.promptTokens, Session: g.session, Name: e.Name,
+	})
+	g.signal()
+}
+
+// crash ends all generations and forgets every output.
+func (e *Engine) crash() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, g := range slices.Concat(e.running, e.waiting) {
+		e.finish(g, outcomeCrashed)
+	}
+	clear(e.known)
+}
+
+// housekeep takes load reports and drops old outputs.
+func (e *Engine) housekeep(ctx context.Context) {
+	tick := time.NewTicker(max(e.Lag, 10*clock.Millisecond).Std())
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		e.mu.Lock()
+		e.report = e.load()
+		for k, g := range e.known {
+			if g.outcome != "" && g.ended.Add(e.Keep).Before(e.clock.Now()) {
+				delete(e.known, k)
+			}
+		}
+		e.mu.Unlock()
+	}
+}
+
+func (e *Engine) load() work.Load {
+	l := work.Load{Running: len(e.running), Waiting: len(e.waiting), Slots: e.Slots, At: e.clock.Now()}
+	for m := range e.loaded {
+		l.Models = append(l.Models, m)
+	}
+	slices.Sort(l.Models)
+	_, l.Leaving = e.Ledger.Faults.Active("leaving")
+	return l
+}
+
+// text returns token n of g.
+func (e *Engine) text(g *generation, n int) string {
+	if e.Inexact {
+		return Text(g.model, g.version, strings.Join([]string{e.Name, g.request, g.prompt}, "\x00"), n)
+	}
+	return Text(g.model, g.version, g.prompt, n)
+}
+
+func remove(gs []*generation, g *generation) []*generation {
+	return slices.DeleteFunc(gs, func(x *generation) bool { return x == g })
+}
--- /dev/null
+++ b/internal/standin/link/link.go
@@ -0,0 +1,183 @@
+package link
+
+import (
+	"context"
+	"net"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"shallotrun/core/clock"
+	"shallotrun/internal/standin/ledger"
+)
+
+// Faults are the names of the faults of a link.
+var Faults = []string{"cut", "hang", "silent", "delay"}
+
+// Path is one relayed address.
+type Path struct {
+	Group  string
+	Listen string
+	Target string
+}
+
+// Link relays a number of paths. The exported fields are set before Run.
+type Link struct {
+	Ledger *ledger.Ledger
+	Paths  []Path
+
+	mu    sync.Mutex
+	pairs map[*pair]struct{}
+}
+
+// pair is a relayed connection.
+type pair struct {
+	group  string
+	silent atomic.Bool
+	a, b   net.Conn
+}
+
+// Run listens on all paths and relays until ctx ends. It returns once all listeners are open.
+func (l *Link) Run(ctx context.Context) error {
+	l.pairs = map[*pair]struct{}{}
+	l.Ledger.Faults.On = map[string]func(ledger.Fault){"cut": l.cut, "silent": l.silence}
+	for _, p := range l.Paths {
+		ln, err := net.Listen("tcp", p.Listen)
+		if err != nil {
+			return err
+		}
+		context.AfterFunc(ctx, func() { ln.Close() })
+		go l.accept(ln, p)
+	}
+	return nil
+}
+
+func (l *Link) accept(ln net.Listener, p Path) {
+	for {
+		c, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		go l.relay(c, p)
+	}
+}
+
+func (l *Link) relay(a net.Conn, p Path) {
+	defer a.Close()
+	if l.strikes("cut", p.Group) {
+		l.Ledger.Count("refused")
+		if t, ok := a.(*net.TCPConn); ok {
+			t.SetLinger(0)
+		}
+		return
+	}
+	b, err := net.Dial("tcp", p.Target)
+	if err != nil {
+		return
+	}
+	defer b.Close()
+	l.Ledger.Count("open")
+	r := &pair{group: p.Group, a: a, b: b}
+	l.mu.Lock()
+	l.pairs[r] = struct{}{}
+	l.mu.Unlock()
+	defer func() {
+		l.mu.Lock()
+		delete(l.pairs, r)
+		l.mu.Unlock()
+	}()
+	done := make(chan struct{}, 2)
+	go l.pump(r, a, b, done)
+	go l.pump(r, b, a, done)
+	<-done
+	if r.silent.Load() {
+		<-done // the other side must not see the close of this one
+	}
+}
+
+// pump copies from one side to the other until an error. Data is delayed in order by one buffer at a
+// time, which is enough for the small messages that cross links here.
+func (l *Link) pump(r *pair, from, to net.Conn, done chan<- struct{}) {
+	defer func() { done <- struct{}{} }()
+	buf := make([]byte, 64<<10)
+	for {
+		n, err := from.Read(buf)
+		if err != nil {
+			return
+		}
+		for l.strikes("hang", r.group) && !r.silent.Load() {
+			time.Sleep(10 * time.Millisecond)
+		}
+		if r.silent.Load() {
+			continue
+		}
+		if d := l.delay(r.group); d > 0 {
+			time.Sleep(d.Std())
+		}
+		if _, err := to.Write(buf[:n]); err != nil {
+			return
+		}
+	}
+}
+
+func (l *Link) cut(x ledger.Fault) {
+	l.each(x, func(r *pair) {
+		r.a.Close()
+		r.b.Close()
+	})
+}
+
+func (l *Link) silence(x ledger.Fault) {
+	l.each(x, func(r *pair) { r.silent.Store(true) })
+}
+
+// each calls f for the pairs of the fault's group when the fault is set, not when it is cleared.
+func (l *Link) each(x ledger.Fault, f func(*pair)) {
+	if x.For < 0 {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for r := range l.pairs {
+		if names(x, r.group) {
+			f(r)
+		}
+	}
+}
+
+func (l *Link) strikes(fault, group string) bool {
+	x, ok := l.Ledger.Faults.Active(fault)
+	return ok && names(x, group)
+}
+
+func (l *Link) delay(group string) clock.Span {
+	x, ok := l.Ledger.Faults.Active("delay")
+	if !ok {
+		return 0
+	}
+	s, _ := x.Value.(string)
+	g, ms, found := strings.Cut(s, "=")
+	if !found || g != "" && g != group {
+		return 0
+	}
+	n, _ := strconv.Atoi(ms)
+	return clock.Span(n)
+}
+
+// names reports whether the fault names the group. Groups are separated by commas; a prefix that ends
+// in "*" names all groups that begin with it.
+func names(x ledger.Fault, group string) bool {
+	s, _ := x.Value.(string)
+	if s == "" {
+		return true
+	}
+	for _, g := range strings.Split(s, ",") {
+		p, wild := strings.CutSuffix(g, "*")
+		if g == group || wild && strings.HasPrefix(group, p) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/standin/main.go
@@ -0,0 +1,263 @@
+package standin
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"os/signal"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/samber/oops"
+	"github.com/valyala/fasthttp"
+	"golang.org/x/sync/errgroup"
+	"golang.org/x/time/rate"
+
+	"shallotrun/core/clock"
+	"shallotrun/internal/standin/engine"
+	"shallotrun/internal/standin/ledger"
+	"shallotrun/internal/standin/link"
+	"shallotrun/internal/standin/platform"
+	"shallotrun/internal/standin/rating"
+	"shallotrun/internal/standin/service"
+	"shallotrun/internal/standin/weights"
+)
+
+// Version is what -version prints.
+var Version = "dev"
+
+// options are the flags of all modes.
+type options struct {
+	mode, name, addr, control string
+	seed                      uint64
+	version                   bool
+
+	models, weights, quality, views, paths string
+
+	slots, queue, cache, reads, writes int
+	token, prefill, lag, delay, keep   time.Duration
+	load, work                         time.Duration
+	batch, gap, limit                  float64
+	fenced, inexact                    bool
+	base                               uint64
+}
+
+// served is what a mode serves.
+type served struct {
+	handler fasthttp.RequestHandler // nil if there is no serving port
+	control fasthttp.RequestHandler // may be nil
+	start   func(context.Context) error
+}
+
+// Main runs the command and returns its exit code: 0 after a signal, 1 on a failure, 2 on wrong usage.
+func Main(args []string, out, errs io.Writer) int {
+	var o options
+	fs := flags(&o, errs)
+	if err := fs.Parse(args); err != nil {
+		return 2
+	}
+	if o.version {
+		fmt.Fprintln(out, "standin", Version)
+		return 0
+	}
+	log := zerolog.New(errs).With().Timestamp().Str("name", o.name).Logger()
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	if err := run(ctx, o); err != nil {
+		log.Error().Err(err).Msg("standin: stopped")
+		return 1
+	}
+	return 0
+}
+
+func flags(o *options, errs io.Writer) *flag.FlagSet {
+	fs := flag.NewFlagSet("standin", flag.ContinueOnError)
+	fs.SetOutput(errs)
+	fs.Usage = func() {
+		fmt.Fprintln(errs, "usage: standin -mode engine|service|platform|rating|weights|link -addr IP:PORT -control IP:PORT [flags]")
+		fs.PrintDefaults()
+	}
+	fs.BoolVar(&o.version, "version", false, "print the version and exit")
+	fs.StringVar(&o.mode, "mode", "", "engine, service, platform, rating, weights or link")
+	fs.StringVar(&o.name, "name", "standin", "name in the ledger")
+	fs.StringVar(&o.addr, "addr", "127.0.0.1:0", "serving address (all modes but link)")
+	fs.StringVar(&o.control, "control", "127.0.0.1:0", "address of the control port")
+	fs.Uint64Var(&o.seed, "seed", 1, "seed of the faults that strike by chance")
+	fs.StringVar(&o.models, "models", "", "engine: loaded versions, MODEL@VERSION separated by commas")
+	fs.IntVar(&o.slots, "slots", 16, "engine: generations that run at once")
+	fs.IntVar(&o.queue, "queue", 256, "engine: waiting generations before calls are refused")
+	fs.IntVar(&o.cache, "cache", 4096, "engine: blocks of the prefix cache")
+	fs.DurationVar(&o.token, "token", 20*time.Millisecond, "engine: time between tokens with a batch of one")
+	fs.Float64Var(&o.batch, "batch", 0.02, "engine: part of -token added for each further member of the batch")
+	fs.DurationVar(&o.prefill, "prefill", 500*time.Microsecond, "engine: time for each uncached prompt token")
+	fs.DurationVar(&o.lag, "lag", 200*time.Millisecond, "engine: age of load reports; platform: lag of the VM list")
+	fs.DurationVar(&o.delay, "delay", 300*time.Millisecond, "engine: delay of cache events")
+	fs.Float64Var(&o.gap, "gap", 0.05, "engine: part of the cache events that is lost")
+	fs.DurationVar(&o.keep, "keep", time.Minute, "engine: how long finished outputs are kept")
+	fs.DurationVar(&o.load, "load", 200*time.Millisecond, "engine: time that loading a model takes")
+	fs.StringVar(&o.weights, "weights", "", "engine: address of the weight store to fetch from before loading")
+	fs.BoolVar(&o.fenced, "fenced", false, "engine: refuse orders with an old fencing number")
+	fs.BoolVar(&o.inexact, "inexact", false, "engine: texts also depend on the engine and the request")
+	fs.DurationVar(&o.work, "work", time.Millisecond, "service: time of a call; weights: time of a fetch")
+	fs.Uint64Var(&o.base, "base", 0, "service: numbers count from here")
+	fs.IntVar(&o.reads, "reads", 2000, "platform: reads per second, 0 for no limit")
+	fs.IntVar(&o.writes, "writes", 400, "platform: writes per second, 0 for no limit")
+	fs.StringVar(&o.views, "views", "", "platform: further addresses with their own VM list, VIEW=IP:PORT separated by commas")
+	fs.StringVar(&o.quality, "quality", "", "rating: MODEL=PERCENT separated by commas")
+	fs.Float64Var(&o.limit, "limit", 5, "weights: fetches per second")
+	fs.StringVar(&o.paths, "paths", "", "link: GROUP=LISTEN>TARGET separated by commas")
+	return fs
+}
+
+// run serves until ctx ends.
+func run(ctx context.Context, o options) error {
+	l := &ledger.Ledger{}
+	l.Faults.Seed = o.seed
+	s, err := build(o, l)
+	if err != nil {
+		return err
+	}
+	g, ctx := errgroup.WithContext(ctx)
+	var lns []*ledger.Listener
+	open := func(addr string) error {
+		ln, err := ledger.Listen(addr)
+		if err != nil {
+			return err
+		}
+		lns = append(lns, ln)
+		g.Go(func() error { return ledger.Serve(ctx, ln, s.handler) })
+		return nil
+	}
+	if s.start != nil {
+		if err := s.start(ctx); err != nil {
+			return err
+		}
+	}
+	if s.handler != nil {
+		views, err := pairs(o.views)
+		if err != nil {
+			return err
+		}
+		if l.Faults.On == nil {
+			l.Faults.On = map[string]func(ledger.Fault){}
+		}
+		l.Faults.On["silent"] = func(x ledger.Fault) {
+			for _, ln := range lns {
+				if x.For >= 0 {
+					ln.Silence()
+				}
+			}
+		}
+		for _, v := range append(views, [2]string{"", o.addr}) {
+			if err := open(v[1]); err != nil {
+				return err
+			}
+		}
+	}
+	c, err := ledger.Listen(o.control)
+	if err != nil {
+		return err
+	}
+	g.Go(func() error { return ledger.Serve(ctx, c, l.Handler(s.control)) })
+	return g.Wait()
+}
+
+// build makes the stand-in of the mode.
+func build(o options, l *ledger.Ledger) (served, error) {
+	switch o.mode {
+	case "engine":
+		return buildEngine(o, l), nil
+	case "service":
+		l.Faults.Names = service.Faults
+		s := &service.Service{Name: o.name, Ledger: l, Base: o.base, Work: o.work}
+		return served{handler: s.Handler}, nil
+	case "platform":
+		l.Faults.Names = platform.Faults
+		views, err := pairs(o.views)
+		if err != nil {
+			return served{}, err
+		}
+		p := &platform.Platform{Ledger: l, Reads: o.reads, Writes: o.writes, Lag: clock.FromStd(o.lag), Views: map[string]string{}}
+		for _, v := range views {
+			p.Views[v[1]] = v[0]
+		}
+		p.Init()
+		return served{handler: p.Handler, control: p.Control}, nil
+	case "rating":
+		l.Faults.Names = rating.Faults
+		qs, err := pairs(o.quality)
+		if err != nil {
+			return served{}, err
+		}
+		r := &rating.Rating{Ledger: l, Quality: map[string]int{}}
+		for _, q := range qs {
+			if r.Quality[q[0]], err = strconv.Atoi(q[1]); err != nil {
+				return served{}, oops.Wrapf(err, "-quality %s", q[0])
+			}
+		}
+		return served{handler: r.Handler}, nil
+	case "weights":
+		l.Faults.Names = weights.Faults
+		w := &weights.Weights{Ledger: l, Limit: rate.NewLimiter(rate.Limit(o.limit), 1), Time: o.work}
+		return served{handler: w.Handler}, nil
+	case "link":
+		return buildLink(o, l)
+	}
+	return served{}, oops.Errorf("unknown -mode %q", o.mode)
+}
+
+func buildEngine(o options, l *ledger.Ledger) served {
+	l.Faults.Names = engine.Faults
+	e := &engine.Engine{
+		Name: o.name, Ledger: l, Slots: o.slots, Queue: o.queue, Token: o.token, Batch: o.batch, Prefill: o.prefill,
+		Cache: o.cache, Lag: clock.FromStd(o.lag), Delay: clock.FromStd(o.delay), Gap: o.gap,
+		Keep: clock.FromStd(o.keep), Load: o.load, Fenced: o.fenced, Inexact: o.inexact,
+	}
+	if o.models != "" {
+		e.Models = strings.Split(o.models, ",")
+	}
+	if o.weights != "" {
+		e.Fetch = weights.Fetch(o.weights)
+	}
+	return served{handler: e.Handler, start: func(ctx context.Context) error {
+		e.Run(ctx)
+		return nil
+	}}
+}
+
+func buildLink(o options, l *ledger.Ledger) (served, error) {
+	l.Faults.Names = link.Faults
+	ps, err := pairs(o.paths)
+	if err != nil {
+		return served{}, err
+	}
+	k := &link.Link{Ledger: l}
+	for _, p := range ps {
+		listen, target, ok := strings.Cut(p[1], ">")
+		if !ok {
+			return served{}, oops.Errorf("-paths %s: want GROUP=LISTEN>TARGET", p[0])
+		}
+		k.Paths = append(k.Paths, link.Path{Group: p[0], Listen: listen, Target: target})
+	}
+	return served{start: k.Run}, nil
+}
+
+// pairs parses NAME=VALUE separated by commas.
+func pairs(s string) ([][2]string, error) {
+	var all [][2]string
+	if s == "" {
+		return nil, nil
+	}
+	for _, p := range strings.Split(s, ",") {
+		k, v, ok := strings.Cut(p, "=")
+		if !ok {
+			return nil, oops.Errorf("%q: want NAME=VALUE", p)
+		}
+		all = append(all, [2]string{k, v})
+	}
+	return all, nil
+}
--- /dev/null
+++ b/internal/standin/weights/weights.go
@@ -0,0 +1,61 @@
+package weights
+
+import (
+	"strings"
+	"time"
+
+	"github.com/samber/oops"
+	"github.com/valyala/fasthttp"
+	"golang.org/x/time/rate"
+
+	"shallotrun/core/clock"
+	"shallotrun/internal/standin/ledger"
+)
+
+// Faults are the names of the faults of the weight store.
+var Faults = []string{"delay", "down", "silent"}
+
+// Weights is the stand-in. The exported fields are set before use.
+type Weights struct {
+	Ledger *ledger.Ledger
+	Limit  *rate.Limiter
+	Time   time.Duration // time that a fetch takes
+}
+
+// Handler serves the weight store's port.
+func (w *Weights) Handler(ctx *fasthttp.RequestCtx) {
+	f := &w.Ledger.Faults
+	e := ledger.Entry{Kind: "fetch", Name: strings.TrimPrefix(string(ctx.Path()), "/weights/"), Outcome: "done"}
+	if d := f.Number("delay"); d > 0 {
+		time.Sleep(clock.Span(d).Std())
+	}
+	status := fasthttp.StatusOK
+	switch {
+	case f.Hits("down"):
+		status, e.Outcome = fasthttp.StatusServiceUnavailable, "down"
+	case !w.Limit.Allow():
+		status, e.Outcome = fasthttp.StatusTooManyRequests, "limited"
+		ctx.Response.Header.Set("Retry-After", "1")
+	default:
+		time.Sleep(w.Time)
+	}
+	w.Ledger.Add(e)
+	ledger.Reply(ctx, status, map[string]string{"name": e.Name, "outcome": e.Outcome})
+}
+
+// Fetch returns a function for an engine that fetches a version from the store at addr. It tries five
+// times, once a second, because the store answers 429 while it is busy.
+func Fetch(addr string) func(name string) error {
+	c := &fasthttp.Client{ReadTimeout: 5 * time.Second}
+	return func(name string) error {
+		status, err := 0, error(nil)
+		for range 5 {
+			status, _, err = c.Get(nil, "http://"+addr+"/weights/"+name)
+			if err == nil && status == fasthttp.StatusOK {
+				return nil
+			}
+			time.Sleep(time.Second)
+		}
+		return oops.Wrapf(err, "weights of %s not fetched: status %d", name, status)
+	}
+}
