--- a/internal/standin/engine/http.go
+++ b/internal/standin/engine/http.go
@@ -27,7 +27,7 @@
 	Priority int             `json:"priority"`
 	From     int             `json:"from"`
 	Session  string          `json:"session"`
-	Attach   bool            `json:"attach"` // join an existing generation only; 404 when there is none
+	Resume   bool            `json:"resume"` // join an existing generation only; 404 when there is none
 }
 
 // Handler serves the engine's port.
@@ -76,9 +76,10 @@
 	entry.Outcome, entry.Code = outcome, code
 	e.Ledger.Add(entry)
 	if g == nil {
-		ledger.Reply(ctx, status, map[string]any{"code": code, "ran": outcome == "failed"})
+		ledger.Reply(ctx, status, map[string]any{"code": code, "ran": outcome == "failed", "leaving": code == "leaving"})
 		return
 	}
+	ctx.Response.Header.Set("Shallot-Request", c.Request)
 	ctx.SetContentType("text/event-stream")
 	ctx.Response.ImmediateHeaderFlush = true
 	conn := ctx.Conn()
@@ -96,7 +97,7 @@
 	name := c.Model + "@" + c.Version
 	_, leaving := e.Ledger.Faults.Active("leaving")
 	switch {
-	case c.Attach:
+	case c.Resume:
 		return nil, "refused", fasthttp.StatusNotFound, "gone"
 	case leaving:
 		return nil, "refused", fasthttp.StatusServiceUnavailable, "leaving"
@@ -159,7 +160,7 @@
 		case outcomeDone, outcomeCancelled:
 			reason := g.reason
 			if outcome == outcomeCancelled {
-				reason = "cancelled"
+				reason = "cancel"
 			}
 			fmt.Fprintf(w, "event: end\ndata: {\"tokens\":%d,\"reason\":%q,\"prompt\":%d}\n\n", have, reason, g.promptTokens)
 			w.Flush()
--- a/internal/standin/platform/platform.go
+++ b/internal/standin/platform/platform.go
@@ -14,7 +14,7 @@
 )
 
 // maxValue is the largest value that the platform stores.
-const maxValue = 1 << 20
+const maxValue = 1_000_000
 
 // Faults are the names of the faults of the platform.
 var Faults = []string{"down", "silent", "slow", "lose", "freeze"}
