load: open-loop load tool that checks every answer byte for byte

Cause: the demo and the proofs need figures that don't come from the router.

Change: arrivals, ranks, tenants, models, sessions and plain calls from a seed; an own reader of streams that checks the event numbers over all parts and continues a broken stream at another entry VM; a record for each request and an HdrHistogram report by rank and tenant.

Ruled out: the router's own stream reader, because a shared mistake would stay unseen.

--- /dev/null
+++ b/internal/load/load_test.go
@@ -0,0 +1,110 @@
+package load
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"gotest.tools/v3/assert"
+
+	"shallotrun/internal/standin/engine"
+	"shallotrun/internal/standin/ledger"
+)
+
+// vm is an entry VM that misbehaves in one way.
+type vm struct{ fault string }
+
+func (v vm) serve(ctx *fasthttp.RequestCtx) {
+	var body struct {
+		Messages []struct{ Content string }
+		Limit    int `json:"max_tokens"`
+	}
+	json.Unmarshal(ctx.PostBody(), &body)
+	prompt := "user: " + body.Messages[0].Content
+	last := string(ctx.Request.Header.Peek("Last-Event-ID"))
+	from, _ := strconv.Atoi(last[strings.LastIndexByte(last, '.')+1:])
+	n, reason := engine.Length("m", "1", prompt, body.Limit)
+	ctx.Response.Header.Set("Shallot-Model", "m@1")
+	ctx.Response.Header.Set("Shallot-Request", "r")
+	if v.fault == "refuse" {
+		ctx.SetStatusCode(503)
+		ctx.SetBodyString(`{"code":"overloaded","ran":"not run"}`)
+		return
+	}
+	conn := ctx.Conn()
+	ctx.SetBodyStreamWriter(func(w *bufio.Writer) {
+		for i := from + 1; i <= n; i++ {
+			switch {
+			case i == 4 && from == 0 && v.fault == "break":
+				w.Flush()
+				time.Sleep(50 * time.Millisecond) // until the server wrote what was flushed
+				conn.Close()
+				return
+			case i == 4 && v.fault == "cut":
+				n = i
+			case i == 4 && v.fault == "skip":
+				continue
+			case i == 4 && v.fault == "twice":
+				i--
+				v.fault = ""
+			}
+			text, _ := json.Marshal(engine.Text("m", "1", prompt, i))
+			if i == 4 && v.fault == "mix" {
+				text = []byte(`" other"`)
+			}
+			fmt.Fprintf(w, "id: tok.%d\ndata: {\"model\":\"m@1\",\"choices\":[{\"delta\":{\"content\":%s},\"finish_reason\":null}]}\n\n", i, text)
+		}
+		fmt.Fprintf(w, "data: {\"choices\":[{\"delta\":{},\"finish_reason\":%q}]}\n\n", reason)
+		if v.fault == "open" {
+			return
+		}
+		fmt.Fprint(w, "data: [DONE]\n\n")
+	})
+}
+
+// Guards against a load tool that takes a damaged answer for a whole one, or a broken one for damaged.
+func TestAnswers(t *testing.T) {
+	tests := []struct {
+		fault   string
+		outcome string
+		whole   bool
+		wrong   string
+		resumes int
+	}{
+		{"", Answered, true, "", 0},
+		{"break", Answered, true, "", 1},
+		{"refuse", Refused, false, "", 0},
+		{"cut", Answered, false, "answer cut", 0},
+		{"mix", Answered, false, "differs", 0},
+		{"skip", Broken, false, "do not follow", 0},
+		{"twice", Broken, false, "do not follow", 0},
+		{"open", Broken, false, "", 2},
+	}
+	for _, test := range tests {
+		ln, err := ledger.Listen("127.0.0.1:0")
+		assert.NilError(t, err)
+		go ledger.Serve(t.Context(), ln, vm{test.fault}.serve)
+		l := Load{
+			Targets: []string{ln.Addr().String()}, Rate: 1000, Count: 1, Seed: 3, Stall: 5 * time.Second, Resumes: 2,
+			Tenants: []Tenant{{"a", "k", 1}}, Mix: Mix{Ranks: [3]int{1, 1, 1}, Models: []string{"m"}, Streams: 1, Words: 5, Limit: 20},
+		}
+		r := l.Run(t.Context()).Records[0]
+		assert.Check(t, r.Outcome == test.outcome && r.Whole == test.whole && r.Resumes == test.resumes, "%s: %+v", test.fault, r)
+		assert.Check(t, strings.Contains(r.Wrong, test.wrong) && (r.Wrong == "") == (test.wrong == ""), "%s: %q", test.fault, r.Wrong)
+	}
+}
+
+// Guards against a run that can't be repeated: a failure found with a seed has to come back with it.
+func TestPlanRepeats(t *testing.T) {
+	l := Load{Targets: []string{"a", "b"}, Rate: 10, Seed: 5, Tenants: []Tenant{{"a", "k", 1}, {"b", "k", 3}}}
+	l.Mix = Mix{Ranks: [3]int{1, 2, 1}, Models: []string{"m", "n"}, Streams: 0.5, Sessions: 0.5, Plain: 0.3, Keyed: 0.5, Service: "tags"}
+	p, q := newPlanner(l), newPlanner(l)
+	for n := range 200 {
+		assert.DeepEqual(t, p.next(n).Record, q.next(n).Record)
+	}
+}
--- /dev/null
+++ b/internal/load/main.go
@@ -0,0 +1,127 @@
+package load
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/samber/oops"
+)
+
+// Version is what -version prints.
+var Version = "dev"
+
+// Main runs the command and returns its exit code: 0, 1 if an answer was wrong, 2 on wrong usage.
+func Main(args []string, out, errs io.Writer) int {
+	fs := flag.NewFlagSet("shallotload", flag.ContinueOnError)
+	fs.SetOutput(errs)
+	fs.Usage = func() {
+		fmt.Fprintln(errs, "usage: shallotload -targets IP:PORT,... -tenants NAME=KEY[:WEIGHT],... -models M,... [flags]")
+		fs.PrintDefaults()
+	}
+	l := Load{}
+	version := fs.Bool("version", false, "print the version and exit")
+	targets := fs.String("targets", "", "entry VMs' addresses for callers, separated by commas")
+	tenants := fs.String("tenants", "", "workspaces with an API key and a weight, NAME=KEY[:WEIGHT] separated by commas")
+	models := fs.String("models", "", "models, routes and cascades to ask for, separated by commas")
+	ranks := fs.String("ranks", "2,5,3", "weights of urgent, normal and batch")
+	domains := fs.String("homes", "", "failure domains that Idempotency-Keys name, separated by commas")
+	file := fs.String("out", "", "file for the JSON result")
+	asJSON := fs.Bool("json", false, "print the JSON result instead of the table")
+	fs.Float64Var(&l.Rate, "rate", 50, "requests per second")
+	fs.IntVar(&l.Count, "count", 500, "number of requests")
+	fs.Uint64Var(&l.Seed, "seed", 1, "seed of arrivals and requests")
+	fs.Float64Var(&l.Mix.Streams, "streams", 0.6, "part of the chats that is streamed")
+	fs.Float64Var(&l.Mix.Sessions, "sessions", 0.3, "part of the chats that belongs to a session")
+	fs.Float64Var(&l.Mix.Plain, "plain", 0.2, "part of the requests that goes to the plain service")
+	fs.Float64Var(&l.Mix.Keyed, "keyed", 0.5, "part of the non-idempotent calls with an Idempotency-Key")
+	fs.StringVar(&l.Mix.Service, "service", "", "name of the plain service, empty for none")
+	fs.IntVar(&l.Mix.Words, "words", 40, "mean length of a prompt")
+	fs.IntVar(&l.Mix.Limit, "limit", 64, "max_tokens")
+	fs.IntVar(&l.Mix.Deadline, "deadline", 0, "Shallot-Deadline in milliseconds, 0 for none")
+	fs.DurationVar(&l.Stall, "stall", 15*time.Second, "time without a byte after which a connection counts as broken")
+	fs.IntVar(&l.Resumes, "resumes", 4, "continuations of one request at most")
+	if err := fs.Parse(args); err != nil {
+		return 2
+	}
+	if *version {
+		fmt.Fprintln(out, "shallotload", Version)
+		return 0
+	}
+	if err := parse(&l, *targets, *tenants, *models, *ranks, *domains); err != nil {
+		fmt.Fprintln(errs, "shallotload:", err)
+		return 2
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	res := l.Run(ctx)
+	if err := write(res, *file, *asJSON, out); err != nil {
+		fmt.Fprintln(errs, "shallotload:", err)
+		return 1
+	}
+	for _, r := range res.Records {
+		if r.Wrong != "" {
+			return 1
+		}
+	}
+	return 0
+}
+
+func parse(l *Load, targets, tenants, models, ranks, domains string) error {
+	if targets == "" || tenants == "" || models == "" {
+		return oops.Errorf("-targets, -tenants and -models are needed")
+	}
+	l.Targets, l.Mix.Models = strings.Split(targets, ","), strings.Split(models, ",")
+	if domains != "" {
+		l.Mix.Domains = strings.Split(domains, ",")
+	}
+	for i, s := range strings.Split(tenants, ",") {
+		name, rest, ok := strings.Cut(s, "=")
+		key, weight, weighted := strings.Cut(rest, ":")
+		t := Tenant{Name: name, Key: key, Weight: 1}
+		if weighted {
+			w, err := strconv.Atoi(weight)
+			if err != nil {
+				return oops.Wrapf(err, "-tenants, entry %d", i+1)
+			}
+			t.Weight = w
+		}
+		if !ok || key == "" {
+			return oops.Errorf("-tenants, entry %d: want NAME=KEY[:WEIGHT]", i+1)
+		}
+		l.Tenants = append(l.Tenants, t)
+	}
+	if _, err := fmt.Sscanf(ranks, "%d,%d,%d", &l.Mix.Ranks[0], &l.Mix.Ranks[1], &l.Mix.Ranks[2]); err != nil {
+		return oops.Wrapf(err, "-ranks %q", ranks)
+	}
+	if l.Rate <= 0 {
+		return oops.Errorf("-rate must be positive")
+	}
+	return nil
+}
+
+func write(res Result, file string, asJSON bool, out io.Writer) error {
+	b, err := json.Marshal(res)
+	if err != nil {
+		return err
+	}
+	if file != "" {
+		if err := os.WriteFile(file, b, 0o644); err != nil {
+			return err
+		}
+	}
+	if asJSON {
+		_, err = out.Write(append(b, '\n'))
+		return err
+	}
+	Print(out, res.Sums, func(Sum) bool { return true })
+	return nil
+}
--- /dev/null
+++ b/internal/load/plan.go
@@ -0,0 +1,134 @@
+package load
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"time"
+)
+
+// Tenant is a workspace with its API key.
+type Tenant struct {
+	Name   string
+	Key    string
+	Weight int // share of the requests relative to the others
+}
+
+// Mix says what the requests are like. Parts are between 0 and 1.
+type Mix struct {
+	Ranks    [3]int   // weights of urgent, normal and batch
+	Models   []string // models, routes and cascades to ask for, drawn evenly
+	Streams  float64  // part of the chats that is streamed
+	Sessions float64  // part of the chats that belongs to a session
+	Plain    float64  // part of all requests that goes to the plain service
+	Keyed    float64  // part of the non-idempotent calls with an Idempotency-Key
+	Service  string   // name of the plain service
+	Domains  []string // failure domains that keys name as their home; "" in the list means none named
+	Words    int      // mean length of a prompt
+	Limit    int      // max_tokens
+	Deadline int      // milliseconds, 0 for none
+}
+
+// request is one planned request.
+type request struct {
+	Record
+	after  time.Duration // from the start
+	prompt string
+	key    string // API key
+	start  int    // index of the first target
+	limit  int
+	wait   int // deadline in milliseconds
+	number uint64
+}
+
+// planner draws requests from a seed.
+type planner struct {
+	Load
+	rand *rand.Rand
+	at   time.Duration
+}
+
+func newPlanner(l Load) *planner {
+	return &planner{Load: l, rand: rand.New(rand.NewPCG(l.Seed, 7))}
+}
+
+// next draws request n. Arrivals are a Poisson process.
+func (p *planner) next(n int) *request {
+	p.at += time.Duration(p.rand.ExpFloat64() / p.Rate * float64(time.Second))
+	t := p.tenant()
+	r := &request{after: p.at, key: t.Key, limit: p.Mix.Limit, wait: p.Mix.Deadline, start: p.rand.IntN(len(p.Targets))}
+	r.N, r.Tenant = n, t.Name
+	r.Item = fmt.Sprintf("i%d-%d", p.Seed, n)
+	r.Rank = []string{"urgent", "normal", "batch"}[p.weighted(p.Mix.Ranks[:])]
+	if p.Mix.Service != "" && p.rand.Float64() < p.Mix.Plain {
+		p.plain(r)
+		return r
+	}
+	r.Kind = KindChat
+	r.Model = p.Mix.Models[p.rand.IntN(len(p.Mix.Models))]
+	r.Stream = p.rand.Float64() < p.Mix.Streams
+	if p.rand.Float64() < p.Mix.Sessions {
+		r.Session = fmt.Sprintf("%s.%s.%d", t.Name, r.Model, p.rand.IntN(8))
+	}
+	r.prompt = p.prompt(r)
+	return r
+}
+
+func (p *planner) plain(r *request) {
+	switch p.rand.IntN(5) {
+	case 0, 1:
+		r.Kind = KindTag
+	case 2:
+		r.Kind = KindDispatch
+	case 3:
+		r.Kind = KindLookup
+	case 4:
+		r.Kind = KindState
+	}
+	r.number = uint64(p.rand.IntN(200) + 1)
+	if (r.Kind == KindTag || r.Kind == KindDispatch) && p.rand.Float64() < p.Mix.Keyed {
+		r.Key = r.Item
+		if len(p.Mix.Domains) > 0 {
+			if d := p.Mix.Domains[p.rand.IntN(len(p.Mix.Domains))]; d != "" {
+				r.Key = d + "." + r.Item
+			}
+		}
+	}
+}
+
+// prompt gives the requests of one session a common beginning, which prefix caches can use.
+func (p *planner) prompt(r *request) string {
+	var b strings.Builder
+	if r.Session != "" {
+		b.WriteString("session " + r.Session + strings.Repeat(" summary of the correspondence so far", 10) + " ")
+	}
+	b.WriteString("item " + r.Item)
+	for range p.rand.IntN(2*max(p.Mix.Words, 1)) + 1 {
+		b.WriteString(" w")
+		b.WriteString(string(rune('a' + p.rand.IntN(26))))
+	}
+	return b.String()
+}
+
+func (p *planner) tenant() Tenant {
+	ws := make([]int, len(p.Tenants))
+	for i, t := range p.Tenants {
+		ws[i] = t.Weight
+	}
+	return p.Tenants[p.weighted(ws)]
+}
+
+// weighted draws an index with a probability in proportion to its weight.
+func (p *planner) weighted(ws []int) int {
+	sum := 0
+	for _, w := range ws {
+		sum += w
+	}
+	x := p.rand.IntN(max(sum, 1))
+	for i, w := range ws {
+		if x -= w; x < 0 {
+			return i
+		}
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/load/report.go
@@ -0,0 +1,92 @@
+package load
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"shallotrun/core/clock"
+)
+
+// Sums returns a sum for each rank, for each tenant and for each pair of both.
+func Sums(rs []Record) []Sum {
+	type group struct {
+		Sum
+		first, total *hdrhistogram.Histogram
+	}
+	groups := map[[2]string]*group{}
+	for _, r := range rs {
+		for _, k := range [][2]string{{r.Rank, r.Tenant}, {r.Rank, ""}, {"", r.Tenant}, {"", ""}} {
+			g := groups[k]
+			if g == nil {
+				g = &group{Sum: Sum{Rank: k[0], Tenant: k[1]}, first: histogram(), total: histogram()}
+				groups[k] = g
+			}
+			g.Count++
+			switch r.Outcome {
+			case Answered:
+				g.Answered++
+				g.first.RecordValue(int64(r.First))
+				g.total.RecordValue(int64(r.Total))
+			case Refused:
+				g.Refused++
+			case Broken:
+				g.Broken++
+			}
+			if r.Wrong != "" {
+				g.Wrong++
+			}
+		}
+	}
+	sums := make([]Sum, 0, len(groups))
+	for _, g := range groups {
+		at := func(h *hdrhistogram.Histogram, q float64) clock.Span { return clock.Span(h.ValueAtQuantile(q)) }
+		g.First50, g.First95, g.First99 = at(g.first, 50), at(g.first, 95), at(g.first, 99)
+		g.Total50, g.Total95 = at(g.total, 50), at(g.total, 95)
+		sums = append(sums, g.Sum)
+	}
+	slices.SortFunc(sums, func(a, b Sum) int {
+		return strings.Compare(order(a.Rank)+a.Tenant, order(b.Rank)+b.Tenant)
+	})
+	return sums
+}
+
+// Print writes the sums that keep selects as a table. Times are in milliseconds.
+func Print(w io.Writer, sums []Sum, keep func(Sum) bool) {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(t, "rank\ttenant\tcount\tanswered\trefused\tbroken\twrong\tfirst p50\tp95\tp99\ttotal p50\tp95\t")
+	for _, s := range sums {
+		if !keep(s) {
+			continue
+		}
+		fmt.Fprintf(t, "%s\t%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t\n", all(s.Rank), all(s.Tenant), s.Count, s.Answered,
+			s.Refused, s.Broken, s.Wrong, s.First50, s.First95, s.First99, s.Total50, s.Total95)
+	}
+	t.Flush()
+}
+
+func histogram() *hdrhistogram.Histogram { return hdrhistogram.New(0, 10*int64(clock.Minute), 3) }
+
+func all(s string) string {
+	if s == "" {
+		return "all"
+	}
+	return s
+}
+
+// order sorts ranks by urgency, all ranks last.
+func order(rank string) string {
+	switch rank {
+	case "urgent":
+		return "0"
+	case "normal":
+		return "1"
+	case "batch":
+		return "2"
+	}
+	return "3"
+}
