--- /dev/null
+++ b/internal/fleet/collect.go
@@ -0,0 +1,58 @@
+package fleet
+
+import (
+	"time"
+
+	"shallotrun/core/document"
+	"shallotrun/core/work"
+	"shallotrun/internal/load"
+	"shallotrun/internal/standin/platform"
+	"shallotrun/internal/verdict"
+)
+
+// Load returns the usual mixed load on all entry VMs.
+func Load(f *Fleet, seed uint64) load.Load {
+	return load.Load{
+		Targets: f.Callers(), Rate: 100, Count: 1000, Seed: seed, Tenants: Tenants(), Stall: 15 * time.Second, Resumes: 4,
+		Mix: load.Mix{
+			Ranks: [3]int{2, 5, 3}, Models: []string{"small", "small", "labels", "large", "careful"}, Streams: 0.6, Sessions: 0.3,
+			Plain: 0.25, Keyed: 0.5, Service: "tags", Domains: append([]string{""}, Domains...), Words: 40, Limit: 64,
+		},
+	}
+}
+
+// Collect reads the records of all stand-ins and the bills.
+func (f *Fleet) Collect(e *verdict.Evidence) error {
+	for _, b := range f.Backends {
+		es, err := Log(b.Control)
+		if err != nil {
+			return err
+		}
+		if b.Kind == work.KindEngine {
+			e.Engines = append(e.Engines, es...)
+		} else {
+			e.Services = append(e.Services, es...)
+		}
+	}
+	var items platform.Items
+	if err := Get(f.PlatformControl(), "/objects/bills", &items); err != nil {
+		return err
+	}
+	e.Bills = verdict.Bills(items.Items)
+	e.Allowed = Allowed(Document())
+	return nil
+}
+
+// Allowed returns what the workspaces of a document allow.
+func Allowed(d *document.Document) func(workspace, model, version string) bool {
+	type use struct{ workspace, name string }
+	all := map[use]bool{}
+	for _, w := range d.Workspaces {
+		for _, a := range w.Allow {
+			all[use{w.Name, a}] = true
+		}
+	}
+	return func(workspace, model, version string) bool {
+		return all[use{workspace, model}] || all[use{workspace, model + "@" + version}]
+	}
+}
--- /dev/null
+++ b/internal/fleet/document.go
@@ -0,0 +1,76 @@
+package fleet
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+
+	"shallotrun/core/document"
+	"shallotrun/internal/load"
+)
+
+// Document returns the configuration of the runners: two models with two versions each, a plain service
+// and ten workspaces, of which the first two may use everything and send most of the requests.
+func Document() *document.Document {
+	d := &document.Document{
+		Author: "runner", Domains: Domains,
+		Models: []document.Model{
+			{Name: "small", Versions: []document.Version{
+				{Name: "1", State: document.Live, Cost: 100, Exact: true},
+				{Name: "2", State: document.Canary, Cost: 100, Exact: true},
+			}},
+			{Name: "large", Versions: []document.Version{{Name: "1", State: document.Live, Cost: 1000, Exact: true}}},
+		},
+		Pools: []document.Pool{
+			{Name: "small", Models: []string{"small"}, Slots: 16},
+			{Name: "large", Models: []string{"large"}, Slots: 16},
+		},
+		Services: []document.Service{{Name: "tags", Pool: "desk", Slots: 32, Calls: []document.Call{
+			{Method: "PUT", Path: "/tags/", Repeat: true},
+		}}},
+		Routes:   []document.Route{{Name: "labels", Model: "small"}},
+		Cascades: []document.Cascade{{Name: "careful", Stages: []string{"small", "large"}, Quality: 90, Down: "last"}},
+	}
+	for i, t := range Tenants() {
+		h := sha256.Sum256([]byte(t.Key))
+		w := document.Workspace{
+			Name: t.Name, Keys: []string{hex.EncodeToString(h[:])}, Allow: []string{"small", "large"},
+			Services: []string{"tags"}, Rank: "urgent", Weight: 1, Routes: []string{"labels", "careful"},
+		}
+		if i == len(Tenants())-1 { // one workspace may use only one version of one model
+			w.Allow, w.Routes = []string{"small@1"}, []string{"labels"}
+		}
+		d.Workspaces = append(d.Workspaces, w)
+	}
+	return d
+}
+
+// Tenants returns the workspaces with their keys and their part of the load. Two of the ten are large.
+func Tenants() []load.Tenant {
+	var ts []load.Tenant
+	for i := range 10 {
+		t := load.Tenant{Name: fmt.Sprintf("yard-%d", i+1), Key: fmt.Sprintf("key-of-yard-%d", i+1), Weight: 1}
+		if i < 2 {
+			t.Weight = 6
+		}
+		ts = append(ts, t)
+	}
+	return ts
+}
+
+// Apply puts a document in force through the operator command.
+func (f *Fleet) Apply(d *document.Document) error {
+	b, err := json.MarshalIndent(d, "", "  ")
+	if err != nil {
+		return err
+	}
+	file := filepath.Join(f.Dir, "document.json")
+	if err := os.WriteFile(file, b, 0o600); err != nil {
+		return err
+	}
+	_, err = f.Ctl("apply", file)
+	return err
+}
--- /dev/null
+++ b/internal/fleet/fleet.go
@@ -0,0 +1,328 @@
+package fleet
+
+import (
+	"crypto/rand"
+	"encoding/hex"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/samber/oops"
+
+	"shallotrun/core/clock"
+	"shallotrun/core/work"
+)
+
+// Domains are the failure domains of the runners.
+var Domains = []string{"mobile-a", "biloxi-b", "pensacola-c"}
+
+// Fleet is a set of processes. The exported fields are set before Start.
+type Fleet struct {
+	Bin     string // directory of the programs
+	Net     string // first two numbers of all addresses, for example 127.0
+	Dir     string // directory for settings and logs
+	Seed    uint64
+	Entries int  // entry VMs in each failure domain
+	Engines int  // engines in each failure domain; the first half serves small, the others large
+	Desks   int  // plain services in each failure domain
+	Links   bool // everything that entry VMs dial leads through the relay
+
+	// Flags added to those of the stand-ins.
+	EngineFlags, PlatformFlags []string
+
+	VMs      []*VM // entry VMs
+	Backends []*Backend
+	Platform *Proc
+	Rating   *Proc
+	Link     *Proc
+
+	mu    sync.Mutex
+	procs []*Proc
+	keys  [2]string
+}
+
+// VM is an entry VM.
+type VM struct {
+	Name, Domain           string
+	IP                     string
+	Callers, Peers, Status string // addresses as others dial them
+	Proc                   *Proc
+
+	listen string // address of the peers' port behind the relay
+	file   string // settings
+}
+
+// Backend is an engine or a plain service.
+type Backend struct {
+	Name, Domain, Kind, Pool string
+	Addr, Control            string
+	Models                   []string
+	Proc                     *Proc
+
+	listen string
+}
+
+// Ports.
+const (
+	callerPort   = 8080
+	peerPort     = 8081
+	statusPort   = 8082
+	backendPort  = 9000
+	controlPort  = 9001
+	platformPort = 7000
+	hidden       = 10000 // added to the port of what is behind the relay
+)
+
+// Start starts everything but the entry daemons and registers the VM list.
+func (f *Fleet) Start() error {
+	for i := range f.keys {
+		var b [32]byte
+		if _, err := rand.Read(b[:]); err != nil {
+			return err
+		}
+		f.keys[i] = hex.EncodeToString(b[:])
+	}
+	f.lay()
+	if err := f.standins(); err != nil {
+		return err
+	}
+	return f.register()
+}
+
+// StartVMs starts the entry daemons. They are ready once a document is in force.
+func (f *Fleet) StartVMs() error {
+	for _, v := range f.VMs {
+		if err := f.StartVM(v); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// StartVM starts one entry daemon, also again after its end.
+func (f *Fleet) StartVM(v *VM) error {
+	v.file = filepath.Join(f.Dir, v.Name+".ini")
+	if err := os.WriteFile(v.file, []byte(f.settings(v)), 0o600); err != nil {
+		return err
+	}
+	p, err := f.run(v.Name, "shallotd", "-settings", v.file)
+	v.Proc = p
+	return err
+}
+
+// Ready waits until all given entry VMs report ready.
+func (f *Fleet) Ready(d time.Duration, vms ...*VM) error {
+	end := time.Now().Add(d)
+	for _, v := range vms {
+		if err := wait(time.Until(end), func() error { return Get(v.Status, "/readyz", nil) }); err != nil {
+			return oops.Wrapf(err, "%s is not ready; end of %s:\n%s", v.Name, v.Proc.Log, Tail(v.Proc.Log))
+		}
+	}
+	return nil
+}
+
+// Ctl runs the operator command and returns its output. Arguments come after the address of the platform.
+func (f *Fleet) Ctl(command string, args ...string) (string, error) {
+	all := append([]string{"-platform", f.platformAddr(), "-author", "runner", command}, args...)
+	out, err := exec.Command(filepath.Join(f.Bin, "shallotctl"), all...).CombinedOutput()
+	return string(out), oops.Wrapf(err, "shallotctl %s: %s", strings.Join(all, " "), out)
+}
+
+// PlatformControl is the control port of the platform.
+func (f *Fleet) PlatformControl() string { return fmt.Sprintf("%s.0.10:%d", f.Net, platformPort+1) }
+
+// RatingControl is the control port of the rating service.
+func (f *Fleet) RatingControl() string { return fmt.Sprintf("%s.0.11:%d", f.Net, platformPort+1) }
+
+// LinkControl is the control port of the relay.
+func (f *Fleet) LinkControl() string { return fmt.Sprintf("%s.0.12:%d", f.Net, platformPort+1) }
+
+// Callers returns the callers' addresses of all entry VMs.
+func (f *Fleet) Callers() []string {
+	var all []string
+	for _, v := range f.VMs {
+		all = append(all, v.Callers)
+	}
+	return all
+}
+
+// Stop ends all processes, the entry daemons first so that they can write their bills.
+func (f *Fleet) Stop() {
+	f.mu.Lock()
+	procs := f.procs
+	f.procs = nil
+	f.mu.Unlock()
+	var wg sync.WaitGroup
+	for _, p := range procs {
+		wg.Go(func() { p.stop(time.Second) })
+	}
+	wg.Wait()
+}
+
+// StopVMs ends all entry daemons gracefully and returns the names of those that did not end with code 0
+// within d. Daemons that have ended before are passed over.
+func (f *Fleet) StopVMs(d time.Duration) []string {
+	var bad []string
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	for _, v := range f.VMs {
+		if _, ended := v.Proc.Exited(0); ended {
+			continue
+		}
+		wg.Go(func() {
+			v.Proc.Signal(syscall.SIGTERM)
+			if code, ok := v.Proc.Exited(d); !ok || code != 0 {
+				mu.Lock()
+				bad = append(bad, v.Name)
+				mu.Unlock()
+			}
+		})
+	}
+	wg.Wait()
+	return bad
+}
+
+// Tail returns the end of a file.
+func Tail(file string) string {
+	b, err := os.ReadFile(file)
+	if err != nil {
+		return err.Error()
+	}
+	return string(b[max(0, len(b)-2000):])
+}
+
+// lay gives all parts their names and addresses.
+func (f *Fleet) lay() {
+	shift := 0
+	if f.Links {
+		shift = hidden
+	}
+	for d, domain := range f.domains() {
+		for i := range f.Entries {
+			ip := fmt.Sprintf("%s.%d.%d", f.Net, d+1, i+1)
+			f.VMs = append(f.VMs, &VM{
+				Name: fmt.Sprintf("%s-%d", domain, i+1), Domain: domain, IP: ip, Callers: at(ip, callerPort),
+				Peers: at(ip, peerPort), Status: at(ip, statusPort), listen: at(ip, peerPort+shift),
+			})
+		}
+		for i := range f.Engines {
+			model := "small"
+			if i >= (f.Engines+1)/2 {
+				model = "large"
+			}
+			f.backend(d, 101+i, work.KindEngine, model, fmt.Sprintf("engine-%d", d*f.Engines+i+1), shift)
+		}
+		for i := range f.Desks {
+			f.backend(d, 201+i, work.KindService, "desk", fmt.Sprintf("desk-%d", d*f.Desks+i+1), shift)
+		}
+	}
+}
+
+func (f *Fleet) domains() []string { return Domains }
+
+func (f *Fleet) backend(domain, last int, kind, pool, name string, shift int) {
+	ip := fmt.Sprintf("%s.%d.%d", f.Net, domain+1, last)
+	b := &Backend{
+		Name: name, Domain: Domains[domain], Kind: kind, Pool: pool,
+		Addr: at(ip, backendPort), Control: at(ip, controlPort), listen: at(ip, backendPort+shift),
+	}
+	if kind == work.KindEngine {
+		b.Models = []string{pool + "@1", pool + "@2"}
+	}
+	f.Backends = append(f.Backends, b)
+}
+
+// standins starts the stand-ins and waits for their control ports.
+func (f *Fleet) standins() error {
+	var err error
+	var controls []string
+	add := func(mode, name, addr, control string, flags ...string) *Proc {
+		if err != nil {
+			return nil
+		}
+		args := append([]string{"-mode", mode, "-name", name, "-control", control, "-seed", fmt.Sprint(f.Seed)}, flags...)
+		if addr != "" {
+			args = append(args, "-addr", addr)
+		}
+		var p *Proc
+		p, err = f.run(name, "standin", args...)
+		controls = append(controls, control)
+		return p
+	}
+	f.Platform = add("platform", "platform", f.platformListen(), f.PlatformControl(), f.PlatformFlags...)
+	f.Rating = add("rating", "rating", at(f.Net+".0.11", platformPort), f.RatingControl(), "-quality", "small=70,large=95")
+	for i, b := range f.Backends {
+		switch b.Kind {
+		case work.KindEngine:
+			flags := append([]string{"-models", strings.Join(b.Models, ",")}, f.EngineFlags...)
+			b.Proc = add("engine", b.Name, b.listen, b.Control, flags...)
+		case work.KindService:
+			b.Proc = add("service", b.Name, b.listen, b.Control, "-base", fmt.Sprint(1_000_000*(i+1)))
+		}
+	}
+	if f.Links {
+		f.Link = add("link", "link", "", f.LinkControl(), "-paths", f.paths(), "-sources", f.sources())
+	}
+	if err != nil {
+		return err
+	}
+	for _, c := range controls {
+		if err := wait(5*time.Second, func() error { return Get(c, "/faults", nil) }); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// register enters everything in the VM list.
+func (f *Fleet) register() error {
+	now := clock.Clock{}.Wall()
+	for _, v := range f.VMs {
+		row := work.VM{Name: v.Name, Addr: v.Callers, Peer: v.Peers, Domain: v.Domain, Kind: work.KindEntry, State: work.StateLive, Since: now}
+		if err := Post(f.PlatformControl(), "/vms", row); err != nil {
+			return err
+		}
+	}
+	for _, b := range f.Backends {
+		row := work.VM{Name: b.Name, Addr: b.Addr, Domain: b.Domain, Kind: b.Kind, Pool: b.Pool, State: work.StateLive, Since: now}
+		if err := Post(f.PlatformControl(), "/vms", row); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Leave marks a backend server as leaving in the VM list.
+func (f *Fleet) Leave(b *Backend) error {
+	return Post(f.PlatformControl(), "/vms", work.VM{
+		Name: b.Name, Addr: b.Addr, Domain: b.Domain, Kind: b.Kind, Pool: b.Pool,
+		State: work.StateLeaving, Since: clock.Clock{}.Wall(),
+	})
+}
+
+func (f *Fleet) run(name, program string, args ...string) (*Proc, error) {
+	p, err := start(f.Dir, name, filepath.Join(f.Bin, program), args...)
+	if err != nil {
+		return nil, err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.procs = append(f.procs, p)
+	return p, nil
+}
+
+func (f *Fleet) platformAddr() string { return at(f.Net+".0.10", platformPort) }
+
+func (f *Fleet) platformListen() string {
+	if f.Links {
+		return at(f.Net+".0.10", platformPort+hidden)
+	}
+	return f.platformAddr()
+}
+
+func at(ip string, port int) string { return fmt.Sprintf("%s:%d", ip, port) }
--- /dev/null
+++ b/internal/fleet/proc.go
@@ -0,0 +1,73 @@
+package fleet
+
+import (
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"github.com/samber/oops"
+)
+
+// Proc is a process that the runner started.
+type Proc struct {
+	Name string
+	Log  string // file with its output
+
+	cmd  *exec.Cmd
+	done chan struct{}
+	code int
+}
+
+// start runs a program with its output in dir. The process is killed if the runner ends.
+func start(dir, name, program string, args ...string) (*Proc, error) {
+	p := &Proc{Name: name, Log: filepath.Join(dir, name+".log"), done: make(chan struct{})}
+	f, err := os.OpenFile(p.Log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return nil, err
+	}
+	defer f.Close()
+	p.cmd = exec.Command(program, args...)
+	p.cmd.Stdout, p.cmd.Stderr = f, f
+	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := p.cmd.Start(); err != nil {
+		return nil, oops.Wrapf(err, "%s", name)
+	}
+	go func() {
+		p.cmd.Wait() // the exit code says what the error says
+		p.code = p.cmd.ProcessState.ExitCode()
+		close(p.done)
+	}()
+	return p, nil
+}
+
+// Signal sends a signal unless the process has ended.
+func (p *Proc) Signal(s syscall.Signal) {
+	select {
+	case <-p.done:
+	default:
+		p.cmd.Process.Signal(s)
+	}
+}
+
+// Exited waits up to d for the end of the process and returns its exit code, -1 after a signal.
+func (p *Proc) Exited(d time.Duration) (code int, ok bool) {
+	select {
+	case <-p.done:
+		return p.code, true
+	case <-time.After(d):
+		return 0, false
+	}
+}
+
+// stop ends the process, by force if it takes longer than d.
+func (p *Proc) stop(d time.Duration) {
+	p.Signal(syscall.SIGCONT)
+	p.Signal(syscall.SIGTERM)
+	if _, ok := p.Exited(d); ok {
+		return
+	}
+	p.Signal(syscall.SIGKILL)
+	p.Exited(5 * time.Second)
+}
--- /dev/null
+++ b/internal/fleet/settings.go
@@ -0,0 +1,59 @@
+package fleet
+
+import (
+	"fmt"
+	"strings"
+)
+
+// settings returns the INI settings of an entry daemon.
+func (f *Fleet) settings(v *VM) string {
+	var seeds []string
+	for _, o := range f.VMs {
+		if o != v && len(seeds) < 6 {
+			seeds = append(seeds, o.Peers)
+		}
+	}
+	return fmt.Sprintf(`[vm]
+name = %s
+domain = %s
+[callers]
+addr = %s
+rating = %s
+[peers]
+addr = %s
+announce = %s
+seeds = %s
+heartbeat = 250
+[operators]
+addr = %s
+[platform]
+addr = %s
+poll = 500
+[keys]
+session = %s
+peer = %s
+`, v.Name, v.Domain, v.Callers, at(f.Net+".0.11", platformPort), v.listen, v.Peers, strings.Join(seeds, ", "), v.Status,
+		f.platformAddr(), f.keys[0], f.keys[1])
+}
+
+// paths returns the relay's paths. The group of a path is the failure domain of its target.
+func (f *Fleet) paths() string {
+	var ps []string
+	for _, v := range f.VMs {
+		ps = append(ps, v.Domain+"="+v.Peers+">"+v.listen)
+	}
+	for _, b := range f.Backends {
+		ps = append(ps, b.Domain+"="+b.Addr+">"+b.listen)
+	}
+	ps = append(ps, "platform="+f.platformAddr()+">"+f.platformListen())
+	return strings.Join(ps, ",")
+}
+
+// sources names the failure domain of an address.
+func (f *Fleet) sources() string {
+	var ps []string
+	for d, domain := range f.domains() {
+		ps = append(ps, fmt.Sprintf("%s=%s.%d.", domain, f.Net, d+1))
+	}
+	return strings.Join(ps, ",")
+}
--- a/internal/load/chat.go
+++ b/internal/load/chat.go
@@ -233,7 +233,7 @@
 		r.Wrong = "no model version named"
 		return
 	}
-	prompt := "user: " + r.prompt
+	prompt := enginePrompt(r.prompt)
 	want := engine.Answer(model, version, prompt, r.limit)
 	n, reason := engine.Length(model, version, prompt, r.limit)
 	r.Tokens = n
@@ -254,6 +254,9 @@
 	}
 }
 
+// enginePrompt returns what the engine gets for a chat of one message: the role before the text.
+func enginePrompt(text string) string { return "user: " + text }
+
 func head(req *fasthttp.Request, r *request) {
 	req.Header.Set("Authorization", "Bearer "+r.key)
 	req.Header.Set("Shallot-Rank", r.Rank)
--- a/internal/load/plan.go
+++ b/internal/load/plan.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"strings"
 	"time"
+
+	"shallotrun/internal/standin/engine"
 )
 
 // Tenant is a workspace with its API key.
@@ -71,6 +73,7 @@
 		r.Session = fmt.Sprintf("%s.%s.%d", t.Name, r.Model, p.rand.IntN(8))
 	}
 	r.prompt = p.prompt(r)
+	r.Prompt = engine.PromptID(enginePrompt(r.prompt))
 	return r
 }
 
--- a/internal/load/record.go
+++ b/internal/load/record.go
@@ -29,6 +29,7 @@
 	Served   string     `json:"served,omitempty"`  // MODEL@VERSION of the answer
 	Session  string     `json:"session,omitempty"` // number of the session, not its token
 	Key      string     `json:"key,omitempty"`     // Idempotency-Key
+	Prompt   string     `json:"prompt,omitempty"`  // engine.PromptID of what the engine gets
 	Stream   bool       `json:"stream,omitempty"`
 	Target   string     `json:"target"`             // entry address of the last attempt
 	Requests []string   `json:"requests,omitempty"` // request ids that entry VMs gave, one for each attempt
--- a/internal/standin/engine/http.go
+++ b/internal/standin/engine/http.go
@@ -64,7 +64,7 @@
 	}
 	entry := ledger.Entry{
 		Kind: "generate", Request: c.Request, Attempt: strings.Trim(string(c.Attempt), `"`),
-		Model: c.Model, Version: c.Version, Session: c.Session, Name: e.Name,
+		Model: c.Model, Version: c.Version, Session: c.Session, Name: e.Name, Key: PromptID(c.Prompt),
 	}
 	if e.Ledger.Faults.Hits("close") {
 		entry.Outcome, entry.Code = "refused", "close"
--- a/internal/standin/engine/text.go
+++ b/internal/standin/engine/text.go
@@ -40,6 +40,9 @@
 	return b.String()
 }
 
+// PromptID names a prompt in the ledger.
+func PromptID(prompt string) string { return hex(xxhash.Sum64String(prompt)) }
+
 // PromptTokens returns the number of tokens of a prompt: its words.
 func PromptTokens(prompt string) int { return len(strings.Fields(prompt)) }
 
--- a/internal/standin/link/link.go
+++ b/internal/standin/link/link.go
@@ -25,8 +25,9 @@
 
 // Link relays a number of paths. The exported fields are set before Run.
 type Link struct {
-	Ledger *ledger.Ledger
-	Paths  []Path
+	Ledger  *ledger.Ledger
+	Paths   []Path
+	Sources [][2]string // group and prefix of the source address
 
 	mu    sync.Mutex
 	pairs map[*pair]struct{}
@@ -66,7 +67,8 @@
 
 func (l *Link) relay(a net.Conn, p Path) {
 	defer a.Close()
-	if l.strikes("cut", p.Group) {
+	group := l.group(a, p)
+	if l.strikes("cut", group) {
 		l.Ledger.Count("refused")
 		if t, ok := a.(*net.TCPConn); ok {
 			t.SetLinger(0)
@@ -79,7 +81,7 @@
 	}
 	defer b.Close()
 	l.Ledger.Count("open")
-	r := &pair{group: p.Group, a: a, b: b}
+	r := &pair{group: group, a: a, b: b}
 	l.mu.Lock()
 	l.pairs[r] = struct{}{}
 	l.mu.Unlock()
@@ -97,6 +99,16 @@
 	}
 }
 
+// group returns SOURCE.TARGET, or only the target's group if the source belongs to none.
+func (l *Link) group(c net.Conn, p Path) string {
+	for _, s := range l.Sources {
+		if strings.HasPrefix(c.RemoteAddr().String(), s[1]) {
+			return s[0] + "." + p.Group
+		}
+	}
+	return p.Group
+}
+
 // pump copies from one side to the other until an error. Data is delayed in order by one buffer at a
 // time, which is enough for the small messages that cross links here.
 func (l *Link) pump(r *pair, from, to net.Conn, done chan<- struct{}) {
--- a/internal/standin/platform/doc.go
+++ b/internal/standin/platform/doc.go
@@ -12,9 +12,8 @@
 // version} with the version of the existing object, 0 if there is none. Versions are store-wide and only
 // grow. Names may contain further slashes.
 //
-// The control port also takes POST /vms (one row, optionally with "view"), DELETE /vms/NAME, and GET
-// /objects/KIND, which is not counted and works during every fault. A view is the list that is served on
-// one of several addresses, so that a failure domain can be given addresses that lead through links.
+// The control port also takes POST /vms (one row), DELETE /vms/NAME, and GET /objects/KIND, which is not
+// counted and works during every fault.
 //
 // Ledger entries: put and delete with kind as code, object as name, version as number and outcome (done,
 // conflict, lost: done but not answered). Reads, lists and watches are counted only.
--- /dev/null
+++ b/internal/verdict/check.go
@@ -0,0 +1,226 @@
+package verdict
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+
+	"shallotrun/internal/load"
+	"shallotrun/internal/standin/ledger"
+)
+
+// Violation is one broken guarantee.
+type Violation struct {
+	Guarantee string
+	Text      string
+}
+
+// Report is the result of a comparison.
+type Report struct {
+	Requests, Answered, Refused, Broken int
+	Billed                              int // distinct requests with a bill
+	Duplicates                          int // further bills of a request and further runs of a call
+	Violations                          []Violation
+}
+
+// Guarantees that Check covers, in the order of the design page.
+var Guarantees = []string{"P1", "P2", "P3", "P4", "P5", "P6", "P7", "P8", "P9"}
+
+// index holds the evidence by the keys that join it.
+type index struct {
+	Evidence
+	Report
+	prompts map[string]load.Record    // by prompt identity
+	runs    map[string][]ledger.Entry // engine runs by prompt identity
+	calls   map[string][]ledger.Entry // service runs by item
+	bills   map[string][]Bill         // by request id
+}
+
+// Check compares the evidence.
+func Check(e Evidence) Report {
+	x := &index{
+		Evidence: e, prompts: map[string]load.Record{}, runs: map[string][]ledger.Entry{},
+		calls: map[string][]ledger.Entry{}, bills: map[string][]Bill{},
+	}
+	x.fill()
+	x.engines()
+	x.records()
+	x.billing()
+	x.once()
+	x.stops()
+	slices.SortStableFunc(x.Violations, func(a, b Violation) int { return strings.Compare(a.Guarantee, b.Guarantee) })
+	return x.Report
+}
+
+// Count returns the number of violations of a guarantee.
+func (r Report) Count(guarantee string) int {
+	n := 0
+	for _, v := range r.Violations {
+		if v.Guarantee == guarantee {
+			n++
+		}
+	}
+	return n
+}
+
+func (x *index) add(guarantee, format string, args ...any) {
+	x.Violations = append(x.Violations, Violation{guarantee, fmt.Sprintf(format, args...)})
+}
+
+func (x *index) fill() {
+	for _, r := range x.Records {
+		x.Requests++
+		switch r.Outcome {
+		case load.Answered:
+			x.Answered++
+		case load.Refused:
+			x.Refused++
+		default:
+			x.Broken++
+		}
+		if r.Prompt != "" {
+			x.prompts[r.Prompt] = r
+		}
+	}
+	for _, e := range x.Engines {
+		if e.Kind == "generate" && (e.Outcome == "run" || e.Outcome == "failed") {
+			x.runs[e.Key] = append(x.runs[e.Key], e)
+		}
+	}
+	for _, e := range x.Services {
+		if e.Outcome == "ran" {
+			x.calls[e.Name] = append(x.calls[e.Name], e)
+		}
+	}
+	for _, b := range x.Bills {
+		x.bills[b.Request] = append(x.bills[b.Request], b)
+	}
+}
+
+// engines checks P1, P2 and P8 on everything that engines started.
+func (x *index) engines() {
+	for prompt, es := range x.runs {
+		r, known := x.prompts[prompt]
+		for _, e := range es {
+			switch {
+			case !known:
+				x.add("P1", "%s ran request %s that no caller sent", e.Name, e.Request)
+			case !x.Allowed(r.Tenant, e.Model, e.Version):
+				x.add("P1", "%s ran %s@%s for %s (request %s)", e.Name, e.Model, e.Version, r.Tenant, e.Request)
+			}
+			for _, w := range x.Withdrawn {
+				if e.Model == w.Model && e.Version == w.Version && w.At.Before(e.At) {
+					x.add("P2", "%s ran %s@%s %d ms after it had to be out (request %s)", e.Name, e.Model, e.Version, e.At.Sub(w.At), e.Request)
+				}
+			}
+		}
+	}
+	for _, l := range x.Leaves {
+		for _, e := range slices.Concat(x.Engines, x.Services) {
+			if e.Name == l.Name && e.Kind == "generate" && e.Outcome != "attach" && l.At.Before(e.At) {
+				x.add("P8", "%s got request %s %d ms after the bound", l.Name, e.Request, e.At.Sub(l.At))
+			}
+		}
+	}
+}
+
+// records checks P3, P5 and P6 on what callers were told.
+func (x *index) records() {
+	for _, r := range x.Records {
+		switch {
+		case strings.HasPrefix(r.Wrong, "the session moved"):
+			x.add("P3", "request %s: %s", r.Item, r.Wrong)
+		case r.Wrong != "":
+			x.add("P5", "request %s (%v): %s", r.Item, r.Requests, r.Wrong)
+		case r.Outcome == load.Answered && !r.Whole:
+			x.add("P5", "request %s (%v): answer not whole", r.Item, r.Requests)
+		}
+		if r.Outcome != load.Answered && r.Ran == "not run" {
+			x.notRun(r)
+		}
+	}
+}
+
+// notRun checks a refusal. After several attempts only the attempt that was refused is known not to have
+// run, and the records tell attempts apart by the request id.
+func (x *index) notRun(r load.Record) {
+	last := ""
+	if n := len(r.Requests); n > 0 {
+		last = r.Requests[n-1]
+	}
+	for _, e := range slices.Concat(x.runs[r.Prompt], x.calls[r.Item]) {
+		if r.Resumes == 0 || last != "" && e.Request == last {
+			x.add("P6", "request %s (%v) was refused as not run with %s but ran at %s", r.Item, r.Requests, r.Code, e.Name)
+			return
+		}
+	}
+}
+
+// billing checks P4: an answered request has exactly one bill, any request at most one.
+func (x *index) billing() {
+	x.Billed = len(x.bills)
+	for _, r := range x.Records {
+		ids := slices.Compact(slices.Sorted(slices.Values(r.Requests)))
+		var in []string
+		for _, id := range ids {
+			for _, b := range x.bills[id] {
+				in = append(in, b.Object)
+				if b.Workspace != r.Tenant {
+					x.add("P4", "request %s of %s is billed to %s", id, r.Tenant, b.Workspace)
+				}
+			}
+		}
+		switch {
+		case len(in) > 1:
+			x.Duplicates += len(in) - 1
+			x.add("P4", "request %s (%v) is billed %d times: %v", r.Item, ids, len(in), in)
+		case len(in) == 0 && r.Outcome == load.Answered:
+			x.add("P4", "request %s (%v) at %s was answered and is not billed", r.Item, ids, r.Target)
+		}
+	}
+	known := map[string]bool{}
+	for _, r := range x.Records {
+		for _, id := range r.Requests {
+			known[id] = true
+		}
+	}
+	for id, bs := range x.bills {
+		if len(bs) > 1 && !known[id] {
+			x.Duplicates += len(bs) - 1
+			x.add("P4", "request %s is billed %d times", id, len(bs))
+		}
+	}
+}
+
+// once checks P7 on the services' records.
+func (x *index) once() {
+	for item, es := range x.calls {
+		n := 0
+		var where []string
+		for _, e := range es {
+			if e.Kind == "tag" || e.Kind == "dispatch" {
+				n++
+				where = append(where, fmt.Sprintf("%s at %d", e.Request, e.At))
+			}
+		}
+		if n > 1 {
+			x.Duplicates += n - 1
+			x.add("P7", "item %s ran %d times: %v", item, n, where)
+		}
+	}
+}
+
+// stops checks P9: an entry VM that stops as planned ends with code 0 and breaks nothing.
+func (x *index) stops() {
+	for _, s := range x.Stops {
+		if s.Code != 0 {
+			x.add("P9", "%s ended with code %d", s.Name, s.Code)
+		}
+		for _, r := range x.Records {
+			end := r.At.Add(r.Total)
+			if r.Target == s.Target && r.Outcome == load.Broken && s.From.Before(end) {
+				x.add("P9", "request %s at %s broke after %d ms: %s", r.Item, s.Name, r.Total, r.Error)
+			}
+		}
+	}
+}
