--- a/internal/verdict/verdict_test.go
+++ b/internal/verdict/verdict_test.go
@@ -35,14 +35,18 @@
 	}{
 		{"", "sound", func(*Evidence) {}},
 		{"P1", "model not allowed", func(e *Evidence) { e.Engines[0].Model = "n" }},
-		{"P1", "nobody's request", func(e *Evidence) { e.Engines = append(e.Engines, ledger.Entry{Kind: "generate", Outcome: "run", Key: "p9"}) }},
+		{"P1", "nobody's request", func(e *Evidence) {
+			e.Engines = append(e.Engines, ledger.Entry{Kind: "generate", Outcome: "run", Key: "p9"})
+		}},
 		{"P2", "after the bound", func(e *Evidence) { e.Withdrawn = []Withdrawal{{"m", "1", 105}} }},
 		{"", "before the bound", func(e *Evidence) { e.Withdrawn = []Withdrawal{{"m", "1", 115}} }},
 		{"P3", "session moved", func(e *Evidence) { e.Records[0].Wrong = "the session moved from m@1 to m@2" }},
 		{"P4", "billed twice", func(e *Evidence) { e.Bills = append(e.Bills, e.Bills[0]) }},
 		{"P4", "not billed", func(e *Evidence) { e.Bills = e.Bills[:1] }},
 		{"P4", "billed to another", func(e *Evidence) { e.Bills[0].Workspace = "b" }},
-		{"P4", "unknown request billed twice", func(e *Evidence) { e.Bills = append(e.Bills, Bill{"b2", work.Bill{Request: "r9"}}, Bill{"b3", work.Bill{Request: "r9"}}) }},
+		{"P4", "unknown request billed twice", func(e *Evidence) {
+			e.Bills = append(e.Bills, Bill{"b2", work.Bill{Request: "r9"}}, Bill{"b3", work.Bill{Request: "r9"}})
+		}},
 		{"P5", "cut", func(e *Evidence) { e.Records[0].Whole = false }},
 		{"P5", "other text", func(e *Evidence) { e.Records[0].Wrong = "answer differs" }},
 		{"P6", "refused and run", func(e *Evidence) { e.Records[0].Outcome, e.Records[0].Ran = load.Refused, "not run" }},
