verdict, demo: bound on changes (P10), bills lost with two VMs, reasons of refusals

Cause: the proofs need P10, and a kill of two VMs that hold each other's copies may lose bills by design; a killed VM was reported as a bad stop because of a race between its end and a timer of zero.

Change: Reroutes and Lost in the evidence; the end of a process counts before the timer; the demo prints refusals by code and the continued streams.

--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -5,8 +5,10 @@
 	"flag"
 	"fmt"
 	"io"
+	"maps"
 	"os"
 	"path/filepath"
+	"slices"
 	"syscall"
 	"time"
 
@@ -157,16 +159,30 @@
 			d.say("violation of %s: %s", v.Guarantee, v.Text)
 		}
 	}
-	for _, v := range res.Records {
-		if v.Outcome == load.Broken {
-			d.say("broken: %s %s at %s: %s", v.Kind, v.Item, v.Target, v.Error)
-		}
-	}
+	d.details(res.Records)
 	fmt.Fprintf(d.Out, "demo: requests=%d answered=%d refused=%d billed=%d duplicates=%d violations=%d\n",
 		r.Requests, r.Answered, r.Refused, r.Billed, r.Duplicates, len(r.Violations))
 	return len(r.Violations) == 0, nil
 }
 
+// details says why requests were refused or broken.
+func (d *Demo) details(rs []load.Record) {
+	codes, resumed := map[string]int{}, 0
+	for _, r := range rs {
+		switch r.Outcome {
+		case load.Refused:
+			codes[r.Code+" ("+r.Ran+")"]++
+		case load.Broken:
+			d.say("broken: %s %s at %s: %s", r.Kind, r.Item, r.Target, r.Error)
+		}
+		resumed += r.Resumes
+	}
+	for _, c := range slices.Sorted(maps.Keys(codes)) {
+		d.say("refused: %d with %s", codes[c], c)
+	}
+	d.say("continued: %d at another entry VM", resumed)
+}
+
 func (d *Demo) say(format string, args ...any) {
 	fmt.Fprintf(d.Out, "demo: "+format+"\n", args...)
 }
--- a/internal/fleet/proc.go
+++ b/internal/fleet/proc.go
@@ -53,10 +53,17 @@
 
 // Exited waits up to d for the end of the process and returns its exit code, -1 after a signal.
 func (p *Proc) Exited(d time.Duration) (code int, ok bool) {
+	t := time.NewTimer(d)
+	defer t.Stop()
 	select {
 	case <-p.done:
 		return p.code, true
-	case <-time.After(d):
+	case <-t.C:
+	}
+	select { // both may be ready, and the end of the process counts more
+	case <-p.done:
+		return p.code, true
+	default:
 		return 0, false
 	}
 }
--- a/internal/verdict/check.go
+++ b/internal/verdict/check.go
@@ -19,12 +19,13 @@
 type Report struct {
 	Requests, Answered, Refused, Broken int
 	Billed                              int // distinct requests with a bill
+	Unbilled                            int // answered requests whose bill was lost with two entry VMs
 	Duplicates                          int // further bills of a request and further runs of a call
 	Violations                          []Violation
 }
 
 // Guarantees that Check covers, in the order of the design page.
-var Guarantees = []string{"P1", "P2", "P3", "P4", "P5", "P6", "P7", "P8", "P9"}
+var Guarantees = []string{"P1", "P2", "P3", "P4", "P5", "P6", "P7", "P8", "P9", "P10"}
 
 // index holds the evidence by the keys that join it.
 type index struct {
@@ -97,7 +98,7 @@
 	}
 }
 
-// engines checks P1, P2 and P8 on everything that engines started.
+// engines checks P1, P2, P8 and P10 on everything that engines started.
 func (x *index) engines() {
 	for prompt, es := range x.runs {
 		r, known := x.prompts[prompt]
@@ -115,6 +116,15 @@
 			}
 		}
 	}
+	for _, c := range x.Reroutes {
+		for prompt, es := range x.runs {
+			for _, e := range es {
+				if x.prompts[prompt].Model == c.Route && e.Model != c.Model && c.At.Before(e.At) {
+					x.add("P10", "%s ran %s for route %s %d ms after the bound", e.Name, e.Model, c.Route, e.At.Sub(c.At))
+				}
+			}
+		}
+	}
 	for _, l := range x.Leaves {
 		for _, e := range slices.Concat(x.Engines, x.Services) {
 			if e.Name == l.Name && e.Kind == "generate" && e.Outcome != "attach" && l.At.Before(e.At) {
@@ -174,6 +184,8 @@
 		case len(in) > 1:
 			x.Duplicates += len(in) - 1
 			x.add("P4", "request %s (%v) is billed %d times: %v", r.Item, ids, len(in), in)
+		case len(in) == 0 && r.Outcome == load.Answered && x.lost(r):
+			x.Unbilled++
 		case len(in) == 0 && r.Outcome == load.Answered:
 			x.add("P4", "request %s (%v) at %s was answered and is not billed", r.Item, ids, r.Target)
 		}
@@ -192,6 +204,17 @@
 	}
 }
 
+// lost reports whether the bill of a request may be missing.
+func (x *index) lost(r load.Record) bool {
+	end := r.At.Add(r.Total)
+	for _, l := range x.Lost {
+		if r.Target == l.Target && l.From.Before(end) && end.Before(l.To) {
+			return true
+		}
+	}
+	return false
+}
+
 // once checks P7 on the services' records.
 func (x *index) once() {
 	for item, es := range x.calls {
--- a/internal/verdict/evidence.go
+++ b/internal/verdict/evidence.go
@@ -18,9 +18,10 @@
 	Bills     []Bill
 	Allowed   func(workspace, model, version string) bool
 	Withdrawn []Withdrawal
+	Reroutes  []Reroute
 	Stops     []Stop
 	Leaves    []Leave
-	Gone      []Gone // bills may be missing only if an entry VM and its copy holder were lost together
+	Lost      []Lost
 }
 
 // Bill is a bill with the object that holds it.
@@ -49,10 +50,17 @@
 	At   clock.Time
 }
 
-// Gone is an entry VM that was killed.
-type Gone struct {
-	Target string
-	At     clock.Time
+// Reroute is a change of a route's model, with the time from which it must be in force everywhere.
+type Reroute struct {
+	Route, Model string
+	At           clock.Time
+}
+
+// Lost is an entry VM that ended together with a VM that may have held the copies of its bills. Bills of
+// its last requests may be missing: the design gives this up.
+type Lost struct {
+	Target   string
+	From, To clock.Time
 }
 
 // Bills reads the bills out of the platform's objects. Every JSON object with a request and stages is a
