--- a/cmd/shallotlab/main.go
+++ b/cmd/shallotlab/main.go
@@ -1,23 +1,33 @@
-// Command shallotlab runs the project's runners: shallotlab bench.
+// Command shallotlab runs the project's runners: the demonstration and the benchmarks of the policies.
 package main
 
 import (
 	"fmt"
+	"io"
 	"os"
+
+	"shallotrun/internal/demo"
 )
 
+var commands = []struct {
+	name string
+	run  func(args []string, out, errs io.Writer) int
+}{
+	{"demo", demo.Main},
+	{"bench", benchCommand},
+}
+
 func main() {
-	commands := []struct {
-		name string
-		run  func(args []string) int
-	}{
-		{"bench", benchCommand},
+	if len(os.Args) > 1 {
+		for _, c := range commands {
+			if c.name == os.Args[1] {
+				os.Exit(c.run(os.Args[2:], os.Stdout, os.Stderr))
+			}
+		}
 	}
+	fmt.Fprintln(os.Stderr, "usage: shallotlab COMMAND [flags]; commands:")
 	for _, c := range commands {
-		if len(os.Args) > 1 && os.Args[1] == c.name {
-			os.Exit(c.run(os.Args[2:]))
-		}
+		fmt.Fprintln(os.Stderr, " ", c.name)
 	}
-	fmt.Fprintln(os.Stderr, "usage: shallotlab bench [flags]")
 	os.Exit(2)
 }
