daemon: the whole path as separate processes

Cause: the parts ran only in tests. Change: internal/daemon wires settings, configuration, backend servers, request path and operator port; cmd/shallotd.

--- /dev/null
+++ b/internal/daemon/backend.go
@@ -0,0 +1,63 @@
+package daemon
+
+import (
+	"context"
+
+	"shallotrun/core/document"
+	"shallotrun/internal/config"
+	"shallotrun/io/operator"
+)
+
+// backend gives the operator port what it shows.
+type backend struct {
+	*Daemon
+	writer config.Writer
+}
+
+// Ready reports whether the VM takes new work.
+func (b *backend) Ready() (ok bool, reason string) {
+	switch {
+	case b.store.Current() == nil:
+		return false, "no document is in force yet"
+	case !b.entry.Ready():
+		return false, "shutting down"
+	}
+	return true, ""
+}
+
+// Current returns the document in force.
+func (b *backend) Current() *document.Snapshot { return b.store.Current() }
+
+// Read returns the document in the platform.
+func (b *backend) Read(ctx context.Context) (document.Snapshot, error) { return b.writer.Read(ctx) }
+
+// Replace stores a document if the platform still has base.
+func (b *backend) Replace(ctx context.Context, base document.Snapshot, d *document.Document) (uint64, error) {
+	return b.writer.Replace(ctx, base, d)
+}
+
+// Status returns the status of this VM.
+func (b *backend) Status() operator.Status {
+	s := operator.Status{
+		VM: b.Settings.VM.Name, Domain: b.Settings.VM.Domain, At: b.Clock.Wall(), Since: b.start,
+		Silent: b.store.Silent(), Watching: true,
+	}
+	s.Ready, s.Reason = b.Ready()
+	if c := b.store.Current(); c != nil {
+		s.Config = operator.Config{
+			Revision: c.Revision, Digest: c.Digest, Since: c.At, Author: c.Document.Author, Note: c.Document.Note,
+		}
+	}
+	if r := b.store.Refused(); r.Revision != 0 {
+		s.Refused = &operator.Refused{Revision: r.Revision, Reason: r.Reason, At: r.At}
+	}
+	for _, h := range b.store.Halts() {
+		if h.Active() {
+			s.Halts = append(s.Halts, operator.Halt{Model: h.Model, Version: h.Version, Reason: h.Reason, At: h.At})
+		}
+	}
+	for _, v := range b.servers.All() {
+		s.Servers = append(s.Servers, operator.BackendServer{Name: v.Name, Pool: v.Pool, Domain: v.Domain, State: v.State})
+	}
+	return s
+}
