proof: guarantees under faults as processes behind a relay

Cause: kills, pauses, partitions, a failing platform and silent connections have to be shown against the guarantees, singly and together.

--- a/cmd/shallotlab/main.go
+++ b/cmd/shallotlab/main.go
@@ -7,6 +7,7 @@
 	"os"
 
 	"shallotrun/internal/demo"
+	"shallotrun/internal/proof"
 )
 
 var commands = []struct {
@@ -14,6 +15,7 @@
 	run  func(args []string, out, errs io.Writer) int
 }{
 	{"demo", demo.Main},
+	{"proof", proof.Main},
 }
 
 func main() {
--- a/internal/fleet/document.go
+++ b/internal/fleet/document.go
@@ -8,6 +8,8 @@
 	"os"
 	"path/filepath"
 
+	"github.com/samber/oops"
+
 	"shallotrun/core/document"
 	"shallotrun/internal/load"
 )
@@ -61,6 +63,41 @@
 	return ts
 }
 
+// Read returns the document in the platform with its revision.
+func (f *Fleet) Read() (*document.Document, uint64, error) {
+	out, err := f.Ctl("show", "-json")
+	if err != nil {
+		return nil, 0, err
+	}
+	var v struct {
+		Revision uint64             `json:"revision"`
+		Document *document.Document `json:"document"`
+	}
+	if err := json.Unmarshal([]byte(out), &v); err != nil || v.Document == nil {
+		return nil, 0, oops.Errorf("show gave no document: %v: %s", err, out)
+	}
+	return v.Document, v.Revision, nil
+}
+
+// Edit changes the document that it reads, as one operator would. It fails if another operator was faster.
+func (f *Fleet) Edit(name string, change func(*document.Document)) error {
+	d, revision, err := f.Read()
+	if err != nil {
+		return err
+	}
+	change(d)
+	b, err := json.Marshal(d)
+	if err != nil {
+		return err
+	}
+	file := filepath.Join(f.Dir, name+".json")
+	if err := os.WriteFile(file, b, 0o600); err != nil {
+		return err
+	}
+	_, err = f.Ctl("apply", "-base", fmt.Sprint(revision), file)
+	return err
+}
+
 // Apply puts a document in force through the operator command.
 func (f *Fleet) Apply(d *document.Document) error {
 	b, err := json.MarshalIndent(d, "", "  ")
