--- a/cmd/shallotlab/main.go
+++ b/cmd/shallotlab/main.go
@@ -1,4 +1,4 @@
-// Command shallotlab runs the runners.
+// Command shallotlab runs the project's runners: the demonstration, the proofs and the benchmarks of the policies.
 package main
 
 import (
@@ -16,6 +16,7 @@
 }{
 	{"demo", demo.Main},
 	{"proof", proof.Main},
+	{"bench", benchCommand},
 }
 
 func main() {
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -15,7 +15,7 @@
 	"github.com/samber/oops"
 
 	"shallotrun/core/clock"
-	"shallotrun/internal/fleet"
+	"shallotrun/internal/procs"
 	"shallotrun/internal/load"
 	"shallotrun/internal/verdict"
 )
@@ -26,7 +26,7 @@
 // Demo is one run. The exported fields are set before Run.
 type Demo struct {
 	Out   io.Writer
-	Fleet *fleet.Fleet
+	Fleet *procs.Fleet
 	Rate  float64 // requests per second
 	Count int
 
@@ -55,7 +55,7 @@
 		fmt.Fprintln(errs, "demo:", err)
 		return 1
 	}
-	d := &Demo{Out: out, Rate: *rate, Count: *count, Fleet: &fleet.Fleet{
+	d := &Demo{Out: out, Rate: *rate, Count: *count, Fleet: &procs.Fleet{
 		Bin: filepath.Dir(self), Net: *net, Dir: dir, Seed: *seed, Entries: 3, Engines: 4, Desks: 1,
 		EngineFlags: []string{"-token", "10ms", "-slots", "16"},
 	}}
@@ -76,11 +76,11 @@
 	f := d.Fleet
 	defer f.Stop()
 	d.say("starting %d failure domains with %d entry VMs, %d engines and %d plain services each",
-		len(fleet.Domains), f.Entries, f.Engines, f.Desks)
+		len(procs.Domains), f.Entries, f.Engines, f.Desks)
 	if err := f.Start(); err != nil {
 		return false, err
 	}
-	if err := f.Apply(fleet.Document()); err != nil {
+	if err := f.Apply(procs.Document()); err != nil {
 		return false, err
 	}
 	if err := f.StartVMs(); err != nil {
@@ -90,7 +90,7 @@
 		return false, err
 	}
 	d.say("all entry VMs are ready; sending %d requests at %g per second", d.Count, d.Rate)
-	l := fleet.Load(f, seed)
+	l := procs.Load(f, seed)
 	l.Rate, l.Count = d.Rate, d.Count
 	failed := make(chan error, 1)
 	go func() { failed <- d.operate() }()
--- a/internal/fleet/fleet.go
+++ b/internal/procs/fleet.go
@@ -1,4 +1,4 @@
-package fleet
+package procs
 
 import (
 	"crypto/rand"
--- a/internal/proof/cases.go
+++ b/internal/proof/cases.go
@@ -8,7 +8,7 @@
 
 	"shallotrun/core/document"
 	"shallotrun/core/work"
-	"shallotrun/internal/fleet"
+	"shallotrun/internal/procs"
 )
 
 // testCase is one fault or combination. do returns when the fault is over.
@@ -118,9 +118,9 @@
 }
 
 // some selects every nth backend server of a kind.
-func some(kind string, nth int) func(*fleet.Backend) bool {
+func some(kind string, nth int) func(*procs.Backend) bool {
 	n := 0
-	return func(b *fleet.Backend) bool {
+	return func(b *procs.Backend) bool {
 		if b.Kind != kind {
 			return false
 		}
--- a/internal/proof/run.go
+++ b/internal/proof/run.go
@@ -14,8 +14,8 @@
 	"shallotrun/core/clock"
 	"shallotrun/core/document"
 	"shallotrun/core/work"
-	"shallotrun/internal/fleet"
 	"shallotrun/internal/load"
+	"shallotrun/internal/procs"
 	"shallotrun/internal/standin/platform"
 	"shallotrun/internal/verdict"
 )
@@ -52,7 +52,7 @@
 		return res
 	}
 	res.dir = dir
-	s := &scene{rand: rand.New(rand.NewPCG(seed, 11)), Fleet: &fleet.Fleet{
+	s := &scene{rand: rand.New(rand.NewPCG(seed, 11)), Fleet: &procs.Fleet{
 		Bin: bin, Net: net, Dir: dir, Seed: seed, Entries: 3, Engines: 2, Desks: 1, Links: true,
 		EngineFlags: []string{"-token", "10ms", "-slots", "24"},
 	}}
@@ -86,14 +86,14 @@
 
 // start returns the document that the cases begin with: the second version takes a part of the work.
 func start() *document.Document {
-	d := fleet.Document()
+	d := procs.Document()
 	d.Models[0].Versions[1].Share = 40
 	return d
 }
 
 // play runs the load, the operators' work and the fault, and compares the records.
 func (s *scene) play(c testCase, seed uint64, res *result) error {
-	l := fleet.Load(s.Fleet, seed)
+	l := procs.Load(s.Fleet, seed)
 	l.Rate, l.Count, l.Stall = loadRate, loadCount, 8*time.Second
 	e := &res.evidence
 	done := make(chan error, 2)
@@ -166,7 +166,7 @@
 		if b.Kind != work.KindEngine || b.Pool != "large" || b.Domain == s.domain {
 			continue
 		}
-		if err := fleet.Fault(b.Control, "leaving", nil, 0); err != nil {
+		if err := procs.Fault(b.Control, "leaving", nil, 0); err != nil {
 			return err
 		}
 		e.Leaves = append(e.Leaves, verdict.Leave{Name: b.Name, At: s.clock.Wall().Add(leaveBound)})
@@ -199,7 +199,7 @@
 func (s *scene) settle(e *verdict.Evidence) error {
 	for end := time.Now().Add(15 * time.Second); time.Now().Before(end); time.Sleep(300 * time.Millisecond) {
 		var items platform.Items
-		if err := fleet.Get(s.PlatformControl(), "/objects/bills", &items); err != nil {
+		if err := procs.Get(s.PlatformControl(), "/objects/bills", &items); err != nil {
 			return err
 		}
 		billed := map[string]bool{}
--- a/internal/proof/scene.go
+++ b/internal/proof/scene.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"shallotrun/core/clock"
-	"shallotrun/internal/fleet"
+	"shallotrun/internal/procs"
 	"shallotrun/internal/verdict"
 )
 
@@ -18,14 +18,14 @@
 
 // scene is one running case. Faults act on it one after the other.
 type scene struct {
-	*fleet.Fleet
+	*procs.Fleet
 	rand  *rand.Rand
 	clock clock.Clock
 
-	victims []*fleet.VM // entry VMs that faults may strike, in random order
+	victims []*procs.VM // entry VMs that faults may strike, in random order
 	domain  string      // failure domain that is cut off
 	lost    []verdict.Lost
-	killed  []*fleet.VM
+	killed  []*procs.VM
 	mu      sync.Mutex
 	until   clock.Time // end of the faults of the network and of frozen VMs
 	weights [2]int     // last accepted weight of each racing operator, 0 for none
@@ -35,7 +35,7 @@
 const raced = 4
 
 // kill ends an entry VM by force and starts it again a second later, as a new incarnation.
-func (s *scene) kill(v *fleet.VM) error {
+func (s *scene) kill(v *procs.VM) error {
 	v.Proc.Signal(syscall.SIGKILL)
 	s.killed = append(s.killed, v)
 	time.Sleep(time.Second)
@@ -43,13 +43,13 @@
 }
 
 // killForGood ends an entry VM by force.
-func (s *scene) killForGood(v *fleet.VM) {
+func (s *scene) killForGood(v *procs.VM) {
 	v.Proc.Signal(syscall.SIGKILL)
 	s.killed = append(s.killed, v)
 }
 
 // both notes that two entry VMs were lost within a few seconds: bills that only these two held are gone.
-func (s *scene) both(vs ...*fleet.VM) {
+func (s *scene) both(vs ...*procs.VM) {
 	now := s.clock.Wall()
 	for _, v := range vs {
 		s.lost = append(s.lost, verdict.Lost{Target: v.Callers, From: now.Add(-5 * clock.Second), To: now.Add(5 * clock.Second)})
@@ -57,7 +57,7 @@
 }
 
 // freeze stops an entry VM for a while, as a paused virtual machine.
-func (s *scene) freeze(v *fleet.VM, d time.Duration) {
+func (s *scene) freeze(v *procs.VM, d time.Duration) {
 	s.holds(d)
 	v.Proc.Signal(syscall.SIGSTOP)
 	time.Sleep(d)
@@ -67,13 +67,13 @@
 // platform puts a fault of the platform in force for d.
 func (s *scene) platform(name string, value any, d time.Duration) error {
 	s.holds(d)
-	return fleet.Fault(s.PlatformControl(), name, value, clock.FromStd(d))
+	return procs.Fault(s.PlatformControl(), name, value, clock.FromStd(d))
 }
 
 // link puts a fault of the relay in force for d.
 func (s *scene) link(name, groups string, d time.Duration) error {
 	s.holds(d)
-	return fleet.Fault(s.LinkControl(), name, groups, clock.FromStd(d))
+	return procs.Fault(s.LinkControl(), name, groups, clock.FromStd(d))
 }
 
 // holds notes that a fault lasts for d from now.
@@ -84,12 +84,12 @@
 }
 
 // backends puts a fault in force for d at the backend servers that pick selects.
-func (s *scene) backends(pick func(*fleet.Backend) bool, name string, value any, d time.Duration) error {
+func (s *scene) backends(pick func(*procs.Backend) bool, name string, value any, d time.Duration) error {
 	for _, b := range s.Backends {
 		if !pick(b) {
 			continue
 		}
-		if err := fleet.Fault(b.Control, name, value, clock.FromStd(d)); err != nil {
+		if err := procs.Fault(b.Control, name, value, clock.FromStd(d)); err != nil {
 			return err
 		}
 	}
@@ -99,7 +99,7 @@
 // between returns the groups of connections between the cut-off domain and the others.
 func (s *scene) between() string {
 	var gs []string
-	for _, d := range fleet.Domains {
+	for _, d := range procs.Domains {
 		if d != s.domain {
 			gs = append(gs, s.domain+"."+d, d+"."+s.domain)
 		}
