conn, peer, platform, entry: connections leave from the VM's own address

Cause: a process that dials over loopback comes from 127.0.0.1, and a VM with several addresses from whichever the system picks. Neither firewalls nor the relay of the proofs can then tell entry VMs apart, so a partition between failure domains can't be made.

Ruled out: addresses that differ by the asking domain in the VM list (entry VMs announce their addresses to each other and get around it); finding the process behind a connection in /proc.

Change: a Source for each part that dials; empty keeps what the system picks.

--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -27,6 +27,7 @@
 	Name   string   // of this VM
 	Domain string   // failure domain of this VM
 	Listen string   // IP:port for callers
+	Source string   // IP address that connections to backend servers leave from, "" for any
 	Keys   [][]byte // for tokens; the first signs, all verify
 	Clock  clock.Clock
 	Log    zerolog.Logger
@@ -103,8 +104,8 @@
 
 func (d *Daemon) init() {
 	d.signer.Keys = d.Keys
-	d.engines = engine.Client{Pool: &conn.Pool{Clock: d.Clock}, Silent: d.Silent}
-	d.plains = plain.Client{Pool: &conn.Pool{Clock: d.Clock, Buffer: caller.HeaderLimit}}
+	d.engines = engine.Client{Pool: &conn.Pool{Clock: d.Clock, Source: d.Source}, Silent: d.Silent}
+	d.plains = plain.Client{Pool: &conn.Pool{Clock: d.Clock, Source: d.Source, Buffer: caller.HeaderLimit}}
 	d.pools = make(map[string]*pool)
 	d.metrics = newMetrics(d.Registry)
 }
--- a/io/conn/pool.go
+++ b/io/conn/pool.go
@@ -34,6 +34,7 @@
 	Connect clock.Span // time to open a connection, 0 means 300 ms
 	Age     clock.Span // oldest use of an idle connection that is used again, 0 means 1 s
 	Idle    int        // idle connections for each address, 0 means 32
+	Source  string     // IP address that connections leave from, "" for any
 	Buffer  int        // size of a read buffer, and so of the largest header, 0 means 4096
 
 	mu   sync.Mutex
@@ -139,7 +140,9 @@
 	if l := p.reuse(addr, now, fresh); l != nil {
 		return l, nil
 	}
-	c, err := net.DialTimeout("tcp", addr, span(p.Connect, 300).Std())
+	d := Dialer(p.Source)
+	d.Timeout = span(p.Connect, 300).Std()
+	c, err := d.Dial("tcp", addr)
 	if err != nil {
 		return nil, err
 	}
--- a/io/peer/transport.go
+++ b/io/peer/transport.go
@@ -13,6 +13,7 @@
 	"github.com/valyala/fasthttp"
 
 	"shallotrun/core/clock"
+	conns "shallotrun/io/conn"
 )
 
 // Path is where a VM serves its peers.
@@ -37,6 +38,7 @@
 // Transport holds the connections of one VM. Set the exported fields before Run.
 type Transport struct {
 	Name    string
+	Source  string     // IP address that connections leave from, "" for any
 	Inc     uint64     // incarnation of this process
 	Keys    [][]byte   // the fleet's key, then the previous one if it is still accepted
 	Beat    clock.Span // time between heartbeats
@@ -250,14 +252,16 @@
 func (t *Transport) dial(ctx context.Context, l *link) error {
 	shaking, cancel := context.WithTimeout(ctx, handshakeTime)
 	defer cancel()
-	ws, res, err := dialer.DialContext(shaking, "ws://"+l.addr+Path, nil)
+	from, ws := conns.Dialer(t.Source), dialer
+	ws.NetDialContext = from.DialContext
+	socket, res, err := ws.DialContext(shaking, "ws://"+l.addr+Path, nil)
 	if err != nil {
 		return oops.Wrapf(err, "dial %s", l.addr)
 	}
 	if res.Body != nil {
 		_ = res.Body.Close()
 	}
-	c, err := t.open(ws, t.greet)
+	c, err := t.open(socket, t.greet)
 	if err != nil {
 		return err
 	}
--- a/io/platform/client.go
+++ b/io/platform/client.go
@@ -16,6 +16,7 @@
 
 	"shallotrun/core/clock"
 	"shallotrun/core/work"
+	"shallotrun/io/conn"
 )
 
 // MaxResponse is the largest response that is read, in bytes: a value of 1 MB with its envelope, or a list.
@@ -24,6 +25,9 @@
 // MaxValue is the largest value that the platform stores, in bytes.
 const MaxValue = 1_000_000
 
+// dialTimeout bounds the opening of a connection; it is also what the library's own dialler takes.
+const dialTimeout = 3 * time.Second
+
 // Object is one object of the platform.
 type Object struct {
 	Kind    string          `json:"kind"`
@@ -43,6 +47,7 @@
 type Client struct {
 	Addr    string     // IP:port
 	Timeout clock.Span // of one call without a wait, 0 means 2 s
+	Source  string     // IP address that connections leave from, "" for any
 	Token   string     // bearer token, "" sends none
 
 	calls atomic.Uint64
@@ -129,7 +134,13 @@
 
 // client returns the shared connection pool for calls without a wait.
 func (c *Client) client() *fasthttp.HostClient {
-	c.once.Do(func() { c.host = c.newHost(nil) })
+	c.once.Do(func() {
+		c.host = c.newHost(func(addr string) (net.Conn, error) {
+			d := conn.Dialer(c.Source)
+			d.Timeout = dialTimeout
+			return d.Dial("tcp", addr)
+		})
+	})
 	return c.host
 }
 
@@ -154,7 +165,7 @@
 	var stops []func() bool
 	var conns []net.Conn
 	host = c.newHost(func(addr string) (net.Conn, error) {
-		var d net.Dialer
+		d := conn.Dialer(c.Source)
 		conn, err := d.DialContext(ctx, "tcp", addr)
 		if err != nil {
 			return nil, err
