--- a/cmd/shallotlab/main.go
+++ b/cmd/shallotlab/main.go
@@ -1,4 +1,4 @@
-// Command shallotlab runs the project's runners: the demonstration and the benchmarks of the policies.
+// Command shallotlab runs the project's runners: the demonstration, the proofs and the benchmarks of the policies.
 package main
 
 import (
@@ -7,6 +7,7 @@
 	"os"
 
 	"shallotrun/internal/demo"
+	"shallotrun/internal/proof"
 )
 
 var commands = []struct {
@@ -14,6 +15,7 @@
 	run  func(args []string, out, errs io.Writer) int
 }{
 	{"demo", demo.Main},
+	{"proof", proof.Main},
 	{"bench", benchCommand},
 }
 
