daemon: ready only with backend servers

Cause: 63 of 3,000 requests of make demo were refused with no-server in the first second: the platform's list lags and was still empty when it was first read, and the VM was ready with it. Ruled out: ejection by placement (the refusals name pools without a live server, at all nine VMs). Change: ready needs at least one known backend server. Conclusion: the balancer sends nothing before the VM can serve.

--- a/internal/daemon/backend.go
+++ b/internal/daemon/backend.go
@@ -19,12 +19,18 @@
 	switch {
 	case b.store.Current() == nil:
 		return false, "no document is in force yet"
+	case !b.listed():
+		return false, "no list of backend servers was read yet"
 	case !b.entry.Ready():
 		return false, "shutting down"
 	}
 	return true, ""
 }
 
+// listed reports whether backend servers are known. The platform's list lags and may still be empty when it is
+// first read; a VM that is ready without a server refuses every request.
+func (b *backend) listed() bool { return len(b.servers.All()) > 0 }
+
 // Current returns the document in force.
 func (b *backend) Current() *document.Snapshot { return b.store.Current() }
 
