--- a/core/flow/command.go
+++ b/core/flow/command.go
@@ -10,6 +10,7 @@
 	Queue struct {
 		Exclude []string // servers that failed this request
 		Abandon string   // server whose generation is to be cancelled without waiting, "" for none
+		Fresh   bool     // what was collected of this stage is void
 	}
 	// Check asks whether the stage's version may get new work: Checked or Refused follows.
 	Check struct{}
--- a/core/flow/doc.go
+++ b/core/flow/doc.go
@@ -10,4 +10,6 @@
 //   - Tokens are delivered in order, each number once, whatever attempts brought them.
 //   - File is returned at most once, and before Finish, Break or Drop.
 //   - Refuse is returned only while nothing was delivered to the caller.
+//   - A refusal says "not run" only if no call was sent, or every server that got one said that it refused.
+//   - A flow ends after finitely many events that bring no new token.
 package flow
--- a/core/flow/event.go
+++ b/core/flow/event.go
@@ -57,8 +57,11 @@
 	Gone struct{}
 	// Cancelled answers Cancel with the number of tokens that the server generated, 0 if it is not known.
 	Cancelled struct{ Tokens int }
-	// Rated answers Rate.
-	Rated struct{ Accept bool }
+	// Rated answers Rate. Next is the stage to go on with if the answer is not accepted.
+	Rated struct {
+		Accept bool
+		Next   int
+	}
 	// Filed answers File. Taken means that another entry VM took the request over.
 	Filed struct{ Taken bool }
 )
--- a/core/flow/flow.go
+++ b/core/flow/flow.go
@@ -18,25 +18,34 @@
 	Retries  int        // retries on other servers
 	Resumes  int        // reconnections in a row without a new token
 
+	// Buffered says that the caller gets nothing before the end, so that an answer may be started again from
+	// nothing on another server.
+	Buffered bool
+
 	// Resumed continues a stream that another entry VM or connection started: Server generated it and the
 	// caller has the tokens up to Last.
 	Resumed bool
 	Server  string
 	Last    int
-	Before  int // attempts that were made before
+	Before  int  // attempts that were made before
+	Restart bool // the request is known well enough to generate it again
 
 	state    state
 	stage    int
 	attempt  int
 	retry    int
 	resumes  int  // reconnections since the last new token
+	fresh    bool // the collected part of the answer is void
 	sent     bool // a call left this VM and the server did not say that it refused
+	open     bool // the current server may have the request
 	heard    bool // the current server said that it knows the request
+	counted  bool // the tokens of the current stage are in the bill
 	began    bool // a token was delivered
 	filed    bool
 	exclude  []string
 	refusal  *work.Refusal // what Refuse or Break will say; nil for Finish
 	dropping bool
+	running  bool // the generation goes on and is to be cancelled after the bill is filed
 	bill     []work.Stage
 }
 
@@ -108,7 +117,7 @@
 func (f *Flow) start() Command {
 	f.began = f.Resumed && f.Last > 0
 	if f.Resumed {
-		f.sent, f.heard = true, true
+		f.sent, f.open, f.heard = true, true, true
 		return f.call()
 	}
 	return f.enqueue()
@@ -116,11 +125,11 @@
 
 func (f *Flow) enqueue() Command {
 	f.state = queued
-	c := Queue{Exclude: f.exclude}
-	if f.Server != "" && f.sent {
+	c := Queue{Exclude: f.exclude, Fresh: f.fresh}
+	if f.open {
 		c.Abandon = f.Server
 	}
-	f.Server, f.heard, f.resumes = "", false, 0
+	f.Server, f.open, f.heard, f.resumes, f.fresh = "", false, false, 0, false
 	return c
 }
 
@@ -166,7 +175,7 @@
 		return f.onToken(e)
 	case Waiting:
 		if e.Attempt == f.Attempt() {
-			f.sent, f.heard = true, true
+			f.sent, f.open, f.heard = true, true, true
 		}
 		if f.late(now) {
 			f.refusal = f.deadline()
@@ -174,7 +183,7 @@
 		}
 	case End:
 		if e.Attempt == f.Attempt() {
-			f.sent, f.heard = true, true
+			f.sent, f.open, f.heard = true, true, true
 			return f.onEnd(e)
 		}
 	case Failed:
@@ -189,7 +198,7 @@
 	if e.Attempt != f.Attempt() {
 		return Read{}
 	}
-	f.sent, f.heard = true, true
+	f.sent, f.open, f.heard = true, true, true
 	if e.N <= f.Last {
 		return Read{}
 	}
@@ -200,7 +209,7 @@
 	if f.stage < len(f.Stages)-1 {
 		return Hold{}
 	}
-	f.began = true
+	f.began = !f.Buffered
 	return Deliver{}
 }
 
@@ -213,7 +222,7 @@
 	case e.Tokens < f.Last: // not the answer that was delivered so far
 		return f.fail(f.lost("the server ended before the tokens that it sent"))
 	}
-	f.add(e.Tokens, e.Prompt)
+	f.count(e.Tokens, e.Prompt)
 	if f.stage < len(f.Stages)-1 {
 		f.state = rating
 		return Rate{}
@@ -224,17 +233,12 @@
 func (f *Flow) onFailed(e Failed) Command {
 	switch e.How {
 	case Silent, Broken:
-		f.sent = true
-		f.resumes++
-		if f.resumes > f.Resumes {
-			return f.lose()
-		}
+		f.sent, f.open = true, true
+		return f.reconnect()
+	case Unsent:
 		if f.heard {
-			return f.call()
+			return f.reconnect()
 		}
-		// The server may not have the request, so this call may start it: check again.
-		f.state = checking
-		return Check{}
 	case Rejected:
 		f.refusal = e.Refusal
 	case Errored:
@@ -243,15 +247,32 @@
 	return f.lose()
 }
 
+// reconnect tries the current server on a new connection.
+func (f *Flow) reconnect() Command {
+	f.resumes++
+	switch {
+	case f.heard && f.resumes <= f.Resumes:
+		return f.call()
+	case !f.heard && f.resumes <= 1:
+		// The server may not have the request, so this call may start it: check again.
+		f.state = checking
+		return Check{}
+	}
+	return f.lose()
+}
+
 // lose gives up the current server. The request goes to another one if nothing was given to the caller, or
 // if every replica gives the same tokens.
 func (f *Flow) lose() Command {
-	if f.Last > 0 && (f.Resumed || !f.Stages[f.stage].Exact) {
+	exact := f.Stages[f.stage].Exact && (!f.Resumed || f.Restart)
+	void := !f.began && (f.Buffered || f.stage < len(f.Stages)-1)
+	if f.Last > 0 && !exact && !void {
 		return f.fail(f.lost("the backend server was lost"))
 	}
-	if f.retry >= f.Retries {
+	if f.Resumed && !exact || f.retry >= f.Retries {
 		return f.fail(f.lost("every attempt failed"))
 	}
+	f.fresh = f.Last > 0 && !exact
 	f.state = spending
 	return Spend{}
 }
@@ -262,6 +283,9 @@
 	}
 	f.refusal = nil
 	f.retry++
+	if f.fresh {
+		f.Last = 0
+	}
 	f.exclude = append(f.exclude, f.Server)
 	f.state = pausing
 	return Pause{Retry: f.retry}
@@ -269,45 +293,45 @@
 
 func (f *Flow) onRated(ev Event) Command {
 	if e, ok := ev.(Rated); ok && !e.Accept {
-		f.stage++
-		f.Last, f.Server, f.sent, f.exclude, f.retry = 0, "", false, nil, 0
+		f.stage = min(max(e.Next, f.stage+1), len(f.Stages)-1)
+		f.Last, f.Server, f.open, f.counted, f.exclude, f.retry = 0, "", false, false, nil, 0
 		f.state = discarding
 		return Discard{}
 	}
-	f.began = true
+	f.began = !f.Buffered
 	f.state = releasing
 	return Release{}
 }
 
-// gone ends the request of a caller that went away: what was generated is billed.
+// gone ends the request of a caller that went away: what was generated is billed, and the generation is
+// cancelled. The bill comes first where the caller may have a resume token: if another entry VM took the
+// request over, its generation must go on.
 func (f *Flow) gone() Command {
 	f.dropping = true
 	switch f.state {
 	case done:
 		return Drop{}
-	case filing:
-		return f.file()
 	case calling, spending, pausing:
-		return f.cancel()
-	case queued, checking:
-		f.add(f.Last, 0)
+		if !f.began { // no resume token left this VM
+			return f.cancel()
+		}
+		f.running = true
+		f.count(f.Last, 0)
+	case queued, checking, cancelling:
+		f.count(f.Last, 0)
 	}
 	return f.file()
 }
 
 func (f *Flow) cancel() Command {
-	if f.Server == "" || !f.sent && f.state != calling {
-		return f.file()
-	}
 	f.state = cancelling
 	return Cancel{Server: f.Server}
 }
 
 func (f *Flow) onCancelled(ev Event) Command {
-	if e, ok := ev.(Cancelled); ok && e.Tokens > f.Last {
-		f.Last = e.Tokens
+	if e, ok := ev.(Cancelled); ok {
+		f.count(max(e.Tokens, f.Last), 0)
 	}
-	f.add(f.Last, 0)
 	return f.file()
 }
 
@@ -319,16 +343,16 @@
 		r = &c
 	}
 	f.refusal = r
-	if f.state != cancelling {
-		f.add(f.Last, 0)
-	}
+	f.count(f.Last, 0)
 	return f.file()
 }
 
-func (f *Flow) add(tokens, prompt int) {
-	if tokens == 0 && prompt == 0 {
+// count puts the tokens of the current stage on the bill, once.
+func (f *Flow) count(tokens, prompt int) {
+	if f.counted || tokens == 0 && prompt == 0 {
 		return
 	}
+	f.counted = true
 	s := f.Stages[f.stage]
 	f.bill = append(f.bill, work.Stage{Model: s.Model, Version: s.Version, Tokens: tokens, Prompt: prompt})
 }
@@ -343,7 +367,11 @@
 
 func (f *Flow) onFiled(ev Event) Command {
 	if e, ok := ev.(Filed); ok && e.Taken {
-		f.dropping = true
+		f.dropping, f.running = true, false
+	}
+	if f.running {
+		f.running = false
+		return f.cancel()
 	}
 	return f.finish()
 }
--- a/core/token/token.go
+++ b/core/token/token.go
@@ -10,7 +10,6 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/samber/oops"
 
-	"shallotrun/core/clock"
 	"shallotrun/core/work"
 )
 
@@ -39,12 +38,13 @@
 	Workspace string
 	Model     string
 	Version   string
-	Server    string     // name of the backend server that generates
-	Addr      string     // its address when the stream started
-	Holder    string     // VM that holds the copy of the bill
-	Attempt   int        // attempt that was current when the token was made
-	Prior     []Stage    // finished stages of a cascade, which belong on the same bill
-	At        clock.Time // start of the request, wall clock
+	Server    string  // name of the backend server that generates
+	Addr      string  // its address when the stream started
+	Holder    string  // VM that holds the copy of the bill
+	Attempt   int     // attempt that was current when the token was made
+	Prior     []Stage // finished stages of a cascade, which belong on the same bill
+	Prompt    uint64  // xxhash of the prompt
+	Limit     int     // largest number of tokens
 }
 
 // Stage is a finished stage of a cascade.
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -15,8 +15,8 @@
 	"github.com/samber/oops"
 
 	"shallotrun/core/clock"
-	"shallotrun/internal/procs"
 	"shallotrun/internal/load"
+	"shallotrun/internal/procs"
 	"shallotrun/internal/verdict"
 )
 
--- a/internal/entry/chat.go
+++ b/internal/entry/chat.go
@@ -3,10 +3,13 @@
 import (
 	"context"
 	"crypto/rand"
-	"hash/maphash"
+	"errors"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/valyala/fasthttp"
 
+	"shallotrun/core/bill"
+	"shallotrun/core/clock"
 	"shallotrun/core/flow"
 	"shallotrun/core/place"
 	"shallotrun/core/queue"
@@ -28,7 +31,7 @@
 	var x *exchange
 	var refusal *work.Refusal
 	if r.head.Last != "" {
-		x, refusal = d.resume(r)
+		x, refusal = d.resume(ctx.PostBody(), r)
 	} else {
 		x, refusal = d.begin(ctx.PostBody(), r)
 	}
@@ -37,10 +40,11 @@
 		return refusal
 	}
 	x.conn = ctx.Conn()
+	d.enter(x)
 	d.metrics.requests.WithLabelValues("chat", r.rank.String()).Inc()
 	x.event = flow.Start{}
 	x.advance()
-	if x.streaming && len(x.out) > 0 {
+	if x.chunks != nil { // a token is ready for the caller
 		x.head(ctx)
 		ctx.SetContentType("text/event-stream")
 		ctx.Response.Header.Set("Cache-Control", "no-store")
@@ -89,13 +93,20 @@
 			x.session.Pins = append(x.session.Pins, token.Pin{Model: t.Model, Version: t.Version})
 		}
 	}
+	if x.cascade = choice.Cascade; x.cascade != nil {
+		x.base = d.beginCascade(x.cascade, x.prompt)
+		choice.Stages = choice.Stages[x.base:]
+	}
 	x.holder = d.Bills.Holder(r.id)
-	x.flow = flow.Flow{Stages: stages(r.table, choice.Stages), Deadline: r.end, Retries: maxRetries, Resumes: maxResumes}
+	x.flow = flow.Flow{
+		Stages: stages(r.table, choice.Stages), Deadline: r.end, Retries: maxRetries, Resumes: maxResumes,
+		Buffered: !x.streaming,
+	}
 	return x, nil
 }
 
 // resume prepares the rest of a stream that this or another entry VM started.
-func (d *Daemon) resume(r *request) (*exchange, *work.Refusal) {
+func (d *Daemon) resume(body []byte, r *request) (*exchange, *work.Refusal) {
 	t, n, err := d.signer.ReadEvent(r.head.Last)
 	if err != nil || t.Workspace != r.space.Name {
 		return nil, &work.Refusal{Code: work.CodeResumeInvalid, Status: 400, Ran: work.Unknown, Detail: "Last-Event-ID is not an event id of this workspace"}
@@ -104,20 +115,58 @@
 		return nil, refusal
 	}
 	r.id = t.Request
-	x := &exchange{d: d, request: r, streaming: true, resumed: t, holder: t.Holder, prior: t.Bill()}
-	if err := d.Bills.Take(context.Background(), t.Request, t.Holder); err != nil {
-		// The bill stays with the VM that started the request; the rest of the answer is served all the same.
-		d.Log.Info().Err(err).Str("request", t.Request).Msg("caller: resumed without taking the bill over")
-		x.unbilled = true
-	}
+	x := &exchange{d: d, request: r, streaming: true, resumed: t, holder: t.Holder, prior: t.Bill(), limit: t.Limit}
 	x.vm = work.VM{Name: t.Server, Addr: t.Addr}
 	x.flow = flow.Flow{
 		Stages:  stages(r.table, []route.Target{{Model: t.Model, Version: t.Version}}),
 		Resumed: true, Server: t.Server, Last: n, Before: t.Attempt, Retries: maxRetries, Resumes: maxResumes,
 	}
+	if chat, refusal := caller.ReadChat(body); refusal == nil && xxhash.Sum64String(chat.Prompt()) == t.Prompt {
+		x.prompt, x.flow.Restart = chat.Prompt(), true
+	}
+	d.takeOver(x)
 	return x, nil
 }
 
+// takeOver makes this exchange the one that bills the request.
+func (d *Daemon) takeOver(x *exchange) {
+	id := x.request.id
+	d.mu.Lock()
+	old := d.live[id]
+	d.mu.Unlock()
+	if old != nil {
+		// The caller came back to the same VM before its old connection was seen to be lost.
+		old.moved.Store(true)
+		_ = old.conn.Close()
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), takeWait.Std())
+	defer cancel()
+	if err := d.Bills.Take(ctx, id, x.holder); err != nil {
+		// The rest of the answer is served all the same. Without an answer of the holder, File decides later.
+		d.Log.Info().Err(err).Str("request", id).Msg("caller: resumed without taking the bill over")
+		x.unbilled = errors.Is(err, bill.ErrFiled)
+	}
+}
+
+// takeWait is the time that a resumed stream waits for the holder of its bill.
+const takeWait = 300 * clock.Millisecond
+
+// enter makes an exchange known, so that a caller that returns to this VM replaces its old one.
+func (d *Daemon) enter(x *exchange) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.live[x.request.id] = x
+}
+
+func (d *Daemon) leave(x *exchange) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.live[x.request.id] == x {
+		delete(d.live, x.request.id)
+	}
+}
+
 // openSession reads the session token or opens a session.
 func (x *exchange) openSession() *work.Refusal {
 	switch text := x.request.head.Session; text {
@@ -190,7 +239,7 @@
 		ask.Session = x.session.ID
 	}
 	if x.prompt != "" {
-		ask.Prefix = maphash.String(prefixSeed, x.prompt[:min(len(x.prompt), prefixBytes)])
+		ask.Prefix = xxhash.Sum64String(x.prompt[:min(len(x.prompt), prefixBytes)])
 	}
 	return it, ask
 }
@@ -200,8 +249,6 @@
 // prefixBytes is the length of the part of a prompt that is taken to decide about a shared prefix.
 const prefixBytes = 256
 
-var prefixSeed = maphash.MakeSeed()
-
 func stages(t *route.Table, in []route.Target) []flow.Stage {
 	var out []flow.Stage
 	for _, v := range in {
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -36,6 +36,8 @@
 	Bills     Bills
 	Claims    Claims
 	Evidence  Evidence // may be nil
+	Cascades  Cascades // nil means every stage in turn until the rating reaches the target
+	Rating    string   // IP:port of the rating service, "" for none
 
 	Registry *prometheus.Registry // may be nil
 	Tracer   trace.Tracer         // may be nil
@@ -55,7 +57,9 @@
 	addr     atomic.Pointer[net.TCPAddr]
 	mu       sync.Mutex
 	pools    map[string]*pool
+	live     map[string]*exchange // by request
 	metrics  *metrics
+	ratings  *ratings
 }
 
 // Run serves until the context ends, then shuts down gracefully: it is not ready any more, accepts nothing
@@ -85,6 +89,7 @@
 	_ = g.Wait()
 	d.engines.Pool.Close()
 	d.plains.Pool.Close()
+	d.ratings.client.Pool.Close()
 	return err
 }
 
@@ -106,6 +111,11 @@
 	d.engines = engine.Client{Pool: &conn.Pool{Clock: d.Clock}, Silent: d.Silent}
 	d.plains = plain.Client{Pool: &conn.Pool{Clock: d.Clock, Buffer: caller.HeaderLimit}}
 	d.pools = make(map[string]*pool)
+	d.live = make(map[string]*exchange)
+	d.ratings = d.newRatings()
+	if d.Cascades == nil {
+		d.Cascades = ladder{}
+	}
 	d.metrics = newMetrics(d.Registry)
 }
 
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -5,8 +5,11 @@
 	"errors"
 	"io"
 	"net"
+	"slices"
+	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/samber/oops"
 
 	"shallotrun/core/clock"
@@ -34,6 +37,8 @@
 	session   *token.Session
 	pinned    bool // the session already had its versions
 	cascade   *document.Cascade
+	base      int         // index of the flow's first stage in the cascade
+	moved     atomic.Bool // another exchange of this VM took the request over
 	resumed   *token.Resume
 	holder    string
 	prior     []work.Stage
@@ -106,6 +111,7 @@
 	}
 	x.hangup()
 	x.letGo()
+	x.d.leave(x)
 	x.d.done()
 	return nil
 }
@@ -188,6 +194,9 @@
 func (x *exchange) enqueue(c flow.Queue) flow.Event {
 	x.hangup()
 	x.letGo()
+	if c.Fresh {
+		x.text, x.hold = nil, nil
+	}
 	if c.Abandon != "" {
 		vm, t := x.vm, x.target()
 		go func() { _, _ = x.d.engines.Cancel(vm.Addr, x.request.id, t.Model, t.Version) }()
@@ -291,9 +300,12 @@
 	t := x.target()
 	r := &token.Resume{
 		Request: x.request.id, Workspace: x.request.space.Name, Model: t.Model, Version: t.Version,
-		Server: x.vm.Name, Addr: x.vm.Addr, Holder: x.holder, Attempt: attempt, At: x.request.arrived,
+		Server: x.vm.Name, Addr: x.vm.Addr, Holder: x.holder, Attempt: attempt, Prompt: xxhash.Sum64String(x.prompt), Limit: x.limit,
+	}
+	if x.resumed != nil {
+		r.Prompt = x.resumed.Prompt
 	}
-	for _, s := range append(x.prior, x.flow.Bill()...) {
+	for _, s := range slices.Concat(x.prior, x.flow.Bill()) {
 		r.Prior = append(r.Prior, token.Stage{Model: s.Model, Version: s.Version, Prompt: s.Prompt, Tokens: s.Tokens})
 	}
 	text, err := x.d.signer.Resume(r)
@@ -324,8 +336,9 @@
 		x.end = x.read
 		x.seen()
 		cancelled := x.read.Reason == "cancelled"
-		x.result(work.Result{Failed: cancelled && x.resumed == nil})
+		x.result(work.Result{})
 		x.hangup()
+		x.letGo()
 		return flow.End{Attempt: n, Tokens: x.end.Tokens, Prompt: x.end.Prompt, Cancelled: cancelled}
 	}
 	return flow.Waiting{Attempt: n}
@@ -411,17 +424,17 @@
 	return flow.Cancelled{Tokens: out.Tokens}
 }
 
-// rate decides whether a held answer is given to the caller.
-func (x *exchange) rate() flow.Event { return flow.Rated{Accept: true} }
-
 // file files the bill.
 func (x *exchange) file() flow.Event {
 	x.letGo()
-	if x.unbilled {
+	switch {
+	case x.moved.Load():
+		return flow.Filed{Taken: true}
+	case x.unbilled:
 		return flow.Filed{}
 	}
 	b := work.Bill{Request: x.request.id, Workspace: x.request.space.Name, At: x.d.Clock.Wall()}
-	b.Stages = append(append(b.Stages, x.prior...), x.flow.Bill()...)
+	b.Stages = slices.Concat(x.prior, x.flow.Bill())
 	if err := x.d.Bills.File(context.Background(), b, x.holder); err != nil {
 		x.d.Log.Info().Err(err).Str("request", x.request.id).Msg("caller: the request was taken over")
 		return flow.Filed{Taken: true}
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -13,6 +13,7 @@
 	refusals *prometheus.CounterVec // code
 	attempts *prometheus.CounterVec // model, version, result
 	tokens   *prometheus.CounterVec // model, version
+	ratings  *prometheus.CounterVec // result
 	resumes  prometheus.Counter
 	retries  prometheus.Counter
 	gone     prometheus.Counter
@@ -35,6 +36,7 @@
 		refusals: counter("shallot_refusals_total", "Requests refused.", "code"),
 		attempts: counter("shallot_attempts_total", "Attempts at backend servers.", "model", "version", "result"),
 		tokens:   counter("shallot_tokens_total", "Tokens of finished attempts.", "model", "version"),
+		ratings:  counter("shallot_ratings_total", "Answers of cascade stages by what their rating led to.", "result"),
 		resumes:  prometheus.NewCounter(prometheus.CounterOpts{Name: "shallot_resumes_total", Help: "Streams resumed on a new connection."}),
 		retries:  prometheus.NewCounter(prometheus.CounterOpts{Name: "shallot_retries_total", Help: "Attempts on another server."}),
 		gone:     prometheus.NewCounter(prometheus.CounterOpts{Name: "shallot_gone_total", Help: "Requests whose caller went away."}),
@@ -43,7 +45,7 @@
 		queued:   span("shallot_queue_seconds", "Time in the queue."),
 	}
 	if r != nil {
-		r.MustRegister(m.requests, m.refusals, m.attempts, m.tokens, m.resumes, m.retries, m.gone, m.open, m.first, m.queued)
+		r.MustRegister(m.requests, m.refusals, m.attempts, m.tokens, m.ratings, m.resumes, m.retries, m.gone, m.open, m.first, m.queued)
 	}
 	return m
 }
--- a/internal/entry/session_test.go
+++ b/internal/entry/session_test.go
@@ -135,3 +135,67 @@
 	assert.Check(t, !rest.done && rest.err != nil, "the first VM must not end the stream normally: %+v", rest)
 	assert.Equal(t, len(f.billed()), 0)
 }
+
+// Guards against a caller that comes back to the same VM while its old connection is still open: the old
+// exchange must neither cancel the generation nor bill it.
+func TestResumeAtTheSameVM(t *testing.T) {
+	f := &fakes{}
+	e := fake(t, slowly)
+	d := start(t, f, []string{e.addr}, nil)
+	first := post(t, d, chatBody("m", true))
+	id := ""
+	s := bufio.NewScanner(first.Body)
+	for s.Scan() && !strings.HasSuffix(id, ".3") {
+		if v, ok := strings.CutPrefix(s.Text(), "id: "); ok {
+			id = v
+		}
+	}
+	second := post(t, d, chatBody("m", true), "Last-Event-ID", id)
+	rest := readEvents(first)
+	assert.Check(t, !rest.done)
+	time.Sleep(200 * time.Millisecond)
+	assert.Equal(t, e.count("POST /v1/cancel")+len(f.billed()), 0)
+	assert.NilError(t, second.Body.Close())
+	waitFor(t, func() bool { return e.count("POST /v1/cancel") == 1 && len(f.billed()) == 1 })
+}
+
+// Guards against a lost entry VM together with a lost replica: an exact version is generated again elsewhere
+// if the caller repeats its request, and any other one ends with a refusal.
+func TestResumeOfLostGeneration(t *testing.T) {
+	for _, c := range []struct{ model, body, text, code string }{
+		{"x", chatBody("x", true), " t4 t5", ""},
+		{"x", "", "", "resume-gone"},
+		{"x", strings.Replace(chatBody("x", true), "hello", "bye", 1), "", "resume-gone"},
+		{"m", chatBody("m", true), "", "resume-gone"},
+	} {
+		f := &fakes{}
+		e := fake(t, func(n int, conn net.Conn, r *http.Request, body map[string]any) {
+			switch {
+			case r.URL.Path == "/v1/generate" && n == 1:
+				open(conn)
+				tokens(conn, 1, 3)
+				_ = conn.Close()
+			case body["attach"] == true:
+				reply(conn, 404, forgotten)
+			default:
+				five(n, conn, r, body)
+			}
+		})
+		f2 := &fakes{}
+		d := start(t, f, []string{e.addr}, nil)
+		d2 := start(t, f2, []string{e.addr}, nil)
+		if c.model == "x" { // the first VM may not restart it either
+			f.change(func(x *document.Document) { x.Models[1].Versions[0].Exact = false })
+		}
+		first := readEvents(post(t, d, chatBody(c.model, true)))
+		assert.Equal(t, first.text, " t1 t2 t3")
+		resp := post(t, d2, c.body, "Last-Event-ID", first.last)
+		if c.code != "" {
+			got, ran := code(t, resp)
+			assert.Check(t, got == c.code && ran == "unknown", got)
+			continue
+		}
+		rest := readEvents(resp)
+		assert.Check(t, rest.done && rest.text == c.text, "%+v", rest)
+	}
+}
--- /dev/null
+++ b/io/rating/client.go
@@ -0,0 +1,63 @@
+package rating
+
+import (
+	"encoding/json"
+	"io"
+
+	"github.com/samber/oops"
+	"github.com/valyala/fasthttp"
+
+	"shallotrun/core/clock"
+	"shallotrun/io/conn"
+)
+
+// Client asks for ratings.
+type Client struct {
+	Addr string // IP:port
+	Pool *conn.Pool
+}
+
+// Question is the body of POST /rate.
+type Question struct {
+	Request string `json:"request"`
+	Model   string `json:"model"`
+	Version string `json:"version"`
+	Prompt  string `json:"prompt"`
+	Answer  string `json:"answer"`
+}
+
+// maxReply is the size limit of a reply in bytes.
+const maxReply = 4 << 10
+
+// Rate returns the rating of an answer in percent. The header and the body of the reply have to arrive within
+// wait each.
+func (c *Client) Rate(q *Question, wait clock.Span) (int, error) {
+	b, err := json.Marshal(q)
+	if err != nil {
+		return 0, oops.Wrapf(err, "rating")
+	}
+	req := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(req)
+	req.SetRequestURI("http://" + c.Addr + "/rate")
+	req.Header.SetMethod(fasthttp.MethodPost)
+	req.Header.SetContentType("application/json")
+	req.SetBodyRaw(b)
+	resp, err := c.Pool.Call(c.Addr, req, conn.Options{Progress: wait})
+	if err != nil {
+		return 0, oops.Wrapf(err, "rating")
+	}
+	var v struct {
+		Rating *int `json:"rating"`
+	}
+	b, err = io.ReadAll(io.LimitReader(resp.Body, maxReply))
+	resp.Close(err == nil)
+	switch {
+	case err != nil:
+		return 0, oops.Wrapf(err, "rating")
+	case resp.Status != fasthttp.StatusOK:
+		return 0, oops.Errorf("rating service answered with status %d", resp.Status)
+	case json.Unmarshal(b, &v) != nil || v.Rating == nil || *v.Rating < 0 || *v.Rating > 100:
+		return 0, oops.Errorf("rating service gave no rating from 0 to 100")
+	}
+	return *v.Rating, nil
+}
