--- a/core/document/document_test.go
+++ b/core/document/document_test.go
@@ -43,6 +43,7 @@
 		{"stale without limit", `"state":"live"`, `"state":"live","stale":"refuse"`, "models[0].versions[0].limit"},
 		{"duplicate version", `{"name":"2"`, `{"name":"1"`, "models[0].versions[1].name"},
 		{"dangling model in pool", `"models":["small"]`, `"models":["large"]`, "pools[0].models[0]"},
+		{"role", `"slots":4`, `"slots":4,"role":"a b"`, "pools[0].role"},
 		{"no slots", `"slots":4`, `"slots":0`, "pools[0].slots"},
 		{"method", `"POST"`, `"post"`, "services[0].calls[0].method"},
 		{"path", `"/find"`, `"find"`, "services[0].calls[0].path"},
--- a/core/document/types.go
+++ b/core/document/types.go
@@ -68,9 +68,10 @@
 // Pool is a group of model engines that serve the same models.
 type Pool struct {
 	Name   string   `json:"name"`
-	Models []string `json:"models"` // model names
-	Fenced bool     `json:"fenced"` // the engines refuse an order with an old fencing number
-	Slots  int      `json:"slots"`  // concurrent requests for each backend server
+	Models []string `json:"models"`         // model names
+	Fenced bool     `json:"fenced"`         // the engines refuse an order with an old fencing number
+	Slots  int      `json:"slots"`          // concurrent requests for each backend server
+	Role   string   `json:"role,omitempty"` // role that the engines are ordered to take, "" orders none
 }
 
 // Service is a plain HTTP service.
--- a/core/document/validate.go
+++ b/core/document/validate.go
@@ -141,6 +141,9 @@
 		c.name(p+".name", x.Name, seen)
 		c.count(p+".models", len(x.Models), 1, MaxModels)
 		c.between(p+".slots", x.Slots, 1, MaxSlots)
+		if x.Role != "" && !ValidName(x.Role) {
+			c.fault(p+".role", "%q, want letters, digits, dots, dashes and underscores", x.Role)
+		}
 		names := map[string]bool{}
 		for j, m := range x.Models {
 			q := at(p+".models", j)
