--- a/io/order/client.go
+++ b/io/order/client.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"net"
 	"sync"
 	"time"
 
@@ -12,12 +13,17 @@
 
 	"shallotrun/core/clock"
 	"shallotrun/core/work"
+	"shallotrun/io/conn"
 )
 
 // Timeout is the deadline of one order. The wait after a takeover of the lease is longer, so that no order
 // of the holder before is still under way at engines that ignore fencing numbers.
 const Timeout = 4 * clock.Second
 
+// dialTimeout bounds the opening of a connection, so that an engine that is gone does not use up the order's
+// time.
+const dialTimeout = time.Second
+
 // maxReply is the largest reply that is read, in bytes.
 const maxReply = 64 << 10
 
@@ -46,6 +52,8 @@
 
 // Client sends orders. Its zero value is ready.
 type Client struct {
+	Source string // IP address that connections leave from, "" for any
+
 	once sync.Once
 	http *fasthttp.Client
 }
@@ -125,6 +133,11 @@
 			MaxIdemponentCallAttempts: 1,
 			RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
 			MaxResponseBodySize:       maxReply,
+			Dial: func(addr string) (net.Conn, error) {
+				d := conn.Dialer(c.Source)
+				d.Timeout = dialTimeout
+				return d.Dial("tcp", addr)
+			},
 			MaxIdleConnDuration:       time.Second, // a connection that fell silent is not used again
 		}
 	})
--- /dev/null
+++ b/io/order/client_test.go
@@ -0,0 +1,92 @@
+package order
+
+import (
+	"bufio"
+	"errors"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"shallotrun/core/clock"
+)
+
+// engine gives one reply on each connection and closes the connection after reading a second request.
+func engine(t *testing.T, status, body string) (addr string, requests *atomic.Int64) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	requests = new(atomic.Int64)
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = conn.Close() }()
+				r := bufio.NewReader(conn)
+				for range 2 {
+					req, err := http.ReadRequest(r)
+					if err != nil {
+						return
+					}
+					_, _ = req.Body.Read(make([]byte, req.ContentLength+1))
+					if requests.Add(1) > 1 {
+						return
+					}
+					_, _ = conn.Write([]byte("HTTP/1.1 " + status + "\r\nContent-Length: " + strconv.Itoa(len(body)) + "\r\n\r\n" + body))
+				}
+			}()
+		}
+	}()
+	return l.Addr().String(), requests
+}
+
+// Guards against an order that the library repeats without asking for the lease, when the engine closes a
+// kept-alive connection after reading the request.
+func TestOrderIsNotRepeated(t *testing.T) {
+	addr, requests := engine(t, "200 OK", `{"done":true}`)
+	c := &Client{}
+	assert.NilError(t, c.Send(addr, Order{ID: "1"}, Timeout))
+	err := c.Send(addr, Order{ID: "2"}, Timeout)
+	assert.Assert(t, err != nil)
+	assert.Equal(t, requests.Load(), int64(2))
+	_, err = c.Report(addr)
+	assert.Assert(t, err != nil)
+	assert.Equal(t, requests.Load(), int64(3))
+}
+
+// Guards against a refusal, a failure and a lost reply that are taken for each other, and against a reply
+// that fills the memory.
+func TestReplies(t *testing.T) {
+	rows := []struct {
+		status, body string
+		check        func(error) bool
+	}{
+		{"200 OK", `{"done":true}`, func(err error) bool { return err == nil }},
+		{"200 OK", `{"done":false,"code":"weights"}`, failed},
+		{"409 Conflict", `{"code":"fence","ran":false}`, func(err error) bool { return errors.Is(err, ErrOutdated) }},
+		{"400 Bad", `{"code":"bad-request"}`, failed},
+		{"500 Oops", `{}`, unknown},
+		{"200 OK", `{"done`, unknown},
+		{"200 OK", `{"done":true,"x":"` + strings.Repeat("x", maxReply) + `"}`, unknown},
+	}
+	for _, r := range rows {
+		addr, _ := engine(t, r.status, r.body)
+		err := new(Client).Send(addr, Order{ID: "1"}, clock.Second)
+		assert.Check(t, r.check(err), "%s %.40s: %v", r.status, r.body, err)
+	}
+}
+
+func failed(err error) bool {
+	var f *Failed
+	return errors.As(err, &f)
+}
+
+func unknown(err error) bool { return err != nil && !failed(err) && !errors.Is(err, ErrOutdated) }
