--- a/internal/verdict/check.go
+++ b/internal/verdict/check.go
@@ -126,14 +126,21 @@
 		}
 	}
 	for _, l := range x.Leaves {
-		for _, e := range slices.Concat(x.Engines, x.Services) {
-			if e.Name == l.Name && e.Kind == "generate" && e.Outcome != "attach" && l.At.Before(e.At) {
+		for _, e := range x.Engines {
+			if e.Name == l.Name && e.Kind == "generate" && e.Outcome != "attach" && l.At.Before(e.At) && !x.late(e, l) {
 				x.add("P8", "%s got request %s %d ms after the bound", l.Name, e.Request, e.At.Sub(l.At))
 			}
 		}
 	}
 }
 
+// late reports whether a call was on its way before the bound: the caller's request had ended by then, so
+// the network held the call back.
+func (x *index) late(e ledger.Entry, l Leave) bool {
+	r, ok := x.prompts[e.Key]
+	return ok && r.At.Add(r.Total).Before(l.At)
+}
+
 // records checks P3, P5 and P6 on what callers were told.
 func (x *index) records() {
 	for _, r := range x.Records {
@@ -241,7 +248,9 @@
 		}
 		for _, r := range x.Records {
 			end := r.At.Add(r.Total)
-			if r.Target == s.Target && r.Outcome == load.Broken && s.From.Before(end) {
+			// An error event with another code than "stopping" tells of a backend server.
+			own := r.Code == "" || r.Code == "stopping"
+			if r.Target == s.Target && r.Outcome == load.Broken && own && s.From.Before(end) {
 				x.add("P9", "request %s at %s broke after %d ms: %s", r.Item, s.Name, r.Total, r.Error)
 			}
 		}
--- a/internal/verdict/verdict_test.go
+++ b/internal/verdict/verdict_test.go
@@ -57,10 +57,15 @@
 		{"", "refused as unknown", func(e *Evidence) { e.Records[1].Outcome, e.Records[1].Ran = load.Refused, "unknown" }},
 		{"P7", "ran twice", func(e *Evidence) { e.Services = append(e.Services, e.Services[0]) }},
 		{"P8", "work for a leaving server", func(e *Evidence) { e.Leaves = []Leave{{"e1", 105}} }},
+		{"", "call held back by the network", func(e *Evidence) { e.Engines[0].At, e.Leaves = 190, []Leave{{"e1", 180}} }},
 		{"P9", "broken by a stop", func(e *Evidence) {
 			e.Records[0].Outcome = load.Broken
 			e.Stops = []Stop{{"x-1", "x", 120, 0}}
 		}},
+		{"", "broken by a backend server", func(e *Evidence) {
+			e.Records[0].Outcome, e.Records[0].Code = load.Broken, "backend-failed"
+			e.Stops = []Stop{{"x-1", "x", 120, 0}}
+		}},
 		{"", "broken before the stop", func(e *Evidence) {
 			e.Records[0].Outcome = load.Broken
 			e.Stops = []Stop{{"x-1", "x", 160, 0}}
