daemon: connections leave from the address that peers know

Cause: Source of the dialling parts was not set, so the relay of the proofs could not tell failure domains apart.

Change: the IP of [peers] addr. An unspecified address leaves the choice to the system.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -75,14 +75,15 @@
 	d.registry = prometheus.NewRegistry()
 	d.registry.MustRegister(collectors.NewGoCollector(),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
-	d.client = &platform.Client{Addr: s.Platform.Addr, Timeout: s.Platform.Timeout, Token: s.Platform.Token}
+	source := source(s.Peers.Addr)
+	d.client = &platform.Client{Addr: s.Platform.Addr, Source: source, Timeout: s.Platform.Timeout, Token: s.Platform.Token}
 	d.store = &config.Store{Clock: d.Clock, Log: d.Log}
 	d.watcher = &config.Watcher{Store: d.store, Client: d.client, Log: d.Log, Wait: s.Platform.Wait}
 	d.watcher.Enable(true)
 	d.servers = &servers.Registry{Clock: d.Clock, Log: d.Log}
 	d.direct = newDirect(s.VM.Name, d.Clock, d.client, d.Log)
 	d.entry = &entry.Daemon{
-		Name: s.VM.Name, Domain: s.VM.Domain, Listen: s.Callers.Addr,
+		Name: s.VM.Name, Domain: s.VM.Domain, Listen: s.Callers.Addr, Source: source,
 		Keys:  append([][]byte{s.Keys.Session}, s.Keys.Old...),
 		Clock: d.Clock, Log: d.Log,
 		Documents: d.store, Servers: d.servers, Bills: d.direct, Claims: d.direct,
@@ -90,6 +91,15 @@
 	}
 }
 
+// source returns the IP address that connections leave from: the one that the other VMs know this VM by.
+func source(peers string) string {
+	host, _, err := net.SplitHostPort(peers)
+	if err != nil {
+		return ""
+	}
+	return host
+}
+
 // background returns the parts that run beside the request path.
 func (d *Daemon) background() []func(context.Context) {
 	poller := &servers.Poller{
