scale: measure the cost of control by fleet size

Cause: docs/CAPACITY.md needs measured slopes, and nothing showed what an entry VM costs as the fleet grows. Change: shallotlab scale runs real entry daemons in ten failure domains and measures processor time, memory, bytes, platform calls and the time until a change is in force; daemon metrics for revision and calls.

--- a/cmd/shallotlab/main.go
+++ b/cmd/shallotlab/main.go
@@ -1,4 +1,4 @@
-// Command shallotlab runs the project's runners: the demonstration, the proofs and the benchmarks of the policies.
+// Command shallotlab runs the project's runners: the demonstration, the proofs, the benchmarks of the policies and the cost of control.
 package main
 
 import (
@@ -8,6 +8,7 @@
 
 	"shallotrun/internal/demo"
 	"shallotrun/internal/proof"
+	"shallotrun/internal/scale"
 )
 
 var commands = []struct {
@@ -17,6 +18,7 @@
 	{"demo", demo.Main},
 	{"proof", proof.Main},
 	{"bench", benchCommand},
+	{"scale", scale.Main},
 }
 
 func main() {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -82,6 +82,7 @@
 	d.watcher.Enable(true)
 	d.servers = &servers.Registry{Clock: d.Clock, Log: d.Log}
 	d.direct = newDirect(s.VM.Name, d.Clock, d.client, d.Log)
+	d.register()
 	d.entry = &entry.Daemon{
 		Name: s.VM.Name, Domain: s.VM.Domain, Listen: s.Callers.Addr, Source: source,
 		Keys:  append([][]byte{s.Keys.Session}, s.Keys.Old...),
--- a/internal/procs/fleet.go
+++ b/internal/procs/fleet.go
@@ -27,10 +27,11 @@
 	Net     string // first two numbers of all addresses, for example 127.0
 	Dir     string // directory for settings and logs
 	Seed    uint64
-	Entries int  // entry VMs in each failure domain
-	Engines int  // engines in each failure domain; the first half serves small, the others large
-	Desks   int  // plain services in each failure domain
-	Links   bool // everything that entry VMs dial leads through the relay
+	Entries int      // entry VMs in each failure domain
+	Engines int      // engines in each failure domain; the first half serves small, the others large
+	Desks   int      // plain services in each failure domain
+	Links   bool     // everything that entry VMs dial leads through the relay
+	Names   []string // of the failure domains, Domains if empty
 
 	// Flags added to those of the stand-ins.
 	EngineFlags, PlatformFlags []string
@@ -223,12 +224,17 @@
 	}
 }
 
-func (f *Fleet) domains() []string { return Domains }
+func (f *Fleet) domains() []string {
+	if len(f.Names) > 0 {
+		return f.Names
+	}
+	return Domains
+}
 
 func (f *Fleet) backend(domain, last int, kind, pool, name string, shift int) {
 	ip := fmt.Sprintf("%s.%d.%d", f.Net, domain+1, last)
 	b := &Backend{
-		Name: name, Domain: Domains[domain], Kind: kind, Pool: pool,
+		Name: name, Domain: f.domains()[domain], Kind: kind, Pool: pool,
 		Addr: at(ip, backendPort), Control: at(ip, controlPort), listen: at(ip, backendPort+shift),
 	}
 	if kind == work.KindEngine {
--- a/internal/procs/proc.go
+++ b/internal/procs/proc.go
@@ -42,6 +42,9 @@
 	return p, nil
 }
 
+// PID is the process id.
+func (p *Proc) PID() int { return p.cmd.Process.Pid }
+
 // Signal sends a signal unless the process has ended.
 func (p *Proc) Signal(s syscall.Signal) {
 	select {
