--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -29,7 +29,7 @@
 type Server struct {
 	Listener net.Listener
 	Handler  fasthttp.RequestHandler
-	Progress clock.Span // time in which a caller must read something, 0 means 10 s
+	Progress clock.Span // time in which a caller must read something, 0 means 10 s; up to a sixteenth more
 	Arrive   clock.Span // time in which a request must arrive whole, 0 means 30 s
 	Idle     clock.Span // time that a connection may stay idle, 0 means 60 s
 	Log      zerolog.Logger
@@ -105,7 +105,8 @@
 type progressConn struct {
 	net.Conn
 	progress time.Duration
-	linger   bool // the rest of a request that was refused early may still arrive
+	until    time.Time // write deadline in force
+	linger   bool      // the rest of a request that was refused early may still arrive
 }
 
 // Bounds on what is read after a request was refused before its end.
@@ -126,8 +127,14 @@
 func (c *progressConn) Write(b []byte) (int, error) {
 	total := 0
 	for {
-		if err := c.SetWriteDeadline(time.Now().Add(c.progress)); err != nil {
-			return total, err
+		// The deadline is moved only when less than the progress time is left, because that costs time for
+		// every token.
+		now := time.Now()
+		if c.until.Sub(now) < c.progress {
+			c.until = now.Add(c.progress + c.progress/16)
+			if err := c.SetWriteDeadline(c.until); err != nil {
+				return total, err
+			}
 		}
 		n, err := c.Conn.Write(b[total:])
 		total += n
--- a/io/conn/pool.go
+++ b/io/conn/pool.go
@@ -42,7 +42,7 @@
 
 // Options bound one call.
 type Options struct {
-	Progress clock.Span // time for each read and write, 0 means 400 ms
+	Progress clock.Span // time for each read and write, 0 means 400 ms; a read gets up to a sixteenth more
 	First    clock.Span // time until the response's header, 0 means Progress
 	Fresh    bool       // use a new connection
 }
@@ -130,6 +130,7 @@
 	addr     string
 	br       *bufio.Reader
 	progress time.Duration
+	until    time.Time // read deadline in force
 	used     clock.Time
 	written  int64 // bytes of the current request
 }
@@ -219,9 +220,16 @@
 // reads is the reading side of a link: each read has its own deadline.
 type reads link
 
+// Read moves the deadline only when less than the progress time is left, and then a little further than that:
+// setting it for every token costs a tenth of the time that a token takes.
 func (l *reads) Read(b []byte) (int, error) {
-	if err := l.conn.SetReadDeadline(time.Now().Add(l.progress)); err != nil {
-		return 0, err
+	now := time.Now()
+	slack := l.progress / 16
+	if left := l.until.Sub(now); left < l.progress || left > l.progress+slack {
+		l.until = now.Add(l.progress + slack)
+		if err := l.conn.SetReadDeadline(l.until); err != nil {
+			return 0, err
+		}
 	}
 	return l.conn.Read(b)
 }
--- a/io/engine/stream.go
+++ b/io/engine/stream.go
@@ -136,6 +136,10 @@
 }
 
 func (s *Stream) parse(ev *Event, kind string) error {
+	if text, ok := plainToken(s.data); ok && kind == "" && ev.N > 0 {
+		ev.Kind, ev.Text = Token, append(ev.Text, text...)
+		return nil
+	}
 	var v struct {
 		Text   json.RawMessage `json:"text"`
 		Tokens int             `json:"tokens"`
@@ -160,4 +164,19 @@
 	return nil
 }
 
+// plainToken returns the text of {"text":"..."} as a JSON string if it has nothing that needs decoding, which
+// holds for nearly all tokens and takes a tenth of the time of a JSON decoder.
+func plainToken(b []byte) ([]byte, bool) {
+	const head, tail = `{"text":"`, `"}`
+	if len(b) < len(head)+len(tail) || string(b[:len(head)]) != head || string(b[len(b)-len(tail):]) != tail {
+		return nil, false
+	}
+	for _, c := range b[len(head) : len(b)-len(tail)] {
+		if c < ' ' || c > '~' || c == '"' || c == '\\' {
+			return nil, false
+		}
+	}
+	return b[len(head)-1 : len(b)-1], true
+}
+
 func itoa(n int64) string { return strconv.FormatInt(n, 10) }
