--- a/io/order/client.go
+++ b/io/order/client.go
@@ -138,7 +138,7 @@
 				d.Timeout = dialTimeout
 				return d.Dial("tcp", addr)
 			},
-			MaxIdleConnDuration:       time.Second, // a connection that fell silent is not used again
+			MaxIdleConnDuration: time.Second, // a connection that fell silent is not used again
 		}
 	})
 	return c.http
