--- a/internal/command/command_test.go
+++ b/internal/command/command_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"flag"
 	"fmt"
 	"io"
 	"net/http"
@@ -146,3 +147,33 @@
 		}
 	}
 }
+
+// Guards against a page whose commands or exit codes differ from the program.
+func TestPage(t *testing.T) {
+	raw, err := os.ReadFile(filepath.Join("..", "..", "docs", "operators.md"))
+	assert.NilError(t, err)
+	page := string(raw)
+	for code, name := range names {
+		assert.Check(t, strings.Contains(page, fmt.Sprintf("| %d | `%s` |", code, name)), "exit code %d", code)
+		assert.Check(t, strings.Contains(usage, fmt.Sprint(code)), "exit code %d in the usage", code)
+	}
+	_, table, _ := strings.Cut(page, "| command | what it does |")
+	table, _, _ = strings.Cut(table, "\n\n")
+	n := 0
+	for l := range strings.Lines(table) {
+		if cell, _, ok := strings.Cut(strings.TrimPrefix(l, "| `"), "` |"); ok && strings.HasPrefix(l, "| `") {
+			n++
+			assert.Check(t, strings.Contains(usage, "\n  "+cell+" "), "%s is not in the usage", cell)
+		}
+	}
+	assert.Equal(t, n, 8)
+	var out bytes.Buffer
+	c := &Command{Env: func(string) string { return "" }, Out: &out, Errors: &out}
+	c.flags().VisitAll(func(f *flag.Flag) {
+		switch f.Name {
+		case "timeout", "note", "promote":
+			return // described in the text of the examples
+		}
+		assert.Check(t, strings.Contains(page, "`-"+f.Name+"`"), "flag -%s", f.Name)
+	})
+}
--- a/internal/settings/keys.go
+++ b/internal/settings/keys.go
@@ -10,6 +10,18 @@
 	set      func(*Settings, string) error
 }
 
+// Row returns the key's row of the table in docs/settings.md.
+func (k Key) Row() string {
+	value := "none"
+	switch {
+	case k.Required:
+		value = "required"
+	case k.Default != "":
+		value = "`" + k.Default + "`"
+	}
+	return "| `" + k.Name + "` | " + value + " | " + k.Help + " |"
+}
+
 // Reference lists every key in the order of docs/settings.md, which a test compares with it.
 var Reference = []Key{
 	{"vm", "name", true, "", "name of this VM, as in the platform's list",
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"errors"
+	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 
@@ -74,3 +76,34 @@
 	assert.Assert(t, errors.As(err, &faults))
 	assert.Equal(t, len(faults), 4, "%v", err) // every fault at once
 }
+
+// Guards against a page that differs from the code: a key that is missing there, one that no longer exists,
+// another default, or an example that does not load.
+func TestPage(t *testing.T) {
+	raw, err := os.ReadFile(filepath.Join("..", "..", "docs", "settings.md"))
+	assert.NilError(t, err)
+	page, example, _ := strings.Cut(string(raw), "```ini\n")
+	example, _, _ = strings.Cut(example, "```")
+	section := ""
+	var got, want []string
+	for l := range strings.Lines(page) {
+		l = strings.TrimSpace(l)
+		if s, ok := strings.CutPrefix(l, "## ["); ok {
+			section = strings.TrimSuffix(s, "]")
+		}
+		if strings.HasPrefix(l, "| `") {
+			got = append(got, section+" "+l)
+		}
+	}
+	for _, k := range Reference {
+		want = append(want, k.Section+" "+k.Row())
+	}
+	assert.DeepEqual(t, got, want)
+	_, err = Parse("example", []byte(example), func(k string) (string, bool) {
+		if k == "SHALLOT_VIEWERS" {
+			return "vid:" + hex32, true
+		}
+		return hex32, true
+	})
+	assert.NilError(t, err)
+}
