control: halted canaries are withdrawn in the document

Cause: a halt lives in the memory of the entry VMs; a fleet that restarts would forget it.

Change: lease holders withdraw a halted canary in one conditional update, when the document that they read is the one in force on them, so a roll-out that an operator started again is left alone. A halted live version is left to the operators.

Conclusion: go test -race ./internal/control passes against the stand-in of the platform.

--- /dev/null
+++ b/internal/control/recorder_test.go
@@ -0,0 +1,84 @@
+package control
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"testing"
+
+	"github.com/valyala/fasthttp"
+	"gotest.tools/v3/assert"
+
+	"shallotrun/core/document"
+	"shallotrun/internal/config"
+	"shallotrun/internal/standin/ledger"
+	standin "shallotrun/internal/standin/platform"
+	"shallotrun/io/platform"
+)
+
+// Guards against a halt that never reaches the document, one that every VM writes, and a halt from before
+// an operator's restart of the roll-out that withdraws the version again.
+func TestRecorder(t *testing.T) {
+	p := &standin.Platform{Ledger: &ledger.Ledger{}}
+	p.Init()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	s := &fasthttp.Server{Handler: p.Handler}
+	go func() { _ = s.Serve(l) }()
+	defer func() { _ = s.Shutdown() }()
+	ctx := context.Background()
+	client := &platform.Client{Addr: l.Addr().String()}
+	w := &config.Writer{Client: client}
+	d := &document.Document{Author: "ana", Domains: []string{"loka-a"}, Models: []document.Model{{
+		Name: "m", Versions: []document.Version{{Name: "1", State: document.Live}, {Name: "2", State: document.Canary, Share: 5}}}}}
+	_, err = w.Replace(ctx, document.Snapshot{}, d)
+	assert.NilError(t, err)
+
+	holds := false
+	r := &Recorder{Name: "entry-1", Holds: func() bool { return holds }, Store: &config.Store{}, Writer: w}
+	record := func() document.Snapshot {
+		t.Helper()
+		assert.NilError(t, r.Record(ctx))
+		now, err := w.Read(ctx)
+		assert.NilError(t, err)
+		return now
+	}
+	load := func() {
+		now, err := w.Read(ctx)
+		assert.NilError(t, err)
+		raw, err := json.Marshal(now.Document)
+		assert.NilError(t, err)
+		_, err = r.Store.Offer(raw, now.Revision)
+		assert.NilError(t, err)
+	}
+	load()
+	r.Store.Halt("m", "2", "errors \x1b")
+	r.Store.Halt("m", "1", "errors")
+	assert.Equal(t, record().Revision, uint64(1), "another VM holds the lease")
+
+	holds = true
+	for _, edit := range []func(d *document.Document) error{
+		func(d *document.Document) error { return d.Withdraw("m", "2", "") },
+		func(d *document.Document) error { return d.Rollout("m", "2", 7) },
+	} {
+		_, err = w.Edit(ctx, "ana", "", edit)
+		assert.NilError(t, err)
+	}
+	assert.Equal(t, record().Revision, uint64(3), "a newer document is not in force here yet")
+	_, err = w.Edit(ctx, "ana", "", func(d *document.Document) error { return d.Withdraw("m", "2", "") })
+	assert.NilError(t, err)
+	load()
+	_, err = w.Edit(ctx, "ana", "", func(d *document.Document) error { return d.Rollout("m", "2", 9) })
+	assert.NilError(t, err)
+	load()
+	assert.Equal(t, record().Revision, uint64(5), "the operator started the roll-out again")
+
+	r.Store.Halt("m", "2", "errors again")
+	now := record()
+	assert.Equal(t, now.Revision, uint64(6))
+	assert.Equal(t, now.Document.Version("m", "2").State, document.Withdrawn)
+	assert.Equal(t, now.Document.Version("m", "1").State, document.Live, "a live version is left to the operators")
+	assert.Equal(t, now.Document.Author, "shallotd entry-1")
+	load()
+	assert.Equal(t, record().Revision, uint64(6))
+}
