servers: lists are ordered by the monotonic clock, and lagging reports lift nothing

Cause: after a step back of the wall clock every new list would count as older, and leaving servers would get work for as long as the step. A load report taken before a refusal, or from an engine whose clock is ahead, lifted the refusal.

Change: lists are ordered by Clock.Now at the request, and given to peers with their age. A report lifts a refusal only if it was taken 2 s after it.

Conclusion: go test -race ./internal/servers passes, with rows for both.

--- a/internal/servers/poller.go
+++ b/internal/servers/poller.go
@@ -20,8 +20,8 @@
 	Registry *Registry
 	Client   *platform.Client
 	Log      zerolog.Logger
-	Every    clock.Span // between two polls, 0 means 1 s
-	Contact  func()     // called after each response of the platform; nil calls nothing
+	Every    clock.Span             // between two polls, 0 means 1 s
+	Contact  func(asked clock.Time) // called after each response of the platform; nil calls nothing
 }
 
 // Run polls until ctx ends, with jitter so that VMs started together spread over the interval.
@@ -46,14 +46,14 @@
 
 // Poll reads the list once.
 func (p *Poller) Poll(ctx context.Context) error {
-	at := p.Registry.Clock.Wall()
+	at := p.Registry.Clock.Now()
 	list, err := p.Client.VMs(ctx)
 	if err != nil {
 		p.Log.Debug().Err(err).Msg("servers: the platform gave no list of VMs, the last one stays")
 		return err
 	}
 	if p.Contact != nil {
-		p.Contact()
+		p.Contact(at)
 	}
 	p.Registry.List(list, at)
 	return nil
--- a/internal/servers/registry.go
+++ b/internal/servers/registry.go
@@ -15,6 +15,9 @@
 	// markLife is the time after which a refusal by a server that sends no load reports no longer counts.
 	// Plain services send none; a server that still leaves then refuses one more request, which is not run.
 	markLife = 60 * clock.Second
+	// reportLag is how much later than a refusal a load report must have been taken to lift it. It covers
+	// the lag of reports and the difference between the engine's wall clock and this VM's.
+	reportLag = 2 * clock.Second
 	// peerLife is the time for which the last word of a peer counts. Peers repeat their marks with every
 	// change and every few heartbeats; a peer that is gone must not keep a server out for good.
 	peerLife = 30 * clock.Second
@@ -29,7 +32,7 @@
 	view atomic.Pointer[view]
 
 	mu     sync.Mutex
-	listed clock.Time // when the list was taken, wall clock
+	listed clock.Time // when the list was asked for, by Clock.Now
 	list   []work.VM
 	own    map[string]own
 	peers  map[string]peer
@@ -87,8 +90,9 @@
 	return nil
 }
 
-// List replaces the platform's list. at is when it was taken, wall clock; a list older than the one held
-// is ignored, so a list that a peer passes on cannot undo a newer one. It reports whether it was taken.
+// List replaces the platform's list. at is when it was asked for, by Clock.Now; a list older than the one
+// held is ignored, so a list that a peer passes on with its age cannot undo a newer one. The wall clock is
+// not used, because a step back would freeze the list. It reports whether the list was taken.
 func (r *Registry) List(list []work.VM, at clock.Time) bool {
 	r.mu.Lock()
 	if r.list != nil && at <= r.listed {
@@ -101,11 +105,12 @@
 	return true
 }
 
-// Listed returns the list as it was taken and when, for a peer that boots while the platform is down.
-func (r *Registry) Listed() ([]work.VM, clock.Time) {
+// Listed returns the list as the platform gave it and its age, for a peer that boots while the platform is
+// down. The list is nil before the first one.
+func (r *Registry) Listed() ([]work.VM, clock.Span) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.list, r.listed
+	return r.list, r.Clock.Now().Sub(r.listed)
 }
 
 // MarkLeaving records that a backend server refused work because it is leaving.
@@ -115,8 +120,8 @@
 	r.rebuild()
 }
 
-// Report takes the load report of a backend server. A report from before the server's own refusal does not
-// lift the mark, because reports lag.
+// Report takes the load report of a backend server. A report from before the server's own refusal, or
+// shortly after it, does not lift the mark, because reports lag.
 func (r *Registry) Report(name string, l work.Load) {
 	now := r.Clock.Now()
 	// Reports carry the wall clock of the engine, and this VM judges by its own: the age is taken from the
@@ -125,10 +130,14 @@
 	heard := own{leaving: l.Leaving, report: true, at: now.Add(-age)}
 	r.mu.Lock()
 	old, ok := r.own[name]
-	if ok && heard.at < old.at && !(heard.leaving && !old.leaving) {
+	lifts := ok && old.leaving && !heard.leaving
+	if lifts && heard.at < old.at.Add(reportLag) || ok && !lifts && !heard.leaving && heard.at < old.at {
 		r.mu.Unlock()
 		return
 	}
+	if ok && old.leaving && heard.leaving {
+		heard.at = max(heard.at, old.at)
+	}
 	r.hear(name, heard)
 	if ok && old.leaving == heard.leaving {
 		r.mu.Unlock()
--- a/internal/servers/servers_test.go
+++ b/internal/servers/servers_test.go
@@ -44,10 +44,20 @@
 			r.MarkLeaving("e1")
 			r.Report("e1", work.Load{At: 900})
 		}, false},
+		{"a report that lags", "engine", func(r *Registry) {
+			r.MarkLeaving("e1")
+			r.Clock.Advance(3000)
+			r.Report("e1", work.Load{At: 2500})
+		}, false},
+		{"a report of an engine whose clock is ahead", "engine", func(r *Registry) {
+			r.MarkLeaving("e1")
+			r.Clock.Advance(500)
+			r.Report("e1", work.Load{At: 90_000})
+		}, false},
 		{"a later report lifts the refusal", "engine", func(r *Registry) {
 			r.MarkLeaving("e1")
-			r.Clock.Advance(1000)
-			r.Report("e1", work.Load{At: 1500})
+			r.Clock.Advance(4000)
+			r.Report("e1", work.Load{At: 3500})
 		}, true},
 		{"the list does not lift the refusal", "engine", func(r *Registry) {
 			r.MarkLeaving("e1")
@@ -107,7 +117,7 @@
 	}))
 	defer s.Close()
 	contacts := 0
-	p := &Poller{Registry: &Registry{}, Contact: func() { contacts++ },
+	p := &Poller{Registry: &Registry{}, Contact: func(clock.Time) { contacts++ },
 		Client: &platform.Client{Addr: strings.TrimPrefix(s.URL, "http://")}}
 	assert.NilError(t, p.Poll(context.Background()))
 	down = true
