config: only answers to questions asked after a pause end the wait

Cause: messages wait in sockets while a process is paused. The first one read afterwards may be older than a withdrawal, and counted as the current revision and as contact with the platform.

Change: Heard only raises the known revision; Confirm and Contact take the time of the question. The watcher asks the platform once after each pause, whether or not it watches.

Conclusion: go test -race ./internal/config passes, with rows for old messages and old answers.

--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -57,14 +57,20 @@
 		{"short gap", 2 * clock.Second, func(*Store) {}, 0, true},
 		{"nobody answered yet", 3 * clock.Second, func(*Store) {}, 900, false},
 		{"nobody reachable", 3 * clock.Second, func(*Store) {}, 1000, true},
-		{"peer has the same", 3 * clock.Second, func(s *Store) { s.Heard(7) }, 0, true},
+		{"a message that waited in a socket", 3 * clock.Second, func(s *Store) { s.Heard(7) }, 0, false},
+		{"the same document offered again", 3 * clock.Second, func(s *Store) { _, _ = s.Offer(nil, 7) }, 0, false},
+		{"answer to a question from before", 3 * clock.Second, func(s *Store) { s.Confirm(7, 1500) }, 0, false},
+		{"answer to a question", 3 * clock.Second, func(s *Store) { s.Confirm(7, s.Clock.Now()) }, 0, true},
 		{"peer has a newer one", 3 * clock.Second, func(s *Store) { s.Heard(8) }, 2000, false},
+		{"newer one, nobody was asked", 3 * clock.Second, func(s *Store) {
+			_, _ = s.Offer([]byte(doc("bor", "withdrawn", 0)), 8)
+		}, 0, false},
 		{"newer one arrived", 3 * clock.Second, func(s *Store) {
-			s.Heard(8)
+			s.Confirm(8, s.Clock.Now())
 			_, _ = s.Offer([]byte(doc("bor", "withdrawn", 0)), 8)
 		}, 0, true},
 		{"newer one is not valid", 3 * clock.Second, func(s *Store) {
-			s.Heard(8)
+			s.Confirm(8, s.Clock.Now())
 			_, _ = s.Offer([]byte(`{}`), 8)
 		}, 0, true},
 		{"newer one never arrives", 3 * clock.Second, func(s *Store) { s.Heard(8) }, 8000, true},
@@ -92,9 +98,11 @@
 	s := store()
 	assert.Equal(t, s.Silent(), clock.Span(0))
 	s.Clock.Advance(500)
-	s.Contact()
+	s.Contact(1500)
 	s.Clock.Advance(5000)
 	assert.Equal(t, s.Silent(), clock.Span(5000))
+	s.Contact(1600) // asked before the pause that the 5 s are, answered after it
+	assert.Equal(t, s.Silent(), clock.Span(5000))
 	// The wall clock ran 60 s further than the monotonic one while the VM was suspended.
 	p := pause{started: true, now: 1000, wall: 1000, contact: 1000}
 	c := clock.Clock{}
--- a/internal/config/fresh.go
+++ b/internal/config/fresh.go
@@ -28,12 +28,14 @@
 	started bool
 	now     clock.Time // last tick, monotonic
 	wall    clock.Time // last tick, wall clock
-	resumed clock.Time // end of the last pause, 0 when no refresh is due
+	resumed clock.Time // end of the last pause
+	stale   bool       // nothing has shown since the pause that the document is current
+	answer  bool       // somebody answered a question asked since the pause
 	handled uint64     // highest revision that was put in force or refused
 	known   uint64     // highest revision heard of
-	asked   bool       // somebody reported a revision since the pause
-	contact clock.Time // the platform's last response, monotonic
-	lost    clock.Span // time that passed on the wall clock only
+	contact clock.Time // when the last question was asked that the platform answered, monotonic
+	lost    clock.Span // time since then that passed on the wall clock only
+	hooks   []func()   // called after a pause
 }
 
 // Run ticks until ctx ends.
@@ -55,9 +57,15 @@
 func (s *Store) Tick() {
 	s.pause.mu.Lock()
 	defer s.pause.mu.Unlock()
-	if s.pause.step(s.Clock) {
-		s.Log.Warn().Msg("config: the process was paused, new work waits for a current document")
-	}
+	s.step()
+}
+
+// OnPause calls f, on a goroutine of its own, after each pause of the process. Sources use it to ask for
+// the newest revision.
+func (s *Store) OnPause(f func()) {
+	s.pause.mu.Lock()
+	defer s.pause.mu.Unlock()
+	s.pause.hooks = append(s.pause.hooks, f)
 }
 
 // Fresh reports whether new work may be dispatched: false before the first document, and after a pause of
@@ -70,47 +78,79 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	// A request may be read before the ticker fires after a pause, so the pause is looked for here too.
-	p.step(s.Clock)
-	if p.resumed == 0 {
+	s.step()
+	if !p.stale {
 		return true
 	}
 	since := p.now.Sub(p.resumed)
 	switch {
-	case p.asked && p.handled >= p.known:
-	case !p.asked && since >= refreshLimit:
-	case since >= arriveLimit:
-	default:
+	case p.handled < p.known && since < arriveLimit:
+		return false
+	case !p.answer && since < refreshLimit:
 		return false
 	}
-	p.resumed = 0
+	p.stale = false
 	return true
 }
 
-// Heard records that a peer or the platform reported this revision as its newest.
+// Heard records that a peer or the platform has this revision. It does not end the wait after a pause: the
+// message may have waited in a socket since before a newer document.
 func (s *Store) Heard(revision uint64) {
 	s.pause.mu.Lock()
 	defer s.pause.mu.Unlock()
-	s.pause.step(s.Clock)
+	s.step()
 	s.pause.known = max(s.pause.known, revision)
-	s.pause.asked = true
 }
 
-// Contact records that the platform answered this VM.
-func (s *Store) Contact() {
+// Confirm records that a peer or the platform reported this revision as its newest in answer to a question
+// that this VM asked at the time asked, by Clock.Now.
+func (s *Store) Confirm(revision uint64, asked clock.Time) {
 	s.pause.mu.Lock()
 	defer s.pause.mu.Unlock()
-	s.pause.step(s.Clock)
-	s.pause.contact, s.pause.lost = s.pause.now, 0
+	s.step()
+	s.pause.known = max(s.pause.known, revision)
+	s.pause.answer = s.pause.answer || asked >= s.pause.resumed
+}
+
+// Contact records that the platform answered a question that this VM asked at the time asked, by Clock.Now.
+// An answer to a question from before a pause says nothing about the time since.
+func (s *Store) Contact(asked clock.Time) {
+	s.pause.mu.Lock()
+	defer s.pause.mu.Unlock()
+	s.step()
+	if asked >= s.pause.resumed && asked >= s.pause.contact {
+		s.pause.contact, s.pause.lost = asked, 0
+	}
 }
 
 // Silent returns the time since the platform last answered, or since the start.
 func (s *Store) Silent() clock.Span {
 	s.pause.mu.Lock()
 	defer s.pause.mu.Unlock()
-	s.pause.step(s.Clock)
+	s.step()
 	return s.pause.now.Sub(s.pause.contact) + s.pause.lost
 }
 
+// step advances the tick. The caller holds the lock of pause.
+func (s *Store) step() {
+	if !s.pause.step(s.Clock) {
+		return
+	}
+	s.Log.Warn().Msg("config: the process was paused, new work waits for a current document")
+	for _, f := range s.pause.hooks {
+		go f()
+	}
+}
+
+// handle records a revision that was put in force or refused.
+func (s *Store) handle(revision uint64) {
+	s.pause.mu.Lock()
+	defer s.pause.mu.Unlock()
+	s.step()
+	s.pause.handled = max(s.pause.handled, revision)
+	s.pause.known = max(s.pause.known, revision)
+}
+
 // step advances the tick and reports whether a pause ended. The wall clock is compared too, because a
 // monotonic reading may stand still while the VM is suspended; a wall clock that steps back is ignored.
 func (p *pause) step(c clock.Clock) bool {
@@ -127,15 +167,6 @@
 	if max(gap, wallGap) <= pauseLimit {
 		return false
 	}
-	p.resumed, p.asked = now, false
+	p.resumed, p.stale, p.answer = now, true, false
 	return true
 }
-
-func (p *pause) heard(c clock.Clock, revision uint64) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.step(c)
-	p.handled = max(p.handled, revision)
-	p.known = max(p.known, revision)
-	p.asked = true
-}
--- a/internal/config/store.go
+++ b/internal/config/store.go
@@ -72,7 +72,7 @@
 	if old != nil {
 		s.halts.accept(old.snapshot.Document, d, revision)
 	}
-	s.pause.heard(s.Clock, revision)
+	s.handle(revision)
 	s.Log.Info().Uint64("revision", revision).Str("author", d.Author).Msg("config: document in force")
 	for _, f := range s.watchers {
 		f(&h.snapshot)
@@ -132,6 +132,6 @@
 		return
 	}
 	s.refused = Refused{Revision: revision, Reason: err.Error(), At: s.Clock.Wall()}
-	s.pause.heard(s.Clock, revision)
+	s.handle(revision)
 	s.Log.Error().Uint64("revision", revision).Err(err).Msg("config: document refused, the last valid one stays in force")
 }
--- a/internal/config/watcher.go
+++ b/internal/config/watcher.go
@@ -54,6 +54,11 @@
 
 // Run reads and watches until ctx ends.
 func (w *Watcher) Run(ctx context.Context) {
+	w.Store.OnPause(func() {
+		if err := w.Refresh(ctx); err != nil {
+			w.Log.Debug().Err(err).Msg("config: the platform gave no document after a pause")
+		}
+	})
 	back := minBackoff
 	since := uint64(0)
 	for ctx.Err() == nil {
@@ -85,7 +90,7 @@
 	}
 }
 
-// Refresh reads the document once. The daemon calls it after a pause.
+// Refresh reads the document once, whether or not the watcher is enabled.
 func (w *Watcher) Refresh(ctx context.Context) error {
 	_, err := w.read(ctx)
 	return err
@@ -110,11 +115,12 @@
 		case <-ctx.Done():
 		}
 	}()
+	asked := w.Store.Clock.Now()
 	l, err := w.Client.Watch(ctx, Kind, since, wait)
 	if err != nil {
 		return 0, err
 	}
-	w.Store.Contact()
+	w.Store.Contact(asked)
 	for _, o := range l.Items {
 		// A deleted document is an operator's mistake that must not stop the service: the last one stays.
 		if o.Name == Name && !o.Deleted {
@@ -126,16 +132,18 @@
 }
 
 func (w *Watcher) read(ctx context.Context) (uint64, error) {
+	asked := w.Store.Clock.Now()
 	o, err := w.Client.Get(ctx, Kind, Name)
 	if errors.Is(err, platform.ErrNotFound) {
-		w.Store.Contact()
+		w.Store.Contact(asked)
 		return 0, nil
 	}
 	if err != nil {
 		return 0, err
 	}
-	w.Store.Contact()
+	w.Store.Contact(asked)
 	w.offer(o)
+	w.Store.Confirm(o.Version, asked)
 	return o.Version, nil
 }
 
