shallotctl, operator: a broken document can be replaced

Cause: apply and the console read the stored document first and gave up when it was not valid, so only a direct write to the platform could repair it.

Change: reading returns the revision with the faults, and apply and the page Document replace that revision.

--- a/internal/command/change.go
+++ b/internal/command/change.go
@@ -8,6 +8,7 @@
 	"strconv"
 
 	"shallotrun/core/document"
+	"shallotrun/internal/config"
 	"shallotrun/io/platform"
 )
 
@@ -69,7 +70,10 @@
 		mine.Note = c.note
 	}
 	base, err := c.writer.Read(ctx)
-	if err != nil {
+	var invalid *config.Invalid
+	if errors.As(err, &invalid) {
+		_, _ = fmt.Fprintf(c.Errors, "shallotctl: replacing: %v\n", err)
+	} else if err != nil {
 		return wrap(err, "reading the document; nothing was changed")
 	}
 	revision, err := uint64(0), c.moved(base, mine)
--- a/internal/config/writer.go
+++ b/internal/config/writer.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"github.com/samber/oops"
@@ -17,12 +18,27 @@
 // change took effect is not known.
 type Unsettled struct{ Cause error }
 
+// Invalid is returned by Read when the platform holds a document that is not valid. The snapshot returned with
+// it has the revision and no document, and may be the base of a Replace that repairs it.
+type Invalid struct {
+	Revision uint64
+	Cause    error
+}
+
 // Writer changes the document in the platform.
 type Writer struct {
 	Client *platform.Client
 	Tries  int // attempts of Edit and of reading back, 0 means 6
 }
 
+// Error names the revision and every fault.
+func (i *Invalid) Error() string {
+	return fmt.Sprintf("the document in the platform, revision %d, is not valid: %v", i.Revision, i.Cause)
+}
+
+// Unwrap returns the faults.
+func (i *Invalid) Unwrap() error { return i.Cause }
+
 // Error names the cause.
 func (u *Unsettled) Error() string {
 	return "a response was lost and the document cannot be read back, so whether the change took effect is not known: " + u.Cause.Error()
@@ -42,7 +58,7 @@
 	}
 	d, err := document.Parse(o.Value)
 	if err != nil {
-		return document.Snapshot{}, oops.Wrapf(err, "the document in the platform, revision %d", o.Version)
+		return document.Snapshot{Revision: o.Version}, &Invalid{Revision: o.Version, Cause: err}
 	}
 	return document.Snapshot{Revision: o.Version, Document: d}, nil
 }
@@ -73,8 +89,9 @@
 			return 0, err
 		}
 		now, err := w.Read(ctx)
+		var invalid *Invalid
 		switch {
-		case err != nil:
+		case err != nil && !errors.As(err, &invalid):
 			last = err
 		case now.Revision == base.Revision:
 		case last != nil && same(now.Document, raw):
--- a/io/operator/console.go
+++ b/io/operator/console.go
@@ -71,6 +71,9 @@
 		}
 		if err != nil {
 			v.Title, v.Message = "No document", "The document cannot be read from the platform: "+err.Error()
+		}
+		// A document that is not valid has a revision, and can be replaced on its page.
+		if err != nil && (x != nil || base.Revision == 0) {
 			break
 		}
 		s.edit(&v, x, base, base.Document)
@@ -295,6 +298,9 @@
 	if err != nil || revision == 0 {
 		return document.Snapshot{}, err
 	}
+	if args.Get("base") == "" {
+		return document.Snapshot{Revision: revision}, nil // the stored document is not valid
+	}
 	d, err := document.Parse([]byte(args.Get("base")))
 	if err != nil {
 		return document.Snapshot{}, err
--- a/io/operator/console_test.go
+++ b/io/operator/console_test.go
@@ -5,6 +5,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
+	"errors"
 	"html"
 	"net/url"
 	"regexp"
@@ -276,6 +277,20 @@
 	assert.Equal(t, m.now.Document.Author, "ana")
 }
 
+// Guards against a broken document that the console cannot replace.
+func TestBrokenDocument(t *testing.T) {
+	s, m := console()
+	m.now, m.down = document.Snapshot{Revision: 5}, errors.New("not valid")
+	_, page, _ := call(s, "/document", editor, nil)
+	assert.Check(t, strings.Contains(page, "not valid"))
+	form := filled(page)
+	form.Set("text", compact(doc()))
+	_, page, _ = call(s, "/preview", editor, form)
+	m.down = nil
+	_, page, _ = call(s, "/apply", editor, filled(page))
+	assert.Check(t, m.now.Revision == 6, page)
+}
+
 // Guards against a first page that hides a VM that lags, a halt, or a document that was refused, and
 // against health checks that need a login.
 func TestAtOneLook(t *testing.T) {
--- a/io/operator/server.go
+++ b/io/operator/server.go
@@ -30,7 +30,8 @@
 	Status() Status
 	// Current returns the document in force on this VM, nil before the first one.
 	Current() *document.Snapshot
-	// Read returns the document in the platform; Document is nil where there is none.
+	// Read returns the document in the platform; Document is nil where there is none. The snapshot that comes
+	// with an error has a revision if the stored document is not valid.
 	Read(ctx context.Context) (document.Snapshot, error)
 	// Replace stores a document if the platform still has base. It returns *document.Conflict if not.
 	Replace(ctx context.Context, base document.Snapshot, d *document.Document) (uint64, error)
