--- a/core/document/types.go
+++ b/core/document/types.go
@@ -23,7 +23,7 @@
 // Snapshot is a validated document with its place in the order of documents.
 type Snapshot struct {
 	Revision uint64     `json:"revision"` // version of the platform object; only grows
-	Digest   string     `json:"digest"`   // hex xxhash of the document's bytes
+	Digest   string     `json:"digest"`   // hex xxhash of the document's compact JSON
 	At       clock.Time `json:"at"`       // when this process put it in force, wall clock
 	Document *Document  `json:"document"`
 }
@@ -68,9 +68,10 @@
 // Pool is a group of model engines that serve the same models.
 type Pool struct {
 	Name   string   `json:"name"`
-	Models []string `json:"models"` // model names
-	Fenced bool     `json:"fenced"` // the engines refuse an order with an old fencing number
-	Slots  int      `json:"slots"`  // concurrent requests for each backend server
+	Models []string `json:"models"`         // model names
+	Fenced bool     `json:"fenced"`         // the engines refuse an order with an old fencing number
+	Slots  int      `json:"slots"`          // concurrent requests for each backend server
+	Role   string   `json:"role,omitempty"` // role that the engines are ordered to take, "" orders none
 }
 
 // Service is a plain HTTP service.
