relay: tree for the document, pooled evidence

Change: core/relay. The domain's VMs pass a revision on along a tree that changes with the revision; heartbeats repair what is lost. Counters are kept per VM incarnation and merged by maximum, and cross domains as the domain's sum only. Checked: go test -race ./core/relay.

--- /dev/null
+++ b/core/relay/relay_test.go
@@ -0,0 +1,100 @@
+package relay
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+// Guards against a tree that leaves VMs out or sends to one of them twice.
+func TestChildrenReachEachVMOnce(t *testing.T) {
+	for _, n := range []int{1, 2, 3, 9, 34, 340} {
+		var names []string
+		for i := range n {
+			names = append(names, fmt.Sprintf("v%03d", i))
+		}
+		for revision := range uint64(20) {
+			got := map[string]int{}
+			for i, s := range names {
+				if Watches(s, names) {
+					got[s]++
+				}
+				cs := Children(s, revision, names)
+				assert.Assert(t, len(cs) <= fanout, "%d", i)
+				for _, c := range cs {
+					got[c]++
+				}
+			}
+			for _, s := range names {
+				assert.Equal(t, got[s], 1, "%s of %d", s, n)
+			}
+		}
+	}
+}
+
+// Guards against all peers being asked for the same document, and against waiting for a dead one.
+func TestWantsAsksOneAtATime(t *testing.T) {
+	var w Wants
+	assert.Assert(t, !w.Heard(0, 5, 5))
+	assert.Assert(t, !w.Heard(0, 5, 4))
+	assert.Assert(t, w.Heard(0, 5, 6))
+	assert.Assert(t, !w.Heard(100, 5, 6))
+	assert.Assert(t, w.Heard(600, 5, 6))
+	w.Answered()
+	assert.Assert(t, w.Heard(700, 6, 7))
+}
+
+// Guards against results that are counted twice, or lost for good, when messages are repeated, lost and
+// reordered.
+func TestTalliesPoolOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		vms := []*Tallies{{Self: "a/1", Domain: "d"}, {Self: "b/1", Domain: "d"}, {Self: "c/1", Domain: "e"}}
+		type message struct {
+			domain string
+			rows   []Row
+		}
+		var flight []message
+		truth := map[string]Row{}
+		vm := func() *Tallies { return rapid.SampledFrom(vms).Draw(t, "vm") }
+		t.Repeat(map[string]func(*rapid.T){
+			"count": func(*rapid.T) {
+				x, bad := vm(), rapid.Bool().Draw(t, "bad")
+				x.Count("m@1", bad)
+				r := truth[x.Self]
+				if bad {
+					r.Bad++
+				} else {
+					r.Good++
+				}
+				truth[x.Self] = r
+			},
+			"own":  func(*rapid.T) { x := vm(); flight = append(flight, message{x.Domain, x.Own(false)}) },
+			"sums": func(*rapid.T) { x := vm(); flight = append(flight, message{x.Domain, x.Sums(false)}) },
+			"deliver": func(*rapid.T) {
+				if len(flight) > 0 {
+					m := rapid.SampledFrom(flight).Draw(t, "rows")
+					vm().Merge(m.domain, m.rows)
+				}
+			},
+		})
+		all := func(x *Tallies) (good, bad uint64) {
+			for _, r := range x.Rows() {
+				good, bad = good+r.Good, bad+r.Bad
+			}
+			return good, bad
+		}
+		good, bad := truth["a/1"].Good+truth["b/1"].Good+truth["c/1"].Good, truth["a/1"].Bad+truth["b/1"].Bad+truth["c/1"].Bad
+		for _, x := range vms {
+			if g, b := all(x); g > good || b > bad {
+				t.Fatalf("%s pooled %d and %d of %d and %d", x.Self, g, b, good, bad)
+			}
+		}
+		vms[0].Merge("d", vms[1].Own(true))
+		vms[0].Merge("e", vms[2].Sums(true))
+		if g, b := all(vms[0]); g != good || b != bad {
+			t.Fatalf("pooled %d and %d of %d and %d", g, b, good, bad)
+		}
+	})
+}
