peer: pings keep idle connections, seeds are dialled by address

Cause: a connection to a claim's holder carries no heartbeats and was closed as silent; the settings give seeds without names. Ruled out: heartbeats on every connection (they cost more than an empty ping). Change: a connection that wrote nothing for one heartbeat sends a ping; Seed dials an address whose VM's name is not known. fasthttp ignores Close on a connection that its server accepted, so that a kept-alive connection outlived its transport: the read deadline now ends it. Conclusion: silence is judged by frames of any kind.

--- a/io/peer/conn.go
+++ b/io/peer/channel.go
@@ -23,8 +23,8 @@
 	ErrDown = oops.Errorf("no connection to the peer")
 )
 
-// conn is an authenticated connection in either direction.
-type conn struct {
+// channel is an authenticated connection in either direction.
+type channel struct {
 	t     *Transport
 	ws    *websocket.Conn
 	peer  party
@@ -38,15 +38,15 @@
 	pending map[uint64]chan *Envelope
 }
 
-func newConn(t *Transport, ws *websocket.Conn, p party) *conn {
-	return &conn{
+func newConn(t *Transport, ws *websocket.Conn, p party) *channel {
+	return &channel{
 		t: t, ws: ws, peer: p, done: make(chan struct{}), pending: map[uint64]chan *Envelope{},
 		queue: make(chan []byte, queueLen), beats: make(chan []byte, beatLen),
 	}
 }
 
 // run reads and writes until the connection fails or is closed.
-func (c *conn) run() error {
+func (c *channel) run() error {
 	wrote := make(chan struct{})
 	go func() {
 		defer close(wrote)
@@ -58,9 +58,12 @@
 	return err
 }
 
-func (c *conn) close() {
+func (c *channel) close() {
 	c.once.Do(func() {
 		close(c.done)
+		// fasthttp ignores Close on a connection that its server accepted and closes it when the reader
+		// returns; the deadline ends the reader.
+		_ = c.ws.SetReadDeadline(time.Now())
 		_ = c.ws.Close()
 		c.mu.Lock()
 		defer c.mu.Unlock()
@@ -72,11 +75,24 @@
 	})
 }
 
-func (c *conn) read() error {
+func (c *channel) read() error {
 	c.ws.SetReadLimit(MaxFrame)
 	// A silent connection gives no error by itself: the deadline ends it after three heartbeats.
-	alive := func(string) error { return c.ws.SetReadDeadline(time.Now().Add(c.t.silence())) }
+	alive := func(string) error {
+		select {
+		case <-c.done:
+			return ErrDown
+		default:
+			return c.ws.SetReadDeadline(time.Now().Add(c.t.silence()))
+		}
+	}
 	c.ws.SetPongHandler(alive)
+	c.ws.SetPingHandler(func(string) error {
+		if err := alive(""); err != nil {
+			return err
+		}
+		return c.ws.WriteControl(websocket.PongMessage, nil, time.Now().Add(c.t.silence()))
+	})
 	for {
 		if err := alive(""); err != nil {
 			return err
@@ -97,7 +113,7 @@
 	}
 }
 
-func (c *conn) dispatch(e *Envelope) error {
+func (c *channel) dispatch(e *Envelope) error {
 	if e.Ack != 0 {
 		c.mu.Lock()
 		ch := c.pending[e.Ack]
@@ -133,7 +149,7 @@
 	return nil
 }
 
-func (c *conn) send(e *Envelope) error {
+func (c *channel) send(e *Envelope) error {
 	b, err := encode(e)
 	if err != nil {
 		return err
@@ -164,12 +180,22 @@
 	}
 }
 
-func (c *conn) write() {
+func (c *channel) write() {
+	// A connection that carries no heartbeats, such as one to a claim's holder, is kept alive by pings.
+	idle := time.NewTimer(c.t.Beat.Std())
+	defer idle.Stop()
 	for {
 		var b []byte
+		idle.Reset(c.t.Beat.Std())
 		select {
 		case <-c.done:
 			return
+		case <-idle.C:
+			if err := c.ws.WriteControl(websocket.PingMessage, nil, time.Now().Add(c.t.silence())); err != nil {
+				c.close()
+				return
+			}
+			continue
 		case b = <-c.queue:
 		case b = <-c.beats:
 		}
@@ -186,7 +212,7 @@
 }
 
 // expect registers a request. The channel is closed when the connection fails.
-func (c *conn) expect() (uint64, chan *Envelope, error) {
+func (c *channel) expect() (uint64, chan *Envelope, error) {
 	seq, ch := c.seq.Add(1), make(chan *Envelope, 1)
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -197,7 +223,7 @@
 	return seq, ch, nil
 }
 
-func (c *conn) forget(seq uint64) {
+func (c *channel) forget(seq uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	delete(c.pending, seq)
--- a/io/peer/envelope.go
+++ b/io/peer/envelope.go
@@ -25,6 +25,8 @@
 	KindClaim  = "claim"
 	KindVoted  = "voted"
 	KindTable  = "table"
+	KindPull   = "pull"
+	KindRoster = "roster"
 	KindCopy   = "copy"
 	KindCopied = "copied"
 	KindTake   = "take"
--- a/io/peer/peer_test.go
+++ b/io/peer/peer_test.go
@@ -166,7 +166,7 @@
 			// A beat after the frame is answered with a pong only if the frame was accepted.
 			_ = ws.WriteMessage(websocket.BinaryMessage, []byte("\xa1\x64kind\x64beat"))
 			pong := false
-			ws.SetPongHandler(func(string) error { pong = true; return nil })
+			ws.SetPongHandler(func(string) error { pong = true; return ws.SetReadDeadline(time.Now()) })
 			_ = ws.SetReadDeadline(time.Now().Add(10 * time.Second))
 			_, _, err = ws.ReadMessage()
 			assert.Assert(t, err != nil)
--- a/io/peer/transport.go
+++ b/io/peer/transport.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -24,6 +25,7 @@
 	redialFirst = 100 * time.Millisecond
 	redialLast  = 3 * time.Second
 	maxIncoming = 2048
+	seedPrefix  = "seed "
 	ioBuffer    = 1024 // most frames are heartbeats of under 100 bytes
 )
 
@@ -49,7 +51,7 @@
 	wg       sync.WaitGroup
 	mu       sync.Mutex
 	links    map[string]*link
-	incoming map[string]*conn
+	incoming map[string]*channel
 	accepted int
 	closed   bool
 
@@ -63,12 +65,12 @@
 type link struct {
 	name, addr string
 	stop       context.CancelFunc
-	conn       *conn // guarded by Transport.mu
+	conn       *channel // guarded by Transport.mu
 }
 
 // Run prepares the transport. It serves until ctx ends; Wait returns when all connections are closed.
 func (t *Transport) Run(ctx context.Context) {
-	t.ctx, t.links, t.incoming = ctx, map[string]*link{}, map[string]*conn{}
+	t.ctx, t.links, t.incoming = ctx, map[string]*link{}, map[string]*channel{}
 	t.wg.Add(1)
 	go func() {
 		defer t.wg.Done()
@@ -91,6 +93,12 @@
 // Wait returns after every goroutine of the transport ended.
 func (t *Transport) Wait() { t.wg.Wait() }
 
+// Seed keeps a connection to an address whose VM's name is not known yet, until Unseed.
+func (t *Transport) Seed(addr string) { t.Connect(seedPrefix+addr, addr) }
+
+// Unseed ends the connection that Seed keeps.
+func (t *Transport) Unseed(addr string) { t.Disconnect(seedPrefix + addr) }
+
 // Connect keeps a connection to the VM at addr. The VM has to prove that its name is name.
 func (t *Transport) Connect(name, addr string) {
 	t.mu.Lock()
@@ -128,7 +136,7 @@
 	if err != nil {
 		return err
 	}
-	c := t.conn(name)
+	c := t.find(name)
 	if c == nil {
 		return ErrDown
 	}
@@ -142,7 +150,7 @@
 	if err != nil {
 		return err
 	}
-	c := t.conn(name)
+	c := t.find(name)
 	if c == nil {
 		return ErrDown
 	}
@@ -166,7 +174,7 @@
 }
 
 // Reachable reports whether a connection to the VM is up.
-func (t *Transport) Reachable(name string) bool { return t.conn(name) != nil }
+func (t *Transport) Reachable(name string) bool { return t.find(name) != nil }
 
 // Traffic returns the counts since Run.
 func (t *Transport) Traffic() Traffic {
@@ -214,7 +222,7 @@
 }
 
 // open runs a handshake under its limits.
-func (t *Transport) open(ws *websocket.Conn, shake func(*websocket.Conn) (party, error)) (*conn, error) {
+func (t *Transport) open(ws *websocket.Conn, shake func(*websocket.Conn) (party, error)) (*channel, error) {
 	ws.SetReadLimit(maxHello)
 	end := time.Now().Add(handshakeTime)
 	_ = ws.SetReadDeadline(end)
@@ -265,7 +273,8 @@
 	if err != nil {
 		return err
 	}
-	if c.peer.Name != l.name {
+	seed := strings.HasPrefix(l.name, seedPrefix)
+	if c.peer.Name == t.Name || c.peer.Name != l.name && !seed {
 		c.close()
 		return oops.Errorf("the VM at %s is %s, want %s", l.addr, c.peer.Name, l.name)
 	}
@@ -276,17 +285,23 @@
 		return ctx.Err()
 	}
 	l.conn = c
+	if seed && t.incoming[c.peer.Name] == nil {
+		t.incoming[c.peer.Name] = c // reached by name until the VM dials back
+	}
 	t.mu.Unlock()
 	defer func() {
 		t.mu.Lock()
 		defer t.mu.Unlock()
 		l.conn = nil
+		if t.incoming[c.peer.Name] == c {
+			delete(t.incoming, c.peer.Name)
+		}
 	}()
 	t.Handler.Up(c.peer.Name, c.peer.Inc)
 	return c.run()
 }
 
-func (t *Transport) conn(name string) *conn {
+func (t *Transport) find(name string) *channel {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if l := t.links[name]; l != nil && l.conn != nil {
