--- a/core/bill/take.go
+++ b/core/bill/take.go
@@ -90,3 +90,9 @@
 	}
 	return out
 }
+
+// Pending reports whether the holder has not answered yet.
+func (d *Desk) Pending(request string) bool {
+	t := d.takes[request]
+	return t != nil && t.state == asked
+}
--- a/core/claim/holder.go
+++ b/core/claim/holder.go
@@ -21,7 +21,7 @@
 const maxTable = 50000
 
 // pollEvery is the time between two requests to the same VM for its table.
-const pollEvery = clock.Second
+const pollEvery = 250 * clock.Millisecond
 
 // Answer is what a holder says to a claim.
 type Answer uint8
@@ -91,14 +91,20 @@
 	table  map[string]register
 	known  map[string]uint64 // incarnations that copied this table
 	frozen []doubt           // doubts of earlier epochs
-	past   [][]string        // rosters whose tables are being copied
-	since  clock.Time        // when the copying began
+	past   []earlier         // rosters whose tables are being copied
 	fresh  bool              // this process had no table before the present epoch
 	blank  bool              // and an earlier incarnation may have voted in it
 	copied map[string]copied
 	polled map[string]clock.Time
 }
 
+// earlier is a roster whose tables are being copied.
+type earlier struct {
+	names []string
+	since clock.Time // when the copying began
+	epoch uint64     // in which it began
+}
+
 // copied is what came with a member's table.
 type copied struct {
 	fresh  bool
@@ -129,38 +135,62 @@
 		h.table, h.known = map[string]register{}, map[string]uint64{}
 	}
 	past, ok := r.since(h.roster.Epoch)
+	var carried []earlier
 	switch {
 	case h.roster.Epoch == 0:
 		h.fresh, h.blank = true, r.Incs[h.Self] != h.Inc
 		past = r.Past[:min(1, len(r.Past))]
-	default:
-		h.frozen = tidy(append(append(h.frozen, h.pending()...), h.passed()...))
+	case h.blank || !ok || len(h.past) > maxPast:
+		h.frozen = tidy(append(append(h.frozen, h.pending(0, r.Epoch)...), h.passed()...))
 		h.fresh, h.blank = !ok, !ok
+	default:
+		// What an earlier epoch left to copy can still be copied: the members keep it.
+		h.frozen = tidy(append(h.frozen, h.passed()...))
+		h.fresh, carried = false, h.incomplete()
 	}
 	if h.blank {
 		// What it voted in this epoch is lost. Older epochs are the concern of the others, whose doubts come
 		// with their tables.
 		past = [][]string{r.Names}
 	}
-	h.roster, h.past, h.since = r, past, now
+	h.roster, h.past = r, carried
+	for _, names := range past {
+		h.past = append(h.past, earlier{names, now, r.Epoch})
+	}
 	h.copied, h.polled = map[string]copied{}, map[string]clock.Time{}
 	if !h.fresh {
 		h.copied[h.Self] = copied{}
 	}
 }
 
-// pending is the present doubt about each roster that is being copied.
-func (h *Holder) pending() []doubt {
-	var out []doubt
-	for _, names := range h.past {
-		d := doubt{names: names, at: h.since}
-		for _, n := range names {
-			if c, ok := h.copied[n]; !ok || len(c.lacks) > 0 || c.fresh && !h.blank {
-				d.missing = append(d.missing, n)
-			}
+// incomplete returns the rosters of which a key's token may still be missing here.
+func (h *Holder) incomplete() []earlier {
+	var out []earlier
+	for _, e := range h.past {
+		if len(h.missing(e.names)) >= Need(min(holders, len(e.names))) {
+			out = append(out, e)
 		}
-		if len(d.missing) > 0 {
-			out = append(out, d)
+	}
+	return out
+}
+
+// missing returns the members of a roster whose tables were not copied, or only in part.
+func (h *Holder) missing(names []string) []string {
+	var out []string
+	for _, n := range names {
+		if c, ok := h.copied[n]; !ok || len(c.lacks) > 0 || c.fresh && !h.blank {
+			out = append(out, n)
+		}
+	}
+	return out
+}
+
+// pending is the present doubt about each roster whose copying began in an epoch in [from, to).
+func (h *Holder) pending(from, to uint64) []doubt {
+	var out []doubt
+	for _, e := range h.past {
+		if m := h.missing(e.names); len(m) > 0 && e.epoch >= from && e.epoch < to {
+			out = append(out, doubt{names: e.names, missing: m, at: e.since})
 		}
 	}
 	return out
@@ -224,11 +254,11 @@
 	if slices.ContainsFunc(h.frozen, current) || slices.ContainsFunc(h.passed(), current) {
 		return true
 	}
-	if now.Sub(h.since) > h.Window {
-		return false
-	}
-	for _, names := range h.past {
-		n, three := 0, trio(names, key)
+	for _, e := range h.past {
+		if now.Sub(e.since) > h.Window {
+			continue
+		}
+		n, three := 0, trio(e.names, key)
 		for _, m := range three {
 			if !h.has(m, three) {
 				n++
@@ -292,12 +322,12 @@
 	}
 	h.known[from] = inc
 	for _, k := range slices.Sorted(maps.Keys(h.table)) {
-		if r := h.table[k]; now.Sub(r.at) <= h.Window && slices.Contains(h.roster.Trio(k), from) {
+		if r := h.table[k]; now.Sub(r.at) <= h.Window && h.roster.held(k, from) {
 			t.Registers = append(t.Registers, Register{Key: k, Token: r.token, Age: now.Sub(r.at)})
 		}
 	}
 	// The asker copies the older rosters for itself, unless its process is new in this epoch.
-	ds := slices.Clone(h.frozen)
+	ds := append(slices.Clone(h.frozen), h.pending(0, h.roster.Epoch)...)
 	if p.Blank || h.blank {
 		ds = append(ds, h.passed()...)
 	}
@@ -305,7 +335,7 @@
 	case h.blank:
 		t.Lacks = h.lacks()
 	case p.Blank:
-		ds = append(ds, h.pending()...)
+		ds = append(ds, h.pending(h.roster.Epoch, h.roster.Epoch+1)...)
 	}
 	for _, d := range tidy(ds) {
 		if now.Sub(d.at) <= h.Window {
@@ -354,13 +384,14 @@
 func (h *Holder) Tick(now clock.Time) []SendPull {
 	maps.DeleteFunc(h.table, func(_ string, r register) bool { return now.Sub(r.at) > h.Window })
 	h.frozen = slices.DeleteFunc(h.frozen, func(d doubt) bool { return now.Sub(d.at) > h.Window })
-	if now.Sub(h.since) > h.Window {
-		h.past, h.blank, h.copied = nil, false, map[string]copied{}
+	h.past = slices.DeleteFunc(h.past, func(e earlier) bool { return now.Sub(e.since) > h.Window })
+	if len(h.past) == 0 {
+		h.blank = false // and no copy is needed
 		return nil
 	}
 	var out []SendPull
-	for _, names := range h.past {
-		for _, n := range names {
+	for _, e := range h.past {
+		for _, n := range e.names {
 			c, ok := h.copied[n]
 			if n == h.Self || ok && len(c.lacks)+len(c.doubts) == 0 || h.polled[n] != 0 && now.Sub(h.polled[n]) < pollEvery {
 				continue
--- a/core/claim/roster.go
+++ b/core/claim/roster.go
@@ -45,6 +45,13 @@
 // Trio returns the holders of a key.
 func (r Roster) Trio(key string) []string { return trio(r.Names, key) }
 
+// held reports whether a VM is or was a holder of the key. The table that it copies has to cover the rosters
+// of which it still lacks something, because its doubts about them concern other VMs too.
+func (r Roster) held(key, name string) bool {
+	return slices.Contains(r.Trio(key), name) ||
+		slices.ContainsFunc(r.Past, func(names []string) bool { return slices.Contains(trio(names, key), name) })
+}
+
 // since returns the names of the epochs from epoch on, without r's own. It fails when r does not reach back
 // that far.
 func (r Roster) since(epoch uint64) ([][]string, bool) {
--- a/core/claim/tally.go
+++ b/core/claim/tally.go
@@ -68,6 +68,16 @@
 	return "", false
 }
 
+// Copying reports that a holder could not vote because it is still copying tables. It may vote soon.
+func (t *Tally) Copying() bool {
+	for _, v := range t.votes {
+		if v.Answer == Unsure {
+			return true
+		}
+	}
+	return false
+}
+
 // Refusal says why the call may not run. It says "not run" only when no token of the key can ever have
 // enough votes; in any other case another VM may have permission.
 func (t *Tally) Refusal(window clock.Span) *work.Refusal {
--- a/core/member/fleet.go
+++ b/core/member/fleet.go
@@ -139,6 +139,12 @@
 	return Record{}, false
 }
 
+// Dialled reports whether a connection to the VM is to be kept up.
+func (f *Fleet) Dialled(name string) bool {
+	v := f.vms[name]
+	return v != nil && v.dialled != ""
+}
+
 // Domains returns the domains of the known VMs, sorted.
 func (f *Fleet) Domains() []string {
 	out := make([]string, 0, len(f.domains))
