--- a/core/bill/desk.go
+++ b/core/bill/desk.go
@@ -11,6 +11,7 @@
 const (
 	grace      = 2 * clock.Second  // wait of a closing batch for missing acknowledgements
 	retryEvery = clock.Second      // between two tries of the same step
+	stopWait   = 3 * clock.Second  // at a planned stop, for a copy at another VM
 	laterAfter = 60 * clock.Second // a taker that has not billed by then may be lost
 )
 
@@ -170,6 +171,11 @@
 	for _, p := range d.open {
 		d.close(now, p)
 	}
+	for _, s := range d.alone {
+		if s.owner == d.self() {
+			s.due = min(s.due, now.Add(stopWait)) // no time is left to wait for the taker
+		}
+	}
 }
 
 // Settled reports that every bill of this VM is in the platform, or at least at another VM.
--- a/core/claim/claim_test.go
+++ b/core/claim/claim_test.go
@@ -271,6 +271,11 @@
 		{"one lost", 5, nil, []int{0}, 200},
 		{"two lost", 5, nil, []int{0, 1}, 100},
 		{"one lost of three", 3, nil, []int{0}, 200},
+		{"one restarted of three", 3, []int{0}, nil, 200},
+		{"two lost of three", 3, nil, []int{0, 1}, 0},
+		{"one lost of nine", 9, nil, []int{0}, 200},
+		{"two lost of nine", 9, nil, []int{0, 1}, 170},
+		{"two restarted of nine", 9, []int{0, 1}, nil, 170},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -158,7 +158,7 @@
 	}
 	f.inc = uint64(f.Clock.Wall())
 	f.members = member.Fleet{
-		Self: member.Record{Name: f.Name, Peer: f.Announce, Domain: f.Domain, Inc: f.inc}, Beat: f.Beat, Far: 2 * f.Beat,
+		Self: member.Record{Name: f.Name, Peer: f.Announce, Domain: f.Domain, Inc: f.inc}, Beat: f.Beat, Far: 3 * f.Beat,
 	}
 	f.listed, f.halts, f.guests = true, map[string]clock.Time{}, map[string]clock.Time{}
 	f.bills.start(f)
