--- a/internal/fleet/bills.go
+++ b/internal/fleet/bills.go
@@ -44,10 +44,7 @@
 		Name: "shallot_bills_uncopied", Help: "Answers that ended before another VM had a copy of the bill.",
 	})
 	b.desk = bill.Desk{
-		Self: f.Name, Inc: f.inc, Seal: f.Seal, Max: batchMax, Bound: billBound, Pick: f.pick, Lost: f.lost,
-	}
-	if b.desk.Seal == 0 {
-		b.desk.Seal = clock.Second
+		Self: f.Name, Inc: f.inc, Max: batchMax, Bound: billBound, Pick: f.pick, Lost: f.lost,
 	}
 }
 
@@ -182,7 +179,22 @@
 	return b.desk.Drop(from, s)
 }
 
-func (b *bills) tick() { b.do(func(now clock.Time) []bill.Command { return b.desk.Tick(now) }) }
+func (b *bills) tick() {
+	seal := b.f.Seal
+	if seal == 0 {
+		seal = sealAge(len(b.f.Servers.Entries()))
+	}
+	b.do(func(now clock.Time) []bill.Command {
+		b.desk.Seal = seal
+		return b.desk.Tick(now)
+	})
+}
+
+// sealAge is the age at which a batch is sealed in a fleet of n VMs: the platform gets about 34 batches a
+// second at any size above 34.
+func sealAge(n int) clock.Span {
+	return min(max(clock.Span(n)*clock.Second/34, clock.Second), 10*clock.Second)
+}
 
 // do runs a step of the desk and carries out its commands.
 func (b *bills) do(step func(now clock.Time) []bill.Command) {
