fleet: a VM tries an unreachable platform with one batch at a time

Cause: in a long outage a VM holds thousands of batches, and the desk asks for each of them every second; a platform that comes back would meet all of them from 340 VMs. Ruled out: a longer retry interval in core/bill: the load would still grow with the batches. Change: the driver refuses calls during a jittered exponential backoff of 0.25 s to 4 s after a call without an answer, and lets one call through at its end. Checked: go test -race ./internal/fleet. Conclusion: calls in an outage do not depend on the number of batches.

--- a/internal/fleet/bills.go
+++ b/internal/fleet/bills.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -23,6 +24,9 @@
 	// creates bounds the concurrent calls that write bills: the platform limits its rate.
 	creates = 4
 	kind    = "bills"
+	// Bounds of the wait after a call that the platform did not answer.
+	backFirst = 250 * clock.Millisecond
+	backLast  = 4 * clock.Second
 )
 
 // bills drives a bill.Desk. Times are wall clock.
@@ -35,6 +39,9 @@
 	busy     map[string]bool // objects with a call on its way
 	slots    chan struct{}
 	uncopied prometheus.Counter
+
+	next clock.Time // no call before: the platform did not answer the last one
+	back clock.Span
 }
 
 func (b *bills) start(f *Fleet) {
@@ -266,9 +273,12 @@
 // enter takes a slot for a call about an object, at most one at a time for each object.
 func (b *bills) enter(name string) bool {
 	b.mu.Lock()
-	if b.busy[name] {
+	if b.busy[name] || b.f.Clock.Now() < b.next {
 		b.mu.Unlock()
-		return false
+		return false // the desk asks again
+	}
+	if b.back > 0 {
+		b.next = b.f.Clock.Now().Add(b.back) // one call finds out whether the platform answers again
 	}
 	b.busy[name] = true
 	b.mu.Unlock()
@@ -276,11 +286,19 @@
 	return true
 }
 
-func (b *bills) leave(name string) {
+// leave ends a call. While the platform does not answer, a VM with many batches tries one at a time, with
+// jittered exponential backoff: 340 VMs must not meet a platform that comes back with all of them at once.
+func (b *bills) leave(name string, answered bool) {
 	<-b.slots
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	delete(b.busy, name)
+	if answered {
+		b.back, b.next = 0, 0
+		return
+	}
+	b.back = min(max(2*b.back, backFirst), backLast)
+	b.next = b.f.Clock.Now().Add(b.back/2 + rand.N(b.back))
 }
 
 func (b *bills) create(c bill.Create) {
@@ -295,7 +313,7 @@
 	if value, err := json.Marshal(bs); err == nil {
 		outcome = b.put(c.Name, value)
 	}
-	b.leave(c.Name)
+	b.leave(c.Name, outcome != bill.Unclear)
 	b.do(func(now clock.Time) []bill.Command { return b.desk.Created(now, c.Name, outcome) })
 }
 
@@ -317,7 +335,7 @@
 		return
 	}
 	o, err := b.f.Objects.Get(context.Background(), kind, name)
-	b.leave(name)
+	b.leave(name, err == nil || errors.Is(err, platform.ErrNotFound))
 	var bs []work.Bill
 	if err == nil {
 		err = json.Unmarshal(o.Value, &bs)
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -197,7 +197,9 @@
 		}
 		f.tickMembers()
 		f.tickDocument()
-		f.bills.tick()
+		if n%2 == 0 {
+			f.bills.tick()
+		}
 		f.tickTables(ctx)
 		if n%5 == 0 {
 			f.tickPool(n%100 == 0)
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -27,6 +27,7 @@
 	next uint64
 	down bool
 	lose bool
+	puts int // calls during an outage
 }
 
 func (o *objects) answer(v uint64) (uint64, error) {
@@ -61,6 +62,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if o.down {
+		o.puts++
 		return 0, &platform.Unavailable{Sent: true, Cause: errors.New("down")}
 	}
 	if o.all[key].Version != version {
@@ -179,6 +181,25 @@
 	}
 }
 
+// Guards against a VM that meets a platform in an outage with a call for each of its batches.
+func TestOutageIsNotFloodedWithBatches(t *testing.T) {
+	fs, o := start(t, 1)
+	o.set(func() { o.down = true })
+	f := fs[0]
+	for i := range 300 {
+		// Without a holder each bill has a batch of its own before long.
+		assert.NilError(t, f.File(t.Context(), work.Bill{Request: fmt.Sprint("r", i)}, ""))
+		if i%10 == 0 {
+			time.Sleep(tick)
+		}
+	}
+	o.set(func() { o.puts = 0 })
+	time.Sleep(3 * time.Second)
+	o.set(func() { assert.Assert(t, o.puts < 30, "%d calls", o.puts) })
+	o.set(func() { o.down = false })
+	until(t, "all billed", func() bool { return len(o.billed()) == 300 })
+}
+
 // Guards against a request that both the first VM and the one that took it over bill.
 func TestTakeOver(t *testing.T) {
 	fs, o := start(t, 2)
