--- a/internal/entry/bench_test.go
+++ b/internal/entry/bench_test.go
@@ -182,8 +182,8 @@
 	for range b.N {
 		one, _ := load(b, nil, engine, false, 1, 2000)
 		two, _ := load(b, d, engine, false, 1, 2000)
-		b.ReportMetric(float64((two[1000]-one[1000]).Microseconds()), "µs-median")
-		b.ReportMetric(float64((two[1980]-one[1980]).Microseconds()), "µs-p99")
+		b.ReportMetric(float64((two[1000] - one[1000]).Microseconds()), "µs-median")
+		b.ReportMetric(float64((two[1980] - one[1980]).Microseconds()), "µs-p99")
 		const n = 20000
 		_, direct := load(b, nil, engine, false, 8, n)
 		_, routed := load(b, d, engine, false, 8, n)
@@ -245,4 +245,3 @@
 		b.ReportMetric((routed-direct)/1024, "KiB/stream")
 	}
 }
-
--- a/internal/entry/chat.go
+++ b/internal/entry/chat.go
@@ -36,7 +36,6 @@
 		x, refusal = d.begin(ctx.PostBody(), r)
 	}
 	if refusal != nil {
-		d.done()
 		return refusal
 	}
 	x.conn = ctx.Conn()
@@ -54,7 +53,7 @@
 	for !x.flow.Done() {
 		x.advance()
 	}
-	defer x.Close() //nolint:errcheck // it always returns nil
+	x.end()
 	return x.whole(ctx)
 }
 
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 	"github.com/samber/oops"
 	"go.opentelemetry.io/otel/trace"
+	"go.opentelemetry.io/otel/trace/noop"
 	"golang.org/x/sync/errgroup"
 
 	"shallotrun/core/clock"
@@ -113,10 +114,16 @@
 	d.pools = make(map[string]*pool)
 	d.live = make(map[string]*exchange)
 	d.ratings = d.newRatings()
+	if d.Tracer == nil {
+		d.Tracer = noop.NewTracerProvider().Tracer("")
+	}
 	if d.Cascades == nil {
 		d.Cascades = ladder{}
 	}
-	d.metrics = newMetrics(d.Registry)
+	d.metrics = newMetrics()
+	if d.Registry != nil {
+		d.Registry.MustRegister(d.metrics.all(d)...)
+	}
 }
 
 // report passes the result of an attempt on.
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -11,6 +11,7 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/samber/oops"
+	"go.opentelemetry.io/otel/trace"
 
 	"shallotrun/core/clock"
 	"shallotrun/core/document"
@@ -55,7 +56,8 @@
 	attempt attempt
 	read    engine.Event
 	token   flow.Token
-	end     engine.Event
+	last    engine.Event // the end event
+	span    trace.Span   // of the attempt, nil between attempts
 
 	chunks *caller.Chunks
 	prefix []byte // RESUMETOKEN and a dot
@@ -101,7 +103,7 @@
 	return n, nil
 }
 
-// Close ends the exchange. If the flow is not done, the caller went away.
+// Close ends the body stream of the response. If the flow is not done, the caller went away.
 func (x *exchange) Close() error {
 	if !x.flow.Done() {
 		x.event = flow.Gone{}
@@ -109,11 +111,16 @@
 			x.advance()
 		}
 	}
+	x.end()
+	x.d.done(x.request)
+	return nil
+}
+
+// end gives back what the exchange holds.
+func (x *exchange) end() {
 	x.hangup()
 	x.letGo()
 	x.d.leave(x)
-	x.d.done()
-	return nil
 }
 
 // advance steps the flow until there is something to write, or to the end.
@@ -208,6 +215,8 @@
 		return flow.Refused{Refusal: refuse(work.CodeNoServer, 503, "no pool serves model "+model)}
 	}
 	x.pool = x.d.pool(name, t.Slots(name))
+	span := x.d.step(x.request, spanQueue)
+	defer span.End()
 	start := x.d.Clock.Now()
 	it, ask := x.want(c.Exclude)
 	ticket, refusal := x.pool.enter(it, ask)
@@ -226,17 +235,12 @@
 	return flow.Granted{Server: x.vm.Name}
 }
 
-// freshWait is how long a dispatch waits after a pause of the process for a current document.
-const freshWait = 3 * clock.Second
-
 // check decides with the document in force now whether the version may get this work.
 func (x *exchange) check() flow.Event {
-	until := x.d.Clock.Now().Add(freshWait)
-	for !x.d.Documents.Fresh() {
-		if !x.d.Clock.Now().Before(until) {
-			return flow.Refused{Refusal: again(refuse(work.CodeNoDocument, 503, "the configuration may be out of date"))}
-		}
-		time.Sleep((5 * clock.Millisecond).Std())
+	span := x.d.step(x.request, spanDispatch)
+	defer span.End()
+	if refusal := x.d.current(); refusal != nil {
+		return flow.Refused{Refusal: refusal}
 	}
 	t := x.d.table()
 	w := t.Workspace(x.request.space.Name)
@@ -284,7 +288,9 @@
 	if x.session != nil {
 		g.Session = x.session.ID
 	}
-	s, err := x.d.engines.Generate(x.vm.Addr, g, x.request.left(now, 0), x.request.head.Trace)
+	x.span = x.d.step(x.request, spanBackend)
+	describe(x.span, t.Model, t.Version, x.vm.Name, c.Attempt)
+	s, err := x.d.engines.Generate(x.vm.Addr, g, x.request.left(now, 0), x.request.parent(x.span))
 	if err != nil {
 		return x.failed(err)
 	}
@@ -333,13 +339,13 @@
 		x.token = flow.Token{Attempt: n, N: x.read.N}
 		return &x.token
 	case engine.End:
-		x.end = x.read
+		x.last = x.read
 		x.seen()
 		cancelled := x.read.Reason == "cancelled"
 		x.result(work.Result{})
 		x.hangup()
 		x.letGo()
-		return flow.End{Attempt: n, Tokens: x.end.Tokens, Prompt: x.end.Prompt, Cancelled: cancelled}
+		return flow.End{Attempt: n, Tokens: x.last.Tokens, Prompt: x.last.Prompt, Cancelled: cancelled}
 	}
 	return flow.Waiting{Attempt: n}
 }
@@ -359,6 +365,7 @@
 
 // failed reports a failed attempt and says how it failed.
 func (x *exchange) failed(err error) flow.Event {
+	fault(x.span, err.Error())
 	x.hangup()
 	ev := flow.Failed{Attempt: x.flow.Attempt()}
 	var own *engine.Refused
@@ -460,7 +467,10 @@
 		x.out = out
 	case flow.Break:
 		if x.streaming {
-			x.d.metrics.refusals.WithLabelValues(c.Refusal.Code).Inc()
+			if x.chunks != nil { // else it is answered and counted as a refusal
+				x.d.metrics.refusals.WithLabelValues(c.Refusal.Code).Inc()
+				x.request.refused(c.Refusal)
+			}
 			x.out = caller.AppendError(x.out, caller.ProblemJSON(c.Refusal, x.request.id))
 		}
 	case flow.Drop:
@@ -470,8 +480,8 @@
 
 func (x *exchange) answer() *caller.Answer {
 	return &caller.Answer{
-		Request: x.request.id, Model: x.target().String(), Text: x.text, Reason: x.end.Reason,
-		Prompt: x.end.Prompt, Tokens: x.end.Tokens,
+		Request: x.request.id, Model: x.target().String(), Text: x.text, Reason: x.last.Reason,
+		Prompt: x.last.Prompt, Tokens: x.last.Tokens,
 	}
 }
 
@@ -481,6 +491,10 @@
 		x.stream.Close()
 		x.stream = nil
 	}
+	if x.span != nil {
+		x.span.End()
+		x.span = nil
+	}
 }
 
 // letGo gives the slot back.
--- a/internal/entry/fake_test.go
+++ b/internal/entry/fake_test.go
@@ -343,3 +343,18 @@
 	assert.NilError(t, json.NewDecoder(resp.Body).Decode(&p))
 	return p.Code, p.Ran
 }
+
+// metric returns the sum of a counter or gauge over its labels.
+func metric(t testing.TB, d *Daemon, name string) (sum float64) {
+	t.Helper()
+	all, err := d.Registry.Gather()
+	assert.NilError(t, err)
+	for _, f := range all {
+		for _, m := range f.GetMetric() {
+			if f.GetName() == name {
+				sum += m.GetCounter().GetValue() + m.GetGauge().GetValue()
+			}
+		}
+	}
+	return sum
+}
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -22,7 +22,7 @@
 	queued   *prometheus.HistogramVec // rank
 }
 
-func newMetrics(r *prometheus.Registry) *metrics {
+func newMetrics() *metrics {
 	counter := func(name, help string, labels ...string) *prometheus.CounterVec {
 		return prometheus.NewCounterVec(prometheus.CounterOpts{Name: name, Help: help}, labels)
 	}
@@ -44,12 +44,47 @@
 		first:    span("shallot_first_seconds", "Time to the first token."),
 		queued:   span("shallot_queue_seconds", "Time in the queue."),
 	}
-	if r != nil {
-		r.MustRegister(m.requests, m.refusals, m.attempts, m.tokens, m.ratings, m.resumes, m.retries, m.gone, m.open, m.first, m.queued)
-	}
 	return m
 }
 
+// all lists the metrics, with the state of the daemon's pools.
+func (m *metrics) all(d *Daemon) []prometheus.Collector {
+	return []prometheus.Collector{
+		m.requests, m.refusals, m.attempts, m.tokens, m.ratings, m.resumes, m.retries, m.gone, m.open, m.first, m.queued, pools{d},
+	}
+}
+
+// pools reads the state of the pools when metrics are collected.
+type pools struct{ d *Daemon }
+
+var (
+	descWaiting = prometheus.NewDesc("shallot_waiting", "Requests that wait for a backend server.", []string{"pool", "rank"}, nil)
+	descRunning = prometheus.NewDesc("shallot_running", "Requests of this VM that run at backend servers.", []string{"pool"}, nil)
+	descServers = prometheus.NewDesc("shallot_servers", "Backend servers that get new work.", []string{"pool"}, nil)
+)
+
+// Describe implements [prometheus.Collector].
+func (c pools) Describe(out chan<- *prometheus.Desc) {
+	out <- descWaiting
+	out <- descRunning
+	out <- descServers
+}
+
+// Collect implements [prometheus.Collector].
+func (c pools) Collect(out chan<- prometheus.Metric) {
+	gauge := func(d *prometheus.Desc, n int, labels ...string) {
+		out <- prometheus.MustNewConstMetric(d, prometheus.GaugeValue, float64(n), labels...)
+	}
+	for _, p := range c.d.all() {
+		waiting, running, servers := p.state()
+		for r, n := range waiting {
+			gauge(descWaiting, n, p.name, work.Rank(r).String())
+		}
+		gauge(descRunning, running, p.name)
+		gauge(descServers, servers, p.name)
+	}
+}
+
 func (m *metrics) attempt(r work.Result) {
 	result := "ok"
 	switch {
--- a/internal/entry/pool.go
+++ b/internal/entry/pool.go
@@ -178,6 +178,23 @@
 	p.pump(p.d.Clock.Now())
 }
 
+// state returns the waiting requests of each rank, the running ones and the live servers.
+func (p *pool) state() (waiting [work.Ranks]int, running, servers int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for r := range waiting {
+		waiting[r] = p.queue.Len(work.Rank(r))
+	}
+	for _, t := range p.parked {
+		waiting[t.item.Rank]++
+	}
+	for _, n := range p.own {
+		running += n
+	}
+	_, servers = p.candidates()
+	return waiting, running, servers
+}
+
 func (p *pool) free(server string) {
 	if p.own[server]--; p.own[server] <= 0 {
 		delete(p.own, server)
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -1,11 +1,13 @@
 package entry
 
 import (
+	"context"
 	"crypto/rand"
 	"encoding/json"
 	"strings"
 
 	"github.com/valyala/fasthttp"
+	"go.opentelemetry.io/otel/trace"
 
 	"shallotrun/core/clock"
 	"shallotrun/core/route"
@@ -22,6 +24,8 @@
 	rank    work.Rank
 	arrived clock.Time
 	end     clock.Time // deadline, 0 for none
+	ctx     context.Context
+	span    trace.Span // nil before the caller is known
 }
 
 // serve answers one HTTP request.
@@ -30,31 +34,38 @@
 	refusal := d.admit(ctx, r)
 	if refusal == nil {
 		d.metrics.open.Inc()
+		d.trace(r)
 		refusal = d.dispatch(ctx, r)
 	}
 	if refusal != nil {
 		d.metrics.refusals.WithLabelValues(refusal.Code).Inc()
+		r.refused(refusal)
 		caller.Problem(ctx, refusal, r.id)
 	}
+	if !ctx.Response.IsBodyStream() && r.span != nil {
+		d.done(r)
+	}
 }
 
-// dispatch hands a request to its handler. Every handler calls done once, at the end of its answer.
+// dispatch hands a request to its handler. The body stream of an answer calls done at its end.
 func (d *Daemon) dispatch(ctx *fasthttp.RequestCtx, r *request) *work.Refusal {
 	path := string(ctx.Path())
 	switch {
 	case path == "/v1/chat/completions" && ctx.IsPost():
 		return d.chat(ctx, r)
 	case path == "/v1/models" && ctx.IsGet():
-		defer d.done()
 		return d.models(ctx, r)
 	case strings.HasPrefix(path, servicePrefix):
 		return d.service(ctx, r)
 	}
-	defer d.done()
 	return refuse(work.CodeBadRequest, 404, "there is no "+string(ctx.Method())+" on this path")
 }
 
-func (d *Daemon) done() { d.metrics.open.Dec() }
+// done ends a request.
+func (d *Daemon) done(r *request) {
+	r.span.End()
+	d.metrics.open.Dec()
+}
 
 // admit makes the checks that every request needs.
 func (d *Daemon) admit(ctx *fasthttp.RequestCtx, r *request) *work.Refusal {
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -48,13 +48,11 @@
 func (d *Daemon) service(ctx *fasthttp.RequestCtx, r *request) *work.Refusal {
 	c, refusal := d.plainCall(ctx, r)
 	if refusal != nil {
-		d.done()
 		return refusal
 	}
 	d.metrics.requests.WithLabelValues("service", r.rank.String()).Inc()
 	a, refusal := c.run()
 	if refusal != nil {
-		d.done()
 		return refusal
 	}
 	return c.answer(ctx, a)
@@ -84,7 +82,6 @@
 		d: d, request: r, service: s, repeat: route.Repeats(s, method, path), conn: ctx.Conn(),
 		call: plain.Call{
 			Method: method, URI: "/" + rest, Header: &ctx.Request.Header, Body: ctx.PostBody(), Request: r.id,
-			Trace: r.head.Trace,
 		},
 	}, nil
 }
@@ -115,8 +112,9 @@
 // try waits for a server and sends the call to it once.
 func (c *plainCall) try(exclude []string) (*plain.Answer, *work.Refusal) {
 	c.vm = work.VM{}
-	t := c.d.table()
 	c.pool = c.d.pool(c.service.Pool, c.service.Slots)
+	span := c.d.step(c.request, spanQueue)
+	defer span.End()
 	ticket, refusal := c.pool.enter(queue.Item{
 		ID: c.request.id, Rank: c.request.rank, Tenant: c.request.space.Name, Weight: c.request.space.Weight,
 		Cost: serviceCost, Deadline: c.request.end, Arrived: c.request.arrived,
@@ -133,17 +131,28 @@
 	}
 	c.vm = g.server
 	defer c.pool.release(c.vm.Name)
-	if _, refusal := t.Service(t.Workspace(c.request.space.Name), c.service.Name); refusal != nil {
-		c.vm.Name = ""
-		return nil, refusal
-	}
-	if refusal := c.claim(); refusal != nil {
+	span.End()
+	if refusal := c.check(); refusal != nil {
 		c.vm.Name = ""
 		return nil, refusal
 	}
 	return c.send()
 }
 
+// check decides with the document in force now whether the call may go out, and claims its key.
+func (c *plainCall) check() *work.Refusal {
+	span := c.d.step(c.request, spanDispatch)
+	defer span.End()
+	if refusal := c.d.current(); refusal != nil {
+		return refusal
+	}
+	t := c.d.table()
+	if _, refusal := t.Service(t.Workspace(c.request.space.Name), c.service.Name); refusal != nil {
+		return refusal
+	}
+	return c.claim()
+}
+
 // claim makes sure that a call with a key runs only here.
 func (c *plainCall) claim() *work.Refusal {
 	if c.repeat || c.request.head.Once == "" || c.claimed {
@@ -164,6 +173,10 @@
 }
 
 func (c *plainCall) send() (*plain.Answer, *work.Refusal) {
+	span := c.d.step(c.request, spanBackend)
+	defer span.End()
+	describe(span, c.service.Name, "", c.vm.Name, 0)
+	c.call.Trace = c.request.parent(span)
 	start := c.d.Clock.Now()
 	c.call.Left = c.request.left(start, serviceWait)
 	a, err := c.d.plains.Do(c.vm.Addr, &c.call)
@@ -184,6 +197,7 @@
 		return nil, again(refuse(work.CodeOverloaded, 503, "the service refused: "+own.Code))
 	}
 	res.Failed = true
+	fault(span, err.Error())
 	c.d.report(c.pool, res)
 	if errors.As(err, &link) && !link.Sent {
 		return nil, again(refuse(work.CodeNoServer, 503, "the backend server could not be reached"))
@@ -202,8 +216,7 @@
 	ctx.Response.Header.Set("Shallot-Request", c.request.id)
 	b := &body{call: c, answer: a}
 	if a.Body == nil {
-		defer b.Close() //nolint:errcheck // it always returns nil
-		b.file()
+		b.end()
 		ctx.SetBody(a.Small)
 		return nil
 	}
@@ -235,10 +248,14 @@
 
 // Close ends the answer, also when the caller went away before its end.
 func (b *body) Close() error {
+	b.end()
+	b.call.d.done(b.call.request)
+	return nil
+}
+
+func (b *body) end() {
 	b.file()
 	b.answer.Close(b.whole || b.answer.Body == nil)
-	b.call.d.done()
-	return nil
 }
 
 func (b *body) file() {
--- a/internal/entry/view.go
+++ b/internal/entry/view.go
@@ -1,6 +1,9 @@
 package entry
 
 import (
+	"time"
+
+	"shallotrun/core/clock"
 	"shallotrun/core/document"
 	"shallotrun/core/route"
 	"shallotrun/core/work"
@@ -26,6 +29,21 @@
 	return v.table
 }
 
+// freshWait is how long a dispatch waits after a pause of the process for a current document.
+const freshWait = 3 * clock.Second
+
+// current waits until new work may be dispatched with the document in force.
+func (d *Daemon) current() *work.Refusal {
+	until := d.Clock.Now().Add(freshWait)
+	for !d.Documents.Fresh() {
+		if !d.Clock.Now().Before(until) {
+			return again(refuse(work.CodeNoDocument, 503, "the configuration may be out of date"))
+		}
+		time.Sleep((5 * clock.Millisecond).Std())
+	}
+	return nil
+}
+
 func (d *Daemon) facts() route.Facts {
 	return route.Facts{Halted: d.Documents.Halted, Silent: d.Documents.Silent()}
 }
