--- a/cmd/shallotlab/main.go
+++ b/cmd/shallotlab/main.go
@@ -1,4 +1,4 @@
-// Command shallotlab runs the project's runners: the demonstration and the benchmarks of the policies.
+// Command shallotlab runs the project's runners: the demonstration, the proofs, the benchmarks of the policies and the cost of control.
 package main
 
 import (
@@ -7,6 +7,8 @@
 	"os"
 
 	"shallotrun/internal/demo"
+	"shallotrun/internal/proof"
+	"shallotrun/internal/scale"
 )
 
 var commands = []struct {
@@ -14,7 +16,9 @@
 	run  func(args []string, out, errs io.Writer) int
 }{
 	{"demo", demo.Main},
+	{"proof", proof.Main},
 	{"bench", benchCommand},
+	{"scale", scale.Main},
 }
 
 func main() {
