entry: ends of requests reach the queue, reserve, limit of open requests, lingering stop

Cause: the queue keeps minimum shares exactly only if it hears of ends; batch work could fill every slot; nothing bounded the open requests; connections that waited to be accepted were reset when a stopping daemon closed its listener. Ruled out: a fixed reserve of slots, which keeps batch work out of small pools. Change: each popped request is reported as done once, with its tokens; an eighth of the slots, at most 8, is left to more urgent work; Streams bounds open requests; a stopping daemon refuses new connections for 200 ms before it closes the listener; tests of the states that refuse and of deadlines.

--- a/internal/entry/chat_test.go
+++ b/internal/entry/chat_test.go
@@ -3,10 +3,16 @@
 import (
 	"encoding/json"
 	"io"
+	"net"
+	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
+
+	"shallotrun/core/clock"
+	"shallotrun/core/document"
 )
 
 const fiveText = " t1 t2 t3 t4 t5"
@@ -81,3 +87,66 @@
 	b, _ := io.ReadAll(resp.Body)
 	assert.Check(t, strings.Contains(string(b), `"m@v1"`) && !strings.Contains(string(b), "other"), string(b))
 }
+
+// Guards against work that is taken on, or hangs, while this VM cannot serve it.
+func TestStatesThatRefuse(t *testing.T) {
+	for _, c := range []struct {
+		name, code string
+		set        func(*Daemon, *fakes)
+	}{
+		{"no document", "no-document", func(_ *Daemon, f *fakes) { f.mu.Lock(); defer f.mu.Unlock(); f.snap = nil }},
+		{"bills wait", "billing-full", func(_ *Daemon, f *fakes) { f.full = true }},
+		{"no server", "no-server", func(_ *Daemon, f *fakes) { f.mu.Lock(); defer f.mu.Unlock(); f.servers = nil }},
+		{"not current after a pause", "no-document", func(_ *Daemon, f *fakes) { f.stale.Store(true) }},
+		{"halted version", "version-halted", func(_ *Daemon, f *fakes) { f.mu.Lock(); defer f.mu.Unlock(); f.halted["m@v1"] = true }},
+		{"too many open requests", "overloaded", func(d *Daemon, _ *fakes) { d.open.Add(int64(d.Streams)) }},
+		{"cut off from the platform", "stale", func(_ *Daemon, f *fakes) {
+			f.change(func(x *document.Document) {
+				v := &x.Models[0].Versions[0]
+				v.Stale, v.Limit = document.StaleRefuse, -1
+			})
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			f := &fakes{}
+			e := fake(t, five)
+			d := start(t, f, []string{e.addr}, nil)
+			c.set(d, f)
+			resp := post(t, d, chatBody("m", true))
+			got, ran := code(t, resp)
+			assert.Check(t, got == c.code && ran == "not run", "%s %s", got, ran)
+			assert.Equal(t, e.count(generate), 0)
+		})
+	}
+}
+
+// Guards against a deadline that is forgotten in the queue, on the way to the engine, or that cuts an answer.
+func TestDeadline(t *testing.T) {
+	f := &fakes{}
+	e := fake(t, five)
+	d := start(t, f, []string{e.addr}, nil, func(d *Daemon) { d.Slots = func(string, string, int) int { return -1 } })
+	begin := time.Now()
+	got, ran := code(t, post(t, d, chatBody("m", false), "Shallot-Deadline", "300"))
+	assert.Check(t, got == "deadline" && ran == "not run", "%s %s", got, ran)
+	assert.Check(t, time.Since(begin) >= 250*time.Millisecond)
+
+	waits := fake(t, func(_ int, c net.Conn, r *http.Request, _ map[string]any) {
+		if r.URL.Path != "/v1/generate" {
+			reply(c, 200, "{}")
+			return
+		}
+		open(c)
+		for range 100 {
+			if _, err := io.WriteString(c, ": wait\n\n"); err != nil {
+				return
+			}
+			time.Sleep((50 * clock.Millisecond).Std())
+		}
+	})
+	f2 := &fakes{}
+	d2 := start(t, f2, []string{waits.addr}, nil)
+	got, ran = code(t, post(t, d2, chatBody("m", true), "Shallot-Deadline", "300"))
+	assert.Check(t, got == "deadline" && ran == "unknown", "%s %s", got, ran)
+	assert.Equal(t, waits.count("POST /v1/cancel"), 1)
+}
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -48,6 +48,8 @@
 	Silent   clock.Span // longest time without progress from an engine, 0 means 400 ms
 	Progress clock.Span // time in which a caller must read something, 0 means 10 s
 	Wait     int        // requests that may wait in one rank of a pool, 0 means 1000
+	Streams  int        // concurrent requests, waiting ones included, 0 means 4096
+	Linger   clock.Span // time in which a stopping daemon still answers new connections with a refusal, 0 means 200 ms
 	// Slots returns how many requests this VM may have at a backend server, nil for the configured number.
 	Slots func(pool, server string, configured int) int
 
@@ -56,6 +58,7 @@
 	plains   plain.Client
 	view     atomic.Pointer[view]
 	stopping atomic.Bool
+	open     atomic.Int64
 	addr     atomic.Pointer[net.TCPAddr]
 	mu       sync.Mutex
 	pools    map[string]*pool
@@ -74,7 +77,7 @@
 	}
 	addr, _ := ln.Addr().(*net.TCPAddr)
 	d.addr.Store(addr)
-	srv := &caller.Server{Listener: ln, Handler: d.serve, Progress: d.Progress, Log: d.Log}
+	srv := &caller.Server{Listener: ln, Handler: d.serve, Progress: d.Progress, Linger: d.Linger, Log: d.Log}
 	// The helpers outlive ctx: requests that are still running need them.
 	help, end := context.WithCancel(context.WithoutCancel(ctx))
 	var g errgroup.Group
@@ -115,6 +118,9 @@
 	d.pools = make(map[string]*pool)
 	d.live = make(map[string]*exchange)
 	d.ratings = d.newRatings()
+	if d.Streams == 0 {
+		d.Streams = 4096
+	}
 	if d.Tracer == nil {
 		d.Tracer = noop.NewTracerProvider().Tracer("")
 	}
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -50,7 +50,7 @@
 	final   flow.Command
 	looked  clock.Time // when the caller's connection was looked at
 	pool    *pool
-	held    bool // a slot of vm is held
+	ticket  *ticket // holds a slot of vm, nil for none
 	vm      work.VM
 	stream  *engine.Stream
 	attempt attempt
@@ -230,7 +230,7 @@
 	case g.refusal != nil:
 		return flow.Refused{Refusal: g.refusal}
 	}
-	x.vm, x.held = g.server, true
+	x.vm, x.ticket = g.server, ticket
 	x.d.metrics.queued.WithLabelValues(x.request.rank.String()).Observe(x.d.Clock.Now().Sub(start).Std().Seconds())
 	return flow.Granted{Server: x.vm.Name}
 }
@@ -499,8 +499,8 @@
 
 // letGo gives the slot back.
 func (x *exchange) letGo() {
-	if x.held {
-		x.held = false
-		x.pool.release(x.vm.Name)
+	if x.ticket != nil {
+		x.pool.release(x.ticket, max(x.attempt.tokens, x.flow.Last))
+		x.ticket = nil
 	}
 }
--- a/internal/entry/fault_test.go
+++ b/internal/entry/fault_test.go
@@ -268,7 +268,7 @@
 		open(c)
 		for n := 1; n <= 5; n++ {
 			tokens(c, n, n)
-			time.Sleep(100 * time.Millisecond)
+			time.Sleep(200 * time.Millisecond)
 		}
 		end(c, 5)
 	})
@@ -287,6 +287,10 @@
 	cancel()
 	time.Sleep(50 * time.Millisecond)
 	assert.Check(t, !d2.Ready())
+	late := post(t, d2, chatBody("m", true))
+	got, ran := code(t, late)
+	assert.Check(t, got == "stopping" && ran == "not run" && late.Header.Get("Retry-After") != "", got)
+	time.Sleep(300 * time.Millisecond)
 	if c, err := net.Dial("tcp", d2.Addr().String()); err == nil {
 		_ = c.Close()
 		t.Error("a new connection was accepted")
@@ -296,8 +300,8 @@
 		t.Fatal("Run returned before the stream ended")
 	default:
 	}
-	got := readEvents(resp)
-	assert.NilError(t, got.err)
-	assert.Check(t, got.done && got.text == fiveText, "%+v", got)
+	all := readEvents(resp)
+	assert.NilError(t, all.err)
+	assert.Check(t, all.done && all.text == fiveText, "%+v", all)
 	assert.NilError(t, <-done)
 }
--- a/internal/entry/pool.go
+++ b/internal/entry/pool.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"shallotrun/core/clock"
+	"shallotrun/core/document"
 	"shallotrun/core/place"
 	"shallotrun/core/queue"
 	"shallotrun/core/retry"
@@ -21,6 +22,8 @@
 
 	mu      sync.Mutex
 	slots   int // configured slots of each server, 0 for no limit
+	ranks   document.Ranks
+	fair    queue.Fair // policy in force
 	queue   queue.Queue
 	placer  place.Placer
 	budget  retry.Budget
@@ -31,11 +34,13 @@
 	cands   []place.Candidate // reused
 }
 
-// ticket is a request that waits for a server.
+// ticket is a request that waits for a server or runs at one.
 type ticket struct {
-	item  queue.Item
-	ask   place.Ask
-	grant chan grant // buffered
+	item   queue.Item
+	ask    place.Ask
+	grant  chan grant // buffered
+	popped bool       // the queue has to be told when it ends
+	server string     // granted, "" before and after
 }
 
 type grant struct {
@@ -63,14 +68,14 @@
 			own:     make(map[string]int),
 			loads:   make(map[string]work.Load),
 		}
-		if t := d.table(); t != nil {
-			p.queue.Policy = queue.Fair{Normal: t.Document.Ranks.Normal, Batch: t.Document.Ranks.Batch}
-		}
 		d.pools[name] = p
 	}
 	p.mu.Lock()
+	defer p.mu.Unlock()
 	p.slots = slots
-	p.mu.Unlock()
+	if t := d.table(); t != nil {
+		p.ranks = t.Document.Ranks
+	}
 	return p
 }
 
@@ -123,25 +128,33 @@
 		delete(p.tickets, t.item.ID)
 		p.queue.Remove(t.item.ID)
 		p.parked = slices.DeleteFunc(p.parked, func(x *ticket) bool { return x == t })
-		return
-	}
-	select {
-	case g := <-t.grant:
-		if g.refusal == nil {
-			p.free(g.server.Name)
-		}
-	default:
 	}
+	p.end(t, 0)
 }
 
-// release gives a server's slot back.
-func (p *pool) release(server string) {
+// release gives the slot of a ticket back after it used that many tokens.
+func (p *pool) release(t *ticket, used int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.free(server)
+	p.end(t, used)
 	p.pump(p.d.Clock.Now())
 }
 
+// end tells the queue and the server's slot count that a ticket ended, once. The lock is held.
+func (p *pool) end(t *ticket, used int) {
+	if t.popped {
+		t.popped = false
+		p.queue.Done(p.d.Clock.Now(), t.item, used)
+	}
+	if t.server == "" {
+		return
+	}
+	if p.own[t.server]--; p.own[t.server] <= 0 {
+		delete(p.own, t.server)
+	}
+	t.server = ""
+}
+
 func (p *pool) report(r work.Result) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -195,12 +208,6 @@
 	return waiting, running, servers
 }
 
-func (p *pool) free(server string) {
-	if p.own[server]--; p.own[server] <= 0 {
-		delete(p.own, server)
-	}
-}
-
 // pump grants servers while there are waiting requests and free slots. The lock is held.
 func (p *pool) pump(now clock.Time) {
 	if len(p.tickets) == 0 {
@@ -210,6 +217,7 @@
 		p.answer(it.ID, grant{refusal: p.late()})
 	}
 	free, _ := p.candidates()
+	p.policy(free)
 	for _, t := range slices.Clone(p.parked) {
 		switch {
 		case t.item.Deadline != 0 && !now.Before(t.item.Deadline):
@@ -224,9 +232,11 @@
 			return
 		}
 		t := p.tickets[it.ID]
-		if t == nil {
+		if t == nil { // cannot happen: a ticket leaves the queue together with its entry here
+			p.queue.Done(now, it, 0)
 			continue
 		}
+		t.popped = true
 		if p.place(now, t) {
 			free--
 		} else {
@@ -253,6 +263,7 @@
 		}
 	}
 	p.own[name]++
+	t.server = name
 	p.answer(t.item.ID, grant{server: p.server(name)})
 	return true
 }
@@ -264,9 +275,31 @@
 	}
 	delete(p.tickets, id)
 	p.parked = slices.DeleteFunc(p.parked, func(x *ticket) bool { return x == t })
+	if g.refusal != nil {
+		p.end(t, 0)
+	}
 	t.grant <- g
 }
 
+// reserveMost and reservePart bound the free slots that are left to more urgent work: what matters is how many
+// requests may arrive together, but in a small pool a fixed number would keep batch work out.
+const (
+	reserveMost = 8
+	reservePart = 8
+)
+
+// policy adapts the order of the queue to the document in force and the size of the pool.
+func (p *pool) policy(free int) {
+	total := free
+	for _, n := range p.own {
+		total += n
+	}
+	f := queue.Fair{Normal: p.ranks.Normal, Batch: p.ranks.Batch, Reserve: min(total/reservePart, reserveMost)}
+	if f != p.fair || p.queue.Policy == nil {
+		p.fair, p.queue.Policy = f, f
+	}
+}
+
 // candidates prepares the live servers and returns the number of free slots and of live servers.
 func (p *pool) candidates() (free, live int) {
 	p.cands = p.cands[:0]
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -33,6 +33,7 @@
 	r := &request{id: rand.Text(), arrived: d.Clock.Now()}
 	refusal := d.admit(ctx, r)
 	if refusal == nil {
+		d.open.Add(1)
 		d.metrics.open.Inc()
 		d.trace(r)
 		refusal = d.dispatch(ctx, r)
@@ -64,6 +65,7 @@
 // done ends a request.
 func (d *Daemon) done(r *request) {
 	r.span.End()
+	d.open.Add(-1)
 	d.metrics.open.Dec()
 }
 
@@ -83,6 +85,9 @@
 	if r.space = r.table.Key(r.head.Key); r.space == nil {
 		return refuse(work.CodeKeyUnknown, 401, "the API key is not known")
 	}
+	if int(d.open.Load()) >= d.Streams {
+		return again(refuse(work.CodeOverloaded, 503, "this entry VM has too many open requests"))
+	}
 	if r.head.Deadline > 0 {
 		r.end = r.arrived.Add(r.head.Deadline)
 	}
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -130,7 +130,7 @@
 		return nil, g.refusal
 	}
 	c.vm = g.server
-	defer c.pool.release(c.vm.Name)
+	defer c.pool.release(ticket, serviceCost)
 	span.End()
 	if refusal := c.check(); refusal != nil {
 		c.vm.Name = ""
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -32,11 +32,13 @@
 	Progress clock.Span // time in which a caller must read something, 0 means 10 s; up to a sixteenth more
 	Arrive   clock.Span // time in which a request must arrive whole, 0 means 30 s
 	Idle     clock.Span // time that a connection may stay idle, 0 means 60 s
+	Linger   clock.Span // time in which new connections are still answered after the end of the context, 0 means 200 ms
 	Log      zerolog.Logger
 }
 
 // Run serves until the context ends, then shuts down gracefully: it accepts no new connections, closes idle
-// ones and returns when every response is finished, however long that takes.
+// ones and returns when every response is finished, however long that takes. For a moment it still accepts, so
+// that the handler can refuse: closing the listener resets the connections that wait to be accepted.
 func (s *Server) Run(ctx context.Context) error {
 	srv := &fasthttp.Server{
 		Handler:               s.Handler,
@@ -60,6 +62,7 @@
 		return oops.Wrapf(err, "caller server")
 	case <-ctx.Done():
 	}
+	time.Sleep(or(s.Linger, 200*clock.Millisecond).Std())
 	if err := srv.ShutdownWithContext(context.Background()); err != nil {
 		return oops.Wrapf(err, "caller server shutdown")
 	}
