--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -87,7 +87,7 @@
 		Name: s.VM.Name, Domain: s.VM.Domain, Listen: s.Callers.Addr, Source: source,
 		Keys:  append([][]byte{s.Keys.Session}, s.Keys.Old...),
 		Clock: d.Clock, Log: d.Log,
-		Documents: d.store, Servers: d.servers, Bills: d.direct, Claims: d.direct,
+		Documents: d.store, Servers: d.servers, Bills: d.direct, Claims: d.direct, Rating: s.Callers.Rating,
 		Registry: d.registry,
 	}
 }
