servers: the list of VMs is read within the traffic budget

Cause: the list of the large size has 4,140 rows of about 160 bytes. Read every second it takes 660 KB/s on each VM; all control work may take 18 KB/s.

Ruled out: two readers for each failure domain; they would need 660 KB/s each.

Change: the time between two reads grows with the list so that it takes about 8 KB/s (83 s at the large size, by calculation), spread by jitter over the VMs. What a read changed is returned as a Delta for the peers, and rows are ordered by when their list was asked for.

The peers do not carry deltas yet.

--- a/internal/servers/poller.go
+++ b/internal/servers/poller.go
@@ -12,15 +12,24 @@
 	"shallotrun/io/platform"
 )
 
-// maxBackoff bounds the wait between two polls while the platform does not answer.
-const maxBackoff = 8 * clock.Second
+const (
+	// maxBackoff bounds the wait between two polls while the platform does not answer.
+	maxBackoff = 8 * clock.Second
+	// rowBytes is about the size of a row in the platform's list.
+	rowBytes = 160
+	// budget is how many bytes a second a VM reads for the list, of the 18 KB/s for all control work. The list
+	// of the large size has 4,140 rows, so a VM reads it every 83 s; the 34 VMs of a failure domain together
+	// read it every 2.5 s and pass on what changed.
+	budget = 8000
+)
 
 // Poller reads the platform's list of VMs. Set the exported fields before Run.
 type Poller struct {
 	Registry *Registry
 	Client   *platform.Client
 	Log      zerolog.Logger
-	Every    clock.Span             // between two polls, 0 means 1 s
+	Every    clock.Span             // between two polls of a short list, 0 means 1 s
+	Share    func(Delta)            // called with what a poll changed, for the peers; nil calls nothing
 	Contact  func(asked clock.Time) // called after each response of the platform; nil calls nothing
 }
 
@@ -34,7 +43,8 @@
 	for ctx.Err() == nil {
 		err := p.Poll(ctx)
 		p.Registry.Expire()
-		back = next(back, every, err)
+		listed, _ := p.Registry.Listed()
+		back = next(back, interval(every, len(listed)), err)
 		t := time.NewTimer((back/2 + clock.Span(rand.Int64N(int64(back)+1))).Std())
 		select {
 		case <-ctx.Done():
@@ -55,10 +65,18 @@
 	if p.Contact != nil {
 		p.Contact(at)
 	}
-	p.Registry.List(list, at)
+	d, _ := p.Registry.List(list, at)
+	if p.Share != nil && !d.Empty() {
+		p.Share(d)
+	}
 	return nil
 }
 
+// interval returns the time between two polls of a list with this many rows.
+func interval(every clock.Span, rows int) clock.Span {
+	return max(every, clock.Span(rows)*rowBytes*clock.Second/budget)
+}
+
 // next returns the wait after a poll.
 func next(back, every clock.Span, err error) clock.Span {
 	if err == nil {
--- a/internal/servers/registry.go
+++ b/internal/servers/registry.go
@@ -1,7 +1,6 @@
 package servers
 
 import (
-	"sort"
 	"sync"
 	"sync/atomic"
 
@@ -32,8 +31,9 @@
 	view atomic.Pointer[view]
 
 	mu     sync.Mutex
-	listed clock.Time // when the list was asked for, by Clock.Now
-	list   []work.VM
+	listed clock.Time     // when the last whole list was asked for, by Clock.Now
+	rows   map[string]row // by name
+	list   []work.VM      // the rows that are not gone, ordered by name
 	own    map[string]own
 	peers  map[string]peer
 	subs   []func()
@@ -90,29 +90,6 @@
 	return nil
 }
 
-// List replaces the platform's list. at is when it was asked for, by Clock.Now; a list older than the one
-// held is ignored, so a list that a peer passes on with its age cannot undo a newer one. The wall clock is
-// not used, because a step back would freeze the list. It reports whether the list was taken.
-func (r *Registry) List(list []work.VM, at clock.Time) bool {
-	r.mu.Lock()
-	if r.list != nil && at <= r.listed {
-		r.mu.Unlock()
-		return false
-	}
-	r.list, r.listed = append([]work.VM{}, list...), at
-	sort.SliceStable(r.list, func(i, j int) bool { return r.list[i].Name < r.list[j].Name })
-	r.rebuild()
-	return true
-}
-
-// Listed returns the list as the platform gave it and its age, for a peer that boots while the platform is
-// down. The list is nil before the first one.
-func (r *Registry) Listed() ([]work.VM, clock.Span) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.list, r.Clock.Now().Sub(r.listed)
-}
-
 // MarkLeaving records that a backend server refused work because it is leaving.
 func (r *Registry) MarkLeaving(name string) {
 	r.mu.Lock()
--- a/internal/servers/servers_test.go
+++ b/internal/servers/servers_test.go
@@ -14,7 +14,7 @@
 	"shallotrun/io/platform"
 )
 
-func row(kind, state string) []work.VM {
+func vms(kind, state string) []work.VM {
 	return []work.VM{
 		{Name: "e1", Addr: "127.0.0.1:1", Kind: kind, Pool: "p", State: state},
 		{Name: "z1", Kind: work.KindEntry, State: work.StateLive},
@@ -32,11 +32,11 @@
 		live bool
 	}{
 		{"all say live", "engine", func(*Registry) {}, true},
-		{"the list says leaving", "engine", func(r *Registry) { r.List(row("engine", "leaving"), 2000) }, false},
-		{"an unknown state", "engine", func(r *Registry) { r.List(row("engine", "parked"), 2000) }, false},
+		{"the list says leaving", "engine", func(r *Registry) { r.List(vms("engine", "leaving"), 2000) }, false},
+		{"an unknown state", "engine", func(r *Registry) { r.List(vms("engine", "parked"), 2000) }, false},
 		{"an older list does not undo it", "engine", func(r *Registry) {
-			r.List(row("engine", "leaving"), 2000)
-			r.List(row("engine", "live"), 1500)
+			r.List(vms("engine", "leaving"), 2000)
+			r.List(vms("engine", "live"), 1500)
 		}, false},
 		{"the engine reports it", "engine", func(r *Registry) { r.Report("e1", work.Load{Leaving: true, At: 1000}) }, false},
 		{"the engine refused", "engine", func(r *Registry) { r.MarkLeaving("e1") }, false},
@@ -62,7 +62,7 @@
 		{"the list does not lift the refusal", "engine", func(r *Registry) {
 			r.MarkLeaving("e1")
 			r.Clock.Advance(markLife + 1)
-			r.List(row("engine", "live"), 90_000)
+			r.List(vms("engine", "live"), 90_000)
 		}, false},
 		{"a plain service reports nothing", "service", func(r *Registry) { r.MarkLeaving("e1") }, false},
 		{"so its refusal expires", "service", func(r *Registry) {
@@ -85,7 +85,7 @@
 	}
 	for _, x := range rows {
 		r := &Registry{Clock: clock.NewManual(1000)}
-		r.List(row(x.kind, work.StateLive), 1000)
+		r.List(vms(x.kind, work.StateLive), 1000)
 		x.do(r)
 		assert.Equal(t, r.Servers("p")[0].State == work.StateLive, x.live, x.name)
 	}
@@ -94,7 +94,7 @@
 // Guards against a mark that circulates among peers after its source dropped it.
 func TestPeersMarksAreNotPassedOn(t *testing.T) {
 	r := &Registry{Clock: clock.NewManual(1000)}
-	r.List(row("engine", work.StateLive), 1000)
+	r.List(vms("engine", work.StateLive), 1000)
 	changes := 0
 	r.Subscribe(func() { changes++ })
 	r.Peer("z2", []Mark{{Name: "e1"}})
@@ -105,6 +105,44 @@
 	assert.Equal(t, len(r.Entries()), 1)
 }
 
+// Guards against a change that a peer passes on undoing a newer list, or a newer one being lost.
+func TestDeltas(t *testing.T) {
+	live := func(names ...string) []work.VM {
+		var out []work.VM
+		for _, n := range names {
+			out = append(out, work.VM{Name: n, Kind: work.KindEngine, Pool: "p", State: work.StateLive})
+		}
+		return out
+	}
+	r := &Registry{Clock: clock.NewManual(5000)}
+	d, ok := r.List(live("a", "b"), 1000)
+	assert.Check(t, ok && len(d.Rows) == 2)
+	b := live("b")
+	b[0].State = work.StateLeaving
+	state := func() string {
+		out := ""
+		for _, vm := range r.Servers("p") {
+			out += vm.Name + ":" + vm.State + " "
+		}
+		return out
+	}
+	r.Update(Delta{Rows: b, Gone: []string{"a"}, Age: 4500}) // asked at 500
+	assert.Equal(t, state(), "a:live b:live ")
+	r.Update(Delta{Rows: b, Gone: []string{"a"}, Age: 3000}) // asked at 2000
+	assert.Equal(t, state(), "b:leaving ")
+	_, ok = r.List(live("a", "b"), 1500)
+	assert.Check(t, ok)
+	assert.Equal(t, state(), "b:leaving ", "the list is newer than the last one and older than the rows")
+	d, ok = r.List(append(b, live("c")...), 3000)
+	assert.Check(t, ok && len(d.Rows) == 1 && d.Rows[0].Name == "c" && len(d.Gone) == 0)
+	d, _ = r.List(live("c"), 4000)
+	assert.DeepEqual(t, d.Gone, []string{"b"})
+	assert.Equal(t, d.Age, clock.Span(1000))
+	assert.Equal(t, state(), "c:live ")
+	_, ok = r.List(live("a"), 4000)
+	assert.Check(t, !ok)
+}
+
 // Guards against an outage of the platform emptying the list of servers.
 func TestListSurvivesOutage(t *testing.T) {
 	down := false
@@ -127,4 +165,6 @@
 	assert.Equal(t, contacts, 1)
 	assert.Equal(t, next(clock.Second, clock.Second, err), 2*clock.Second)
 	assert.Equal(t, next(8*clock.Second, clock.Second, &platform.Limited{Retry: clock.Hour}), maxBackoff)
+	assert.Equal(t, interval(clock.Second, 30), clock.Second)
+	assert.Equal(t, interval(clock.Second, 4140), 82_800*clock.Millisecond) // 340 entry VMs and 3,800 replicas
 }
--- a/internal/settings/keys.go
+++ b/internal/settings/keys.go
@@ -60,7 +60,7 @@
 		func(s *Settings, v string) error { return span(&s.Platform.Timeout, v, 50, 60_000) }},
 	{"platform", "wait", false, "5000", "milliseconds that one watch waits",
 		func(s *Settings, v string) error { return span(&s.Platform.Wait, v, 100, 60_000) }},
-	{"platform", "poll", false, "1000", "milliseconds between two reads of the list of VMs",
+	{"platform", "poll", false, "1000", "milliseconds between two reads of the list of VMs; a list of more than 50 rows is read less often",
 		func(s *Settings, v string) error { return span(&s.Platform.Poll, v, 100, 60_000) }},
 
 	{"keys", "session", true, "", "64 hex digits, sign session and resume tokens; the same on every entry VM",
