load, proof: callers that continue elsewhere while an entry VM is paused, and calls sent twice

Change: a shorter time within streams and for calls with a key (Gap, 1.5 s in the proofs), a part of the keyed calls sent to two entry VMs at once, and the number of requests under way at a planned stop in the line for P9.

--- a/internal/load/call.go
+++ b/internal/load/call.go
@@ -30,7 +30,7 @@
 	model   string
 	session string
 	body    io.Reader
-	conn    net.Conn
+	conn    *progress
 }
 
 // call sends one request on a new connection. A new connection tells a refused request (no connection)
@@ -52,7 +52,7 @@
 		return nil, err
 	}
 	r := &reply{
-		status: resp.StatusCode(), conn: c, body: resp.BodyStream(),
+		status: resp.StatusCode(), conn: w, body: resp.BodyStream(),
 		request: string(resp.Header.Peek("Shallot-Request")), model: string(resp.Header.Peek("Shallot-Model")),
 		session: string(resp.Header.Peek("Shallot-Session")),
 	}
--- a/internal/load/chat.go
+++ b/internal/load/chat.go
@@ -130,7 +130,7 @@
 		}
 	}
 	if r.Stream {
-		return l.readStream(r, resp.body, a, start)
+		return l.readStream(r, resp.body, resp.conn, a, start)
 	}
 	r.First = l.clock.Now().Sub(start)
 	return readWhole(r, resp.body, a)
@@ -154,8 +154,9 @@
 	return nil
 }
 
-// readStream reads events until the end marker. Any other end is an error.
-func (l *Load) readStream(r *request, body io.Reader, a *answer, start clock.Time) error {
+// readStream reads events until the end marker. Any other end is an error. From the first token on, a gap
+// longer than Gap is a broken stream.
+func (l *Load) readStream(r *request, body io.Reader, conn *progress, a *answer, start clock.Time) error {
 	s := bufio.NewScanner(body)
 	s.Buffer(nil, 1<<20)
 	id, event := "", ""
@@ -185,6 +186,7 @@
 		if r.First == 0 {
 			r.First = l.clock.Now().Sub(start)
 		}
+		conn.stall = l.Gap
 		if err := a.add(id, data, r); err != nil {
 			return err
 		}
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -17,6 +17,7 @@
 	Tenants []Tenant
 	Mix     Mix
 	Stall   time.Duration // time without a byte after which a connection counts as broken
+	Gap     time.Duration // the same within a stream, and for calls with a key; 0 means Stall
 	Resumes int           // continuations of one request at most
 	Running int           // requests under way at most; further ones wait, which is reported as late
 	Seen    func(Record)  // called for each finished request, may be nil
@@ -30,6 +31,9 @@
 // on.
 func (l *Load) Run(ctx context.Context) Result {
 	l.sessions, l.avoided = &sessions{}, &avoided{until: map[string]time.Time{}}
+	if l.Gap == 0 {
+		l.Gap = l.Stall
+	}
 	if l.Running == 0 {
 		l.Running = 4096
 	}
@@ -48,9 +52,12 @@
 		wg.Go(func() {
 			defer func() { <-slots }()
 			r.At = l.clock.Now()
-			if r.Kind == KindChat {
+			switch {
+			case r.Kind == KindChat:
 				l.chat(r)
-			} else {
+			case r.twice:
+				l.both(r)
+			default:
 				l.plain(r)
 			}
 			mu.Lock()
--- a/internal/load/main.go
+++ b/internal/load/main.go
@@ -48,6 +48,8 @@
 	fs.IntVar(&l.Mix.Limit, "limit", 64, "max_tokens")
 	fs.IntVar(&l.Mix.Deadline, "deadline", 0, "Shallot-Deadline in milliseconds, 0 for none")
 	fs.DurationVar(&l.Stall, "stall", 15*time.Second, "time without a byte after which a connection counts as broken")
+	fs.DurationVar(&l.Gap, "gap", 0, "the same within a stream and for calls with a key, 0 for -stall")
+	fs.Float64Var(&l.Mix.Twice, "twice", 0, "part of the calls with a key that is sent to two entry VMs at once")
 	fs.IntVar(&l.Resumes, "resumes", 4, "continuations of one request at most")
 	if err := fs.Parse(args); err != nil {
 		return 2
--- a/internal/load/plain.go
+++ b/internal/load/plain.go
@@ -46,6 +46,25 @@
 	}
 }
 
+// both sends a call with a key to two entry VMs at once, as a caller that presses a button twice. The record
+// is that of the call that was answered, with the request ids of both.
+func (l *Load) both(r *request) {
+	other := *r
+	other.start++
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		l.plain(&other)
+	}()
+	l.plain(r)
+	<-done
+	if r.Outcome != Answered && other.Outcome == Answered {
+		*r, other = other, *r
+	}
+	r.Requests = append(other.Requests, r.Requests...)
+	r.Resumes += other.Resumes + 1
+}
+
 func (l *Load) plainOnce(r *request, addr string) error {
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
@@ -69,7 +88,11 @@
 		req.SetBody(b)
 	}
 	r.Target = addr
-	resp, err := call(addr, req, l.Stall)
+	stall := l.Stall
+	if r.Key != "" {
+		stall = l.Gap
+	}
+	resp, err := call(addr, req, stall)
 	if err != nil {
 		return err
 	}
--- a/internal/load/plan.go
+++ b/internal/load/plan.go
@@ -24,6 +24,7 @@
 	Sessions float64  // part of the chats that belongs to a session
 	Plain    float64  // part of all requests that goes to the plain service
 	Keyed    float64  // part of the non-idempotent calls with an Idempotency-Key
+	Twice    float64  // part of the calls with a key that is sent to two entry VMs at once
 	Service  string   // name of the plain service
 	Domains  []string // failure domains that keys name as their home; "" in the list means none named
 	Words    int      // mean length of a prompt
@@ -40,6 +41,7 @@
 	start  int    // index of the first target
 	limit  int
 	wait   int // deadline in milliseconds
+	twice  bool
 	number uint64
 }
 
@@ -96,6 +98,7 @@
 				r.Key = d + "." + r.Item
 			}
 		}
+		r.twice = p.rand.Float64() < p.Mix.Twice
 	}
 }
 
--- a/internal/proof/report.go
+++ b/internal/proof/report.go
@@ -70,7 +70,13 @@
 	case "P8":
 		return len(e.Leaves), fmt.Sprintf("leaving=%d", len(e.Leaves))
 	case "P9":
-		return len(e.Stops), fmt.Sprintf("stops=%d", len(e.Stops))
+		n := 0
+		for _, s := range e.Stops {
+			n += r.count(func(x load.Record) bool {
+				return x.Target == s.Target && x.At.Before(s.From) && s.From.Before(x.At.Add(x.Total))
+			})
+		}
+		return len(e.Stops), fmt.Sprintf("stops=%d underway=%d", len(e.Stops), n)
 	case "P10":
 		return len(e.Reroutes), fmt.Sprintf("changes=%d", len(e.Reroutes)+len(e.Withdrawn))
 	}
--- a/internal/proof/run.go
+++ b/internal/proof/run.go
@@ -35,6 +35,8 @@
 	// give up, so that a caller that gives up shows a fault.
 	deadline = 8000 // milliseconds
 	stall    = 11 * time.Second
+	// Shorter than a pause of an entry VM: callers continue elsewhere what the paused VM still holds.
+	gap = 1500 * time.Millisecond
 )
 
 // result is the outcome of one case.
@@ -98,7 +100,8 @@
 // play runs the load, the operators' work and the fault, and compares the records.
 func (s *scene) play(c testCase, seed uint64, res *result) error {
 	l := procs.Load(s.Fleet, seed)
-	l.Rate, l.Count, l.Stall, l.Mix.Deadline = loadRate, loadCount, stall, deadline
+	l.Rate, l.Count, l.Stall, l.Gap, l.Mix.Deadline = loadRate, loadCount, stall, gap, deadline
+	l.Mix.Keyed, l.Mix.Twice = 0.7, 0.2
 	e := &res.evidence
 	done := make(chan error, 2)
 	go func() { done <- s.operate(e) }()
