load, verdict: a stream that a stop broke counts, even when it was continued elsewhere

Cause: a trial with a daemon that exits at once on SIGTERM passed P9, because the load tool continued the broken streams at other entry VMs.

Change: the record lists every attempt that broke, with address, time and error; P9 counts those at the stopping VM.

--- a/internal/load/chat.go
+++ b/internal/load/chat.go
@@ -69,7 +69,7 @@
 			r.Outcome, r.Wrong = Broken, err.Error()
 			return
 		}
-		r.Outcome, r.Error = Broken, err.Error()
+		l.broke(r, addr, err)
 		if a.last == "" || errors.Is(err, errEvent) || r.Resumes >= l.Resumes {
 			return
 		}
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -73,6 +73,12 @@
 	return res
 }
 
+// broke notes an attempt that broke.
+func (l *Load) broke(r *request, addr string, err error) {
+	r.Outcome, r.Error = Broken, err.Error()
+	r.Breaks = append(r.Breaks, Break{Target: addr, At: l.clock.Now(), Code: r.Code, Error: r.Error})
+}
+
 // target returns the address with this index, skipping those that refused a connection or broke one
 // within the last second, as a load balancer would.
 func (l *Load) target(i int) string {
--- a/internal/load/plain.go
+++ b/internal/load/plain.go
@@ -35,7 +35,7 @@
 			continue
 		}
 		if err != nil {
-			r.Outcome, r.Error = Broken, err.Error()
+			l.broke(r, addr, err)
 			l.avoid(addr)
 		}
 		again := r.Outcome == Broken || r.Outcome == Refused && r.Ran == "unknown"
@@ -62,6 +62,7 @@
 		*r, other = other, *r
 	}
 	r.Requests = append(other.Requests, r.Requests...)
+	r.Breaks = append(r.Breaks, other.Breaks...)
 	r.Resumes += other.Resumes + 1
 }
 
--- a/internal/load/record.go
+++ b/internal/load/record.go
@@ -43,12 +43,21 @@
 	Tokens   int        `json:"tokens,omitempty"`
 	Number   uint64     `json:"number,omitempty"` // tag number
 	Resumes  int        `json:"resumes,omitempty"`
-	Dials    int        `json:"dials,omitempty"` // refused connections before one was accepted
-	Whole    bool       `json:"whole"`           // the answer was compared and is complete
-	Wrong    string     `json:"wrong,omitempty"` // what is wrong with the answer
+	Breaks   []Break    `json:"breaks,omitempty"` // attempts that broke, also where a later one was answered
+	Dials    int        `json:"dials,omitempty"`  // refused connections before one was accepted
+	Whole    bool       `json:"whole"`            // the answer was compared and is complete
+	Wrong    string     `json:"wrong,omitempty"`  // what is wrong with the answer
 	Error    string     `json:"error,omitempty"`
 }
 
+// Break is an attempt whose connection broke or fell silent, or whose stream ended with an error event.
+type Break struct {
+	Target string     `json:"target"`
+	At     clock.Time `json:"at"` // wall clock
+	Code   string     `json:"code,omitempty"`
+	Error  string     `json:"error"`
+}
+
 // Result is the machine-readable result of a run.
 type Result struct {
 	Seed    uint64   `json:"seed"`
--- a/internal/verdict/check.go
+++ b/internal/verdict/check.go
@@ -247,11 +247,12 @@
 			x.add("P9", "%s ended with code %d", s.Name, s.Code)
 		}
 		for _, r := range x.Records {
-			end := r.At.Add(r.Total)
-			// An error event with another code than "stopping" tells of a backend server.
-			own := r.Code == "" || r.Code == "stopping"
-			if r.Target == s.Target && r.Outcome == load.Broken && own && s.From.Before(end) {
-				x.add("P9", "request %s at %s broke after %d ms: %s", r.Item, s.Name, r.Total, r.Error)
+			for _, b := range r.Breaks {
+				// An error event with another code than "stopping" tells of a backend server.
+				own := b.Code == "" || b.Code == "stopping"
+				if b.Target == s.Target && own && s.From.Before(b.At) {
+					x.add("P9", "request %s at %s broke %d ms after the stop began: %s", r.Item, s.Name, b.At.Sub(s.From), b.Error)
+				}
 			}
 		}
 	}
--- a/internal/verdict/verdict_test.go
+++ b/internal/verdict/verdict_test.go
@@ -58,16 +58,16 @@
 		{"P7", "ran twice", func(e *Evidence) { e.Services = append(e.Services, e.Services[0]) }},
 		{"P8", "work for a leaving server", func(e *Evidence) { e.Leaves = []Leave{{"e1", 105}} }},
 		{"", "call held back by the network", func(e *Evidence) { e.Engines[0].At, e.Leaves = 190, []Leave{{"e1", 180}} }},
-		{"P9", "broken by a stop", func(e *Evidence) {
-			e.Records[0].Outcome = load.Broken
+		{"P9", "broken by a stop and continued elsewhere", func(e *Evidence) {
+			e.Records[0].Breaks = []load.Break{{Target: "x", At: 130}}
 			e.Stops = []Stop{{"x-1", "x", 120, 0}}
 		}},
 		{"", "broken by a backend server", func(e *Evidence) {
-			e.Records[0].Outcome, e.Records[0].Code = load.Broken, "backend-failed"
+			e.Records[0].Breaks = []load.Break{{Target: "x", At: 130, Code: "backend-failed"}}
 			e.Stops = []Stop{{"x-1", "x", 120, 0}}
 		}},
 		{"", "broken before the stop", func(e *Evidence) {
-			e.Records[0].Outcome = load.Broken
+			e.Records[0].Breaks = []load.Break{{Target: "x", At: 130}}
 			e.Stops = []Stop{{"x-1", "x", 160, 0}}
 		}},
 		{"P9", "exit code", func(e *Evidence) { e.Stops = []Stop{{"x-1", "x", 120, 1}} }},
