route, entry: a session on a cascade stays on the version that gave its first answer

Ruled out: pinning every stage, which keeps the versions and still lets the answering model change. Change: the token of a new session holds the version that answered; later requests go straight to it.

--- a/core/route/choose.go
+++ b/core/route/choose.go
@@ -39,6 +39,10 @@
 		if !slices.Contains(a.Workspace.Routes, name) {
 			return c, notAllowed(name)
 		}
+		if v, ok := settled(a.Session, r); ok {
+			c.Stages = []Target{v}
+			return c, t.Check(a.Workspace, v, true, f)
+		}
 		c.Cascade = r
 		for _, s := range r.Stages {
 			v, err := t.pick(a, s, f)
@@ -103,6 +107,21 @@
 	return t.spread(a, m, f)
 }
 
+// settled returns the version that a session on a cascade stays on: the one that gave its first answer. A later
+// request of the session that ran the stages again could get its answer from another model.
+func settled(s *token.Session, c *document.Cascade) (Target, bool) {
+	if s == nil || len(s.Pins) != 1 {
+		return Target{}, false
+	}
+	p := s.Pins[0]
+	for _, stage := range c.Stages {
+		if model, _, _ := strings.Cut(stage, "@"); model == p.Model {
+			return Target{p.Model, p.Version}, true
+		}
+	}
+	return Target{}, false
+}
+
 // spread chooses among the versions that may get new work: canaries get their share, live ones the rest.
 func (t *Table) spread(a Ask, m *document.Model, f Facts) (Target, *work.Refusal) {
 	var live, canary []*document.Version
--- a/core/route/route_test.go
+++ b/core/route/route_test.go
@@ -122,6 +122,23 @@
 	}
 }
 
+// Guards against a session on a cascade that is answered by another model after its first request.
+func TestSessionOnCascadeStays(t *testing.T) {
+	tab := Compile(&document.Document{
+		Models: []document.Model{
+			{Name: "cheap", Versions: []document.Version{{Name: "1", State: document.Live}}},
+			{Name: "good", Versions: []document.Version{{Name: "1", State: document.Draining}}},
+		},
+		Cascades:   []document.Cascade{{Name: "c", Stages: []string{"cheap", "good"}}},
+		Workspaces: []document.Workspace{{Name: "w", Allow: []string{"cheap", "good"}, Routes: []string{"c"}}},
+	})
+	s := &token.Session{Pins: []token.Pin{{Model: "good", Version: "1"}}}
+	c, r := tab.Choose(Ask{Workspace: tab.Workspace("w"), Name: "c", Session: s}, Facts{})
+	assert.Assert(t, r == nil)
+	assert.DeepEqual(t, c.Stages, []Target{{"good", "1"}})
+	assert.Assert(t, c.Cascade == nil)
+}
+
 // Guards against a plain service that the workspace may not call.
 func TestService(t *testing.T) {
 	tab := table()
--- a/core/token/token.go
+++ b/core/token/token.go
@@ -16,7 +16,8 @@
 // Limit is the largest length of a token in bytes.
 const Limit = 2048
 
-// Session keeps the versions of a session. It has one pin for a model and one for each stage of a cascade.
+// Session keeps the version of a session, the one that gave its first answer. A token with several pins has one
+// for each model.
 type Session struct {
 	_         struct{} `cbor:",toarray"`
 	ID        string
--- a/internal/entry/chat.go
+++ b/internal/entry/chat.go
@@ -87,11 +87,6 @@
 	if refusal := r.setRank(choice.Rank); refusal != nil {
 		return nil, refusal
 	}
-	if r.head.Session == "new" {
-		for _, t := range choice.Stages {
-			x.session.Pins = append(x.session.Pins, token.Pin{Model: t.Model, Version: t.Version})
-		}
-	}
 	if x.cascade = choice.Cascade; x.cascade != nil {
 		x.base = d.beginCascade(x.cascade, x.prompt)
 		choice.Stages = choice.Stages[x.base:]
@@ -194,6 +189,11 @@
 	if x.session == nil {
 		return
 	}
+	if !x.pinned {
+		// A new session stays on the version that answers its first request, also where a cascade chose it.
+		t := x.target()
+		x.session.Pins = []token.Pin{{Model: t.Model, Version: t.Version}}
+	}
 	text, err := x.d.signer.Session(x.session)
 	if err != nil {
 		x.d.Log.Error().Err(err).Msg("caller: no session token")
