verdict: a caller that gives up is not interrupted by a planned stop

Cause: callers of the proofs wait 1.5 s within a stream; at a VM whose bills wait for a silent platform they gave up, also while that VM stopped.

Change: breaks by the caller's patience are marked and not counted under P9; broken connections and the code stopping are.

--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"net"
 	"sync"
 	"time"
 
@@ -76,7 +78,9 @@
 // broke notes an attempt that broke.
 func (l *Load) broke(r *request, addr string, err error) {
 	r.Outcome, r.Error = Broken, err.Error()
-	r.Breaks = append(r.Breaks, Break{Target: addr, At: l.clock.Now(), Code: r.Code, Error: r.Error})
+	var timeout net.Error
+	silent := errors.As(err, &timeout) && timeout.Timeout()
+	r.Breaks = append(r.Breaks, Break{Target: addr, At: l.clock.Now(), Code: r.Code, Error: r.Error, Silent: silent})
 }
 
 // target returns the address with this index, skipping those that refused a connection or broke one
--- a/internal/load/record.go
+++ b/internal/load/record.go
@@ -55,6 +55,7 @@
 	Target string     `json:"target"`
 	At     clock.Time `json:"at"` // wall clock
 	Code   string     `json:"code,omitempty"`
+	Silent bool       `json:"silent,omitempty"` // the caller gave up waiting
 	Error  string     `json:"error"`
 }
 
--- a/internal/proof/cases.go
+++ b/internal/proof/cases.go
@@ -61,6 +61,9 @@
 	{"engine-closes", func(s *scene) error {
 		return during(s.backends(some(work.KindEngine, 2), "close", 0.5, faultTime))
 	}},
+	{"version-bad", func(s *scene) error {
+		return during(s.backends(some(work.KindEngine, 1), "bad", "small@2", 2*faultTime))
+	}},
 	{"service-closes", func(s *scene) error {
 		return during(s.backends(some(work.KindService, 1), "close", 0.3, faultTime))
 	}},
--- a/internal/verdict/check.go
+++ b/internal/verdict/check.go
@@ -248,8 +248,9 @@
 		}
 		for _, r := range x.Records {
 			for _, b := range r.Breaks {
-				// An error event with another code than "stopping" tells of a backend server.
-				own := b.Code == "" || b.Code == "stopping"
+				// An error event with another code than "stopping" tells of a backend server, and a caller
+				// that gives up of a slow answer.
+				own := !b.Silent && (b.Code == "" || b.Code == "stopping")
 				if b.Target == s.Target && own && s.From.Before(b.At) {
 					x.add("P9", "request %s at %s broke %d ms after the stop began: %s", r.Item, s.Name, b.At.Sub(s.From), b.Error)
 				}
--- a/internal/verdict/verdict_test.go
+++ b/internal/verdict/verdict_test.go
@@ -66,6 +66,10 @@
 			e.Records[0].Breaks = []load.Break{{Target: "x", At: 130, Code: "backend-failed"}}
 			e.Stops = []Stop{{"x-1", "x", 120, 0}}
 		}},
+		{"", "caller gave up", func(e *Evidence) {
+			e.Records[0].Breaks = []load.Break{{Target: "x", At: 130, Silent: true}}
+			e.Stops = []Stop{{"x-1", "x", 120, 0}}
+		}},
 		{"", "broken before the stop", func(e *Evidence) {
 			e.Records[0].Breaks = []load.Break{{Target: "x", At: 130}}
 			e.Stops = []Stop{{"x-1", "x", 160, 0}}
