daemon: leases, orders to engines, halts into the document and export of traces

Cause: internal/control, io/order and io/otlp were not connected to the daemon. Change: the daemon runs the controller and the recorder, shows the lease in its status, and exports spans.

--- a/internal/daemon/backend.go
+++ b/internal/daemon/backend.go
@@ -65,5 +65,9 @@
 	for _, v := range b.servers.All() {
 		s.Servers = append(s.Servers, operator.BackendServer{Name: v.Name, Pool: v.Pool, Domain: v.Domain, State: v.State})
 	}
+	holder, fence, until := b.control.Lease()
+	if holder != "" {
+		s.Lease = &operator.Lease{Holder: holder, Fence: fence, Until: until}
+	}
 	return s
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -9,14 +9,18 @@
 	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/rs/zerolog"
 	"github.com/samber/oops"
+	"go.opentelemetry.io/otel/trace"
 	"golang.org/x/sync/errgroup"
 
 	"shallotrun/core/clock"
 	"shallotrun/internal/config"
+	"shallotrun/internal/control"
 	"shallotrun/internal/entry"
 	"shallotrun/internal/servers"
 	"shallotrun/internal/settings"
 	"shallotrun/io/operator"
+	"shallotrun/io/order"
+	"shallotrun/io/otlp"
 	"shallotrun/io/platform"
 )
 
@@ -36,13 +40,18 @@
 	watcher  *config.Watcher
 	servers  *servers.Registry
 	direct   *direct
+	control  *control.Controller
+	recorder *control.Recorder
 	entry    *entry.Daemon
 }
 
 // Run serves until ctx ends, then shuts down gracefully: the request path finishes first, while
 // everything that it needs goes on running.
 func (d *Daemon) Run(ctx context.Context) error {
-	d.build()
+	stopTrace, err := d.build(ctx)
+	if err != nil {
+		return err
+	}
 	ln, err := net.Listen("tcp", d.Settings.Operators.Addr)
 	if err != nil {
 		return oops.Wrapf(err, "operator: listen on %s", d.Settings.Operators.Addr)
@@ -66,10 +75,14 @@
 		err = e
 	}
 	d.client.Close()
+	if e := stopTrace(grace); e != nil {
+		d.Log.Warn().Err(e).Msg("trace: the last spans were not exported")
+	}
 	return err
 }
 
-func (d *Daemon) build() {
+// build makes the parts. The function that it returns ends the export of traces.
+func (d *Daemon) build(ctx context.Context) (func(context.Context) error, error) {
 	s := d.Settings
 	d.start = d.Clock.Wall()
 	d.registry = prometheus.NewRegistry()
@@ -82,14 +95,40 @@
 	d.watcher.Enable(true)
 	d.servers = &servers.Registry{Clock: d.Clock, Log: d.Log}
 	d.direct = newDirect(s.VM.Name, d.Clock, d.client, d.Log)
+	d.control = &control.Controller{
+		Self: s.VM.Name, Domain: s.VM.Domain, Incarnation: uint64(d.start), Clock: d.Clock, Log: d.Log,
+		Objects: d.client, Engines: &order.Client{Source: source}, Document: d.store.Current, Servers: d.servers.All,
+	}
+	d.recorder = &control.Recorder{
+		Name: s.VM.Name, Holds: d.control.Holds, Store: d.store, Writer: &config.Writer{Client: d.client}, Log: d.Log,
+	}
 	d.register()
+	tracer, stop, err := d.tracer(ctx)
+	if err != nil {
+		return nil, err
+	}
 	d.entry = &entry.Daemon{
 		Name: s.VM.Name, Domain: s.VM.Domain, Listen: s.Callers.Addr, Source: source,
 		Keys:  append([][]byte{s.Keys.Session}, s.Keys.Old...),
 		Clock: d.Clock, Log: d.Log,
 		Documents: d.store, Servers: d.servers, Bills: d.direct, Claims: d.direct, Rating: s.Callers.Rating,
-		Registry: d.registry,
+		Registry: d.registry, Tracer: tracer,
+	}
+	return stop, nil
+}
+
+// tracer returns nil without an address to export to.
+func (d *Daemon) tracer(ctx context.Context) (trace.Tracer, func(context.Context) error, error) {
+	s := d.Settings
+	if s.Trace.URL == "" {
+		return nil, func(context.Context) error { return nil }, nil
+	}
+	e := otlp.Export{URL: s.Trace.URL, Name: s.VM.Name, Domain: s.VM.Domain, Sample: s.Trace.Sample}
+	p, err := e.Provider(ctx)
+	if err != nil {
+		return nil, nil, err
 	}
+	return p.Tracer("shallotrun"), p.Shutdown, nil
 }
 
 // source returns the IP address that connections leave from: the one that the other VMs know this VM by.
@@ -106,7 +145,7 @@
 	poller := &servers.Poller{
 		Registry: d.servers, Client: d.client, Log: d.Log, Every: d.Settings.Platform.Poll, Contact: d.store.Contact,
 	}
-	return []func(context.Context){d.store.Run, d.watcher.Run, poller.Run, d.direct.run}
+	return []func(context.Context){d.store.Run, d.watcher.Run, poller.Run, d.direct.run, d.control.Run, d.recorder.Run}
 }
 
 func (d *Daemon) operator() *operator.Server {
