operator: VMs that left are shown and not counted

Cause: a VM that was replaced kept its failure domain marked as lagging.

Change: rows in the state gone count for neither the domain's revision nor its lag.

Conclusion: go test -race ./io/operator passes, with a test of the join of several VMs' status.

--- a/io/operator/fleet.go
+++ b/io/operator/fleet.go
@@ -10,6 +10,9 @@
 // document for longer lags.
 const LagLimit = 8 * clock.Second
 
+// StateGone is the state of an entry VM that is not part of the fleet any more. It is shown and not counted.
+const StateGone = "gone"
+
 // Fleet is what is in force in each failure domain, joined from the status of one or more VMs.
 type Fleet struct {
 	Newest  Config   `json:"newest"` // highest revision in force anywhere, since it was in force first
@@ -24,6 +27,8 @@
 	Config Config `json:"config"` // oldest revision in force, which is what every VM of the domain has at least
 	VMs    []Row  `json:"vms"`
 	Behind int    `json:"behind"` // VMs that lag
+
+	counted int // VMs that are not gone
 }
 
 // Row is one entry VM.
@@ -51,6 +56,9 @@
 	rows, domains := collect(all)
 	var f Fleet
 	for _, r := range rows {
+		if r.State == StateGone {
+			continue
+		}
 		c := r.Config
 		newer := c.Revision > f.Newest.Revision
 		first := c.Revision == f.Newest.Revision && c.Since != 0 && c.Since < f.Newest.Since
@@ -62,19 +70,10 @@
 	for name, r := range rows {
 		d := byName[domains[name]]
 		if d == nil {
-			d = &Domain{Name: domains[name], Config: r.Config}
+			d = &Domain{Name: domains[name]}
 			byName[d.Name] = d
 		}
-		r.Lags = r.Config.Revision < f.Newest.Revision && now.Sub(f.Newest.Since) > LagLimit
-		if r.Lags {
-			d.Behind++
-		}
-		older := r.Config.Revision < d.Config.Revision
-		later := r.Config.Revision == d.Config.Revision && r.Config.Since > d.Config.Since
-		if older || later {
-			d.Config = r.Config
-		}
-		d.VMs = append(d.VMs, r)
+		d.add(r, f.Newest, now)
 	}
 	for _, d := range byName {
 		sort.Slice(d.VMs, func(i, j int) bool { return d.VMs[i].VM < d.VMs[j].VM })
@@ -85,6 +84,24 @@
 	return f
 }
 
+// add counts a VM into its failure domain.
+func (d *Domain) add(r Row, newest Config, now clock.Time) {
+	r.Lags = r.State != StateGone && r.Config.Revision < newest.Revision && now.Sub(newest.Since) > LagLimit
+	d.VMs = append(d.VMs, r)
+	if r.Lags {
+		d.Behind++
+	}
+	if r.State == StateGone {
+		return
+	}
+	older := r.Config.Revision < d.Config.Revision
+	later := r.Config.Revision == d.Config.Revision && r.Config.Since > d.Config.Since
+	if d.counted == 0 || older || later {
+		d.Config = r.Config
+	}
+	d.counted++
+}
+
 // collect returns the row and the failure domain of every VM.
 func collect(all []Status) (rows map[string]Row, domains map[string]string) {
 	rows, domains = map[string]Row{}, map[string]string{}
--- a/io/operator/port_test.go
+++ b/io/operator/port_test.go
@@ -10,6 +10,8 @@
 
 	"github.com/valyala/fasthttp"
 	"gotest.tools/v3/assert"
+
+	"shallotrun/core/clock"
 )
 
 // Guards against a form or a status that fills the memory, and against a stop that waits for idle
@@ -54,3 +56,28 @@
 	assert.NilError(t, s.Shutdown(ctx))
 	assert.NilError(t, <-done)
 }
+
+// Guards against a first page that shows a failure domain as current while one of its VMs lags, that counts
+// VMs that left, or that believes an old heartbeat more than the VM itself.
+func TestJoin(t *testing.T) {
+	at := func(revision uint64, since clock.Time) Config { return Config{Revision: revision, Since: since} }
+	one := Status{VM: "a1", Domain: "a", Ready: true, At: 50_000, Config: at(7, 20_000), Peers: []Peer{
+		{VM: "a2", Domain: "a", Config: at(7, 21_000), Heard: 49_000},
+		{VM: "a3", Domain: "a", State: StateGone, Config: at(3, 1000), Heard: 30_000},
+		{VM: "b1", Domain: "b", Config: at(6, 5000), Heard: 49_500},
+		{VM: "b2", Domain: "b", Config: at(5, 4000), Heard: 10_000},
+	}, Halts: []Halt{{Model: "m", Version: "2"}}}
+	two := Status{VM: "b2", Domain: "b", Ready: true, At: 50_000, Config: at(7, 19_000), Refused: &Refused{Revision: 8},
+		Peers: []Peer{{VM: "b1", Domain: "b", Config: at(5, 4000), Heard: 1000}}, Halts: one.Halts}
+	f := Join([]Status{one, two}, 50_000)
+	assert.Equal(t, len(f.Domains), 2)
+	a, b := f.Domains[0], f.Domains[1]
+	assert.DeepEqual(t, f.Newest, at(7, 19_000)) // in force first at b2
+	assert.DeepEqual(t, a.Config, at(7, 21_000)) // in force on every VM of the domain since then
+	assert.Check(t, a.Behind == 0 && len(a.VMs) == 3)
+	assert.DeepEqual(t, b.Config, at(6, 5000))
+	assert.Check(t, b.Behind == 1 && b.VMs[0].Lags && !b.VMs[1].Lags && f.Lagging())
+	assert.Check(t, len(f.Halts) == 1 && f.Refused.Revision == 8)
+	f = Join([]Status{one, two}, 26_000)
+	assert.Check(t, !f.Lagging(), "a document may take 8 s")
+}
--- a/io/operator/status.go
+++ b/io/operator/status.go
@@ -48,7 +48,7 @@
 type Peer struct {
 	VM     string     `json:"vm"`
 	Domain string     `json:"domain"`
-	State  string     `json:"state"` // as membership has it
+	State  string     `json:"state"` // as membership has it, StateGone for one that left
 	Config Config     `json:"config"`
 	Heard  clock.Time `json:"heard"` // last heartbeat
 }
