config: tell a lost response from a conflict that cannot be read

Cause: a conflict whose document could not be read once was reported as if a response had been lost, and an edit that may have taken effect in an early attempt ended with the code for nothing changed when the platform stayed away.

Change: Replace and Edit remember whether a response was lost, and end with Unsettled only then.

--- a/internal/command/command_test.go
+++ b/internal/command/command_test.go
@@ -30,12 +30,16 @@
 	value   json.RawMessage
 	before  func()
 	lose    bool
+	dead    bool // does not answer after a lost response
 	status  operator.Status
 }
 
 func (f *fake) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.dead && !f.lose {
+		panic(http.ErrAbortHandler)
+	}
 	switch {
 	case r.URL.Path == "/status":
 		_ = json.NewEncoder(w).Encode(f.status)
@@ -110,6 +114,10 @@
 		{"no difference", nil, []string{"diff", base}, ExitDone, nil},
 		{"apply", nil, []string{"apply", mine}, ExitDone, []string{"revision 4", "share 5 -> 20"}},
 		{"apply, response lost", func(f *fake) { f.lose = true }, []string{"apply", mine}, ExitDone, []string{"revision 4"}},
+		{"apply, nothing can be read back", func(f *fake) { f.lose, f.dead = true, true }, []string{"apply", mine}, ExitUnknown,
+			[]string{"not known"}},
+		{"withdraw, nothing can be read back", func(f *fake) { f.lose, f.dead = true, true }, []string{"-timeout", "2s", "withdraw", "m@2"}, ExitUnknown,
+			[]string{"not known"}},
 		{"apply in a race", func(f *fake) { f.before = func() { other(f) } }, []string{"apply", mine}, ExitConflict,
 			[]string{"by cene", "ranks.batch 0 -> 7", "share 5 -> 20"}},
 		{"apply after a change", func(f *fake) { other(f) }, []string{"-from", base, "apply", mine}, ExitConflict,
--- a/internal/config/writer.go
+++ b/internal/config/writer.go
@@ -76,16 +76,17 @@
 		return 0, oops.Wrapf(err, "document")
 	}
 	var last error
+	lost := false // a response was lost, so d may be stored
 	for try := range w.tries() {
 		revision, err := w.store(ctx, base.Revision, raw)
 		var conflict *platform.Conflict
-		var lost *platform.Unavailable
+		var gone *platform.Unavailable
 		switch {
 		case err == nil:
 			return revision, nil
-		case errors.As(err, &lost) && lost.Sent:
-			last = err
-		case !errors.As(err, &conflict) && last == nil:
+		case errors.As(err, &gone) && gone.Sent:
+			lost = true
+		case !errors.As(err, &conflict) && !lost:
 			return 0, err
 		}
 		now, err := w.Read(ctx)
@@ -94,13 +95,17 @@
 		case err != nil && !errors.As(err, &invalid):
 			last = err
 		case now.Revision == base.Revision:
-		case last != nil && same(now.Document, raw):
+			last = errors.New("no update was answered")
+		case lost && same(now.Document, raw):
 			return now.Revision, nil
 		default:
-			return 0, &document.Conflict{Base: base, Now: now, Mine: d, Lost: last != nil}
+			return 0, &document.Conflict{Base: base, Now: now, Mine: d, Lost: lost}
 		}
 		wait(ctx, try)
 	}
+	if !lost {
+		return 0, oops.Wrapf(last, "another change came first and cannot be read; nothing was stored")
+	}
 	return 0, &Unsettled{Cause: last}
 }
 
@@ -108,6 +113,7 @@
 // conflict or a response that was lost. change must give the same result when it is applied twice.
 func (w *Writer) Edit(ctx context.Context, author, note string, change func(*document.Document) error) (uint64, error) {
 	var last error
+	unsettled := false // an attempt may have taken effect
 	for try := range w.tries() {
 		base, err := w.Read(ctx)
 		if err == nil && base.Document == nil {
@@ -122,9 +128,14 @@
 		if !again(err) {
 			return 0, err
 		}
+		var unknown *Unsettled
+		unsettled = unsettled || errors.As(err, &unknown)
 		last = err
 		wait(ctx, try)
 	}
+	if unsettled {
+		return 0, &Unsettled{Cause: last}
+	}
 	return 0, oops.Wrapf(last, "gave up after %d attempts", w.tries())
 }
 
