load: a timeout of the HTTP library is a timeout too

Cause: fasthttp.ErrTimeout has no Temporary and so is no net.Error; the mark for callers that gave up missed it.

Change: only Timeout is asked for.

Figures: go test ./internal/load passes.

--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"sync"
 	"time"
 
@@ -78,7 +77,7 @@
 // broke notes an attempt that broke.
 func (l *Load) broke(r *request, addr string, err error) {
 	r.Outcome, r.Error = Broken, err.Error()
-	var timeout net.Error
+	var timeout interface{ Timeout() bool } // fasthttp.ErrTimeout is no net.Error
 	silent := errors.As(err, &timeout) && timeout.Timeout()
 	r.Breaks = append(r.Breaks, Break{Target: addr, At: l.clock.Now(), Code: r.Code, Error: r.Error, Silent: silent})
 }
