--- a/core/place/affine.go
+++ b/core/place/affine.go
@@ -19,15 +19,25 @@
 	homeFresh    = 5 * clock.Minute
 )
 
-// affine scores the servers that may hold the prefix and two drawn at random. Only a draw of two is compared by
-// load, because all VMs see the same lagging reports and would otherwise send everything to the same server.
+// sessionGap is the gap below which a session counts as being in constant use. Its turns are usually further apart,
+// since a person reads and writes between them.
+const sessionGap = 4 * clock.Second
+
+// affine scores the servers that may hold the prefix and two drawn at random from those with the fewest own requests.
+// Only a draw of two is compared by load, because all VMs see the same lagging reports and would otherwise send
+// everything to the same server. A prefix in constant use is soon in every cache, and following it would overload its
+// home before the reports show it, so it is placed by load alone.
 func (p *Placer) affine(now clock.Time, pol Affine, ask Ask, in []Candidate) Candidate {
 	pol = pol.defaults()
 	wait := func(c Candidate) float64 { return p.wait(pol, c) }
 	prefill := pol.Prefill * float64(ask.Tokens)
-	best := p.least(p.draw(in), wait)
+	best := p.least(p.draw(idlest(in)), func(c Candidate) float64 { return p.rough(pol, c) })
 	k, ok := ask.key()
-	if !ok {
+	gap := pol.Hot
+	if ask.Session != "" {
+		gap = sessionGap
+	}
+	if !ok || p.homes.hot(k, now, gap) {
 		return best
 	}
 	score := wait(best) + prefill*(1-p.cached(now, k, best.Name))*p.slowness(best.Name)
@@ -48,14 +58,39 @@
 	return best
 }
 
+// idlest returns the candidates with the fewest own requests, and those with one more if there is only one of them.
+// Own requests are the only exact and current figure.
+func idlest(in []Candidate) []Candidate {
+	least := in[0].Own
+	for _, c := range in {
+		least = min(least, c.Own)
+	}
+	return prefer(prefer(in, 0, func(c Candidate) bool { return c.Own <= least+1 }), 1, func(c Candidate) bool { return c.Own == least })
+}
+
+// rough is wait for servers that were drawn by own requests: differences in lagging reports count only once a server
+// seems full, since below that they say less than chance about the moment when the request arrives.
+func (p *Placer) rough(pol Affine, c Candidate) float64 {
+	w := p.wait(pol, c)
+	if slots := p.slots(c); p.estimate(c) < slots+2 {
+		w = pol.loaded(float64(c.Starting)/slots) * p.slowness(c.Name)
+	}
+	return w
+}
+
+// slots returns the number of requests that a server runs at a time.
+func (p *Placer) slots(c Candidate) float64 {
+	if c.Load.Slots > 0 {
+		return float64(c.Load.Slots)
+	}
+	return float64(max(c.Slots, 1))
+}
+
 // wait returns the expected milliseconds until a slot of the server starts the request. Below its slots a server
 // still slows down a little with its load, which also breaks ties towards the emptier one.
 func (p *Placer) wait(pol Affine, c Candidate) float64 {
 	n := p.estimate(c)
-	slots := float64(c.Load.Slots)
-	if slots == 0 {
-		slots = max(float64(c.Slots), 1)
-	}
+	slots := p.slots(c)
 	service := p.service.or(float64(pol.Service))
 	w := pol.loaded(n / slots)
 	if n >= slots {
@@ -125,6 +160,9 @@
 	if a.Service == 0 {
 		a.Service = 3 * clock.Second
 	}
+	if a.Hot == 0 {
+		a.Hot = 20 * clock.Second
+	}
 	if a.Far == 0 {
 		a.Far = 3 * clock.Millisecond
 	}
--- a/core/place/types.go
+++ b/core/place/types.go
@@ -23,7 +23,7 @@
 	Version string
 	Session string   // session identifier, "" for none
 	Prefix  uint64   // hash of the first part of the prompt, 0 for none
-	Tokens  int      // prompt tokens that a cached prefix would save
+	Tokens  int      // prompt tokens that a cached session or prefix would save
 	Exclude []string // servers that were tried already
 }
 
@@ -49,6 +49,9 @@
 	Prefill float64    // milliseconds for each prompt token, 0 means 0.25
 	Service clock.Span // usual time of a request before any was seen, 0 means 3 s
 	Far     clock.Span // added for a server in another failure domain, 0 means 3 ms
+	// Hot is the mean gap between this VM's uses of a prefix below which every server is taken to have it cached,
+	// 0 means 20 s. With a cache that keeps a prefix for T, E entry VMs and N servers it is about T*E/N.
+	Hot clock.Span
 }
 
 func (Random) policy()  {}
--- /dev/null
+++ b/core/rollout/halts.go
@@ -0,0 +1,84 @@
+package rollout
+
+import (
+	"slices"
+	"strings"
+
+	"shallotrun/core/document"
+)
+
+// Halted says that evidence halted a version while the document of a revision was in force.
+type Halted struct {
+	Model    string `cbor:"model"`
+	Version  string `cbor:"version"`
+	Revision uint64 `cbor:"revision"`
+	Reason   string `cbor:"reason"`
+}
+
+// Halts is the set of halted versions. It is merged with the sets of the peers in any order. A halt ends only with a
+// document of a later revision that takes the version out of service itself; a document that still has it in service
+// was written without knowledge of the halt, or on a matter of its own.
+type Halts struct {
+	all   map[version]Halted
+	ended map[version]uint64 // revision that ended the halts up to it
+}
+
+// Add includes a halt, and returns whether it is new, so that it has to be sent on.
+func (h *Halts) Add(x Halted) bool {
+	v := version{x.Model, x.Version}
+	if end, ok := h.ended[v]; ok && x.Revision < end {
+		return false
+	}
+	old, known := h.all[v]
+	if known && (old.Revision > x.Revision || old.Revision == x.Revision && old.Reason <= x.Reason) {
+		return false
+	}
+	if h.all == nil {
+		h.all = make(map[version]Halted)
+	}
+	h.all[v] = x
+	return !known
+}
+
+// Has reports whether a version is halted.
+func (h *Halts) Has(model, name string) bool {
+	_, ok := h.all[version{model, name}]
+	return ok
+}
+
+// All returns the halts in order of model and version.
+func (h *Halts) All() []Halted {
+	var out []Halted
+	for _, x := range h.all {
+		out = append(out, x)
+	}
+	slices.SortFunc(out, func(a, b Halted) int {
+		return strings.Compare(a.Model+"\x00"+a.Version, b.Model+"\x00"+b.Version)
+	})
+	return out
+}
+
+// Observe ends the halts that a document of a later revision replaces, and returns them. Their evidence should be
+// reset, since a version that returns to service does so by an operator's decision.
+func (h *Halts) Observe(revision uint64, doc *document.Document) []Halted {
+	serving := make(map[version]bool)
+	for _, m := range doc.Models {
+		for _, v := range m.Versions {
+			serving[version{m.Name, v.Name}] = v.State == document.Canary || v.State == document.Live
+		}
+	}
+	var out []Halted
+	for _, x := range h.All() {
+		v := version{x.Model, x.Version}
+		if serving[v] || revision <= x.Revision {
+			continue
+		}
+		if h.ended == nil {
+			h.ended = make(map[version]uint64)
+		}
+		h.ended[v] = max(h.ended[v], revision)
+		delete(h.all, v)
+		out = append(out, x)
+	}
+	return out
+}
--- a/internal/bench/engine.go
+++ b/internal/bench/engine.go
@@ -14,6 +14,7 @@
 	prefillCost  = 200               // microseconds for each prompt token that is not cached
 	prefillChunk = 256               // prompt tokens that are not interrupted for more urgent work
 	prefillLoad  = 0.1               // part by which a full engine prefills more slowly than an idle one
+	sharedPrefix = 300               // tokens of a prefix that several requests share
 	tokenBase    = 20_000            // microseconds between tokens with nothing else running
 	tokenLoad    = 750               // microseconds more for each running request
 	silence      = 400 * millisecond // without progress, then the router gives an attempt up
@@ -26,6 +27,7 @@
 	rank    work.Rank
 	tenant  string
 	session string
+	prefix  uint64 // shared by several requests, 0 for none
 	prompt  int
 	out     int
 	guess   int // output tokens that the router expects
@@ -45,6 +47,14 @@
 // ttft returns the milliseconds from arrival to the first token.
 func (j *job) ttft() float64 { return float64(j.first-j.arrived) / 1000 }
 
+// key returns what the engine caches the prompt's beginning under, "" for nothing.
+func (j *job) key() string {
+	if j.session == "" && j.prefix != 0 {
+		return fmt.Sprint("prefix-", j.prefix)
+	}
+	return j.session
+}
+
 // engine is one replica.
 type engine struct {
 	sim     *sim
@@ -59,8 +69,6 @@
 	active  []*job // with a slot
 	busy    bool
 	cache   cache
-	hits    int
-	misses  int
 	limit   int // most that may wait inside the engine, 0 means no limit
 	down    bool
 	report  work.Load
@@ -123,14 +131,8 @@
 	e.active = append(e.active, j)
 	j.started = e.sim.now
 	j.left = j.prompt
-	if j.session != "" {
-		have := min(e.cache.get(j.session), j.prompt)
-		j.left -= have
-		if have > 0 {
-			e.hits++
-		} else {
-			e.misses++
-		}
+	if key := j.key(); key != "" {
+		j.left -= min(e.cache.get(key), j.prompt)
 	}
 	e.prefill = insert(e.prefill, j)
 	if !e.busy {
@@ -192,8 +194,12 @@
 	j.ended = e.sim.now
 	e.running--
 	e.drop(j)
-	if j.session != "" && !j.failed {
-		e.cache.put(j.session, j.prompt+j.out)
+	if key := j.key(); key != "" && !j.failed {
+		n := sharedPrefix
+		if j.session != "" {
+			n = j.prompt + j.out
+		}
+		e.cache.put(key, n)
 	}
 	e.next()
 	j.done(j)
--- a/internal/bench/front.go
+++ b/internal/bench/front.go
@@ -124,7 +124,10 @@
 		cs = append(cs, place.Candidate{Name: e.name, Domain: e.domain, Slots: f.share, Own: f.own[e.name],
 			Starting: f.begun[e.name], Load: e.report, Known: e.report.At > 0})
 	}
-	ask := place.Ask{Model: "m", Version: "1", Session: c.job.session, Tokens: c.job.prompt, Exclude: c.tried}
+	ask := place.Ask{Model: "m", Version: "1", Session: c.job.session, Prefix: c.job.prefix, Tokens: c.job.prompt, Exclude: c.tried}
+	if c.job.prefix != 0 {
+		ask.Tokens = sharedPrefix
+	}
 	name, ok := f.placer.Pick(now, ask, cs)
 	if !ok {
 		f.again(c, nil)
@@ -151,7 +154,7 @@
 }
 
 func (f *front) attempt(c *call, e *engine) {
-	j := &job{id: fmt.Sprint(c.job.id, "/", c.count), rank: c.job.rank, tenant: c.job.tenant, session: c.job.session,
+	j := &job{id: fmt.Sprint(c.job.id, "/", c.count), rank: c.job.rank, tenant: c.job.tenant, session: c.job.session, prefix: c.job.prefix,
 		prompt: c.job.prompt, out: c.job.out, guess: c.job.guess, arrived: f.sim.now}
 	f.own[e.name]++
 	f.begun[e.name]++
@@ -207,6 +210,9 @@
 		f.again(c, e)
 	} else {
 		c.ttft = float64(j.first-c.job.arrived) / 1000
+		if e.domain != f.domain {
+			c.ttft += float64(roundTrip) / 1000
+		}
 		f.end(c, f.deadline == 0 || j.first-c.job.arrived <= f.deadline)
 	}
 	f.dispatch()
--- a/internal/bench/run.go
+++ b/internal/bench/run.go
@@ -17,6 +17,8 @@
 		{"ranks", ranks},
 		{"tenants", fairness},
 		{"retries", overload},
+		{"rollout", rollouts},
+		{"place", placement},
 	}
 }
 
