--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -17,6 +18,7 @@
 	Tenants []Tenant
 	Mix     Mix
 	Stall   time.Duration // time without a byte after which a connection counts as broken
+	Gap     time.Duration // the same within a stream, and for calls with a key; 0 means Stall
 	Resumes int           // continuations of one request at most
 	Running int           // requests under way at most; further ones wait, which is reported as late
 	Seen    func(Record)  // called for each finished request, may be nil
@@ -30,6 +32,9 @@
 // on.
 func (l *Load) Run(ctx context.Context) Result {
 	l.sessions, l.avoided = &sessions{}, &avoided{until: map[string]time.Time{}}
+	if l.Gap == 0 {
+		l.Gap = l.Stall
+	}
 	if l.Running == 0 {
 		l.Running = 4096
 	}
@@ -48,9 +53,12 @@
 		wg.Go(func() {
 			defer func() { <-slots }()
 			r.At = l.clock.Now()
-			if r.Kind == KindChat {
+			switch {
+			case r.Kind == KindChat:
 				l.chat(r)
-			} else {
+			case r.twice:
+				l.both(r)
+			default:
 				l.plain(r)
 			}
 			mu.Lock()
@@ -66,6 +74,14 @@
 	return res
 }
 
+// broke notes an attempt that broke.
+func (l *Load) broke(r *request, addr string, err error) {
+	r.Outcome, r.Error = Broken, err.Error()
+	var timeout interface{ Timeout() bool } // fasthttp.ErrTimeout is no net.Error
+	silent := errors.As(err, &timeout) && timeout.Timeout()
+	r.Breaks = append(r.Breaks, Break{Target: addr, At: l.clock.Now(), Code: r.Code, Error: r.Error, Silent: silent})
+}
+
 // target returns the address with this index, skipping those that refused a connection or broke one
 // within the last second, as a load balancer would.
 func (l *Load) target(i int) string {
