entry: an end with any reason but stop and length is not whole

The engine had closed the connection after it read the request, the attempt was cancelled, and the next one was attached to the cancelled generation, whose end has the reason cancel. The check compared it with cancelled, a word that only the test's fake used. Ruled out: mixed up answers (the bytes are none), the reader of the load tool (the end event was there). Change: io/engine names the two reasons of a whole text; everything else is treated as cut. Figures: go test ./internal/entry -run Fault: the new row fails before and passes after. Conclusion: an unknown reason can no longer end an answer.

--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -341,7 +341,7 @@
 	case engine.End:
 		x.last = x.read
 		x.seen()
-		cancelled := x.read.Reason == "cancelled"
+		cancelled := !x.read.Whole()
 		x.result(work.Result{})
 		x.hangup()
 		x.letGo()
--- a/internal/entry/fault_test.go
+++ b/internal/entry/fault_test.go
@@ -101,6 +101,11 @@
 			tokens(c, 1, 2)
 			fmt.Fprint(c, "event: end\ndata: {\"tokens\":2,\"reason\":\"cancelled\",\"prompt\":3}\n\n")
 		}), " t1 t2", "backend-failed", 1, 2},
+		{"generation cut as the engines name it", "m", on(func(c net.Conn, _ map[string]any) {
+			open(c)
+			tokens(c, 1, 2)
+			fmt.Fprint(c, "event: end\ndata: {\"tokens\":2,\"reason\":\"cancel\",\"prompt\":3}\n\n")
+		}), " t1 t2", "backend-failed", 1, 2},
 		{"own refusal", "m", on(status(503, ownRefusal)), fiveText, "", 2, 5},
 		{"error", "m", on(status(500, "{}")), fiveText, "", 2, 5},
 	} {
--- a/io/engine/stream.go
+++ b/io/engine/stream.go
@@ -26,6 +26,12 @@
 // Kind is the kind of an event.
 type Kind uint8
 
+// Reasons of an end after which the text is whole.
+const (
+	ReasonStop   = "stop"
+	ReasonLength = "length"
+)
+
 // Event is one event of a generation. The text is valid until the next call of Next.
 type Event struct {
 	Kind   Kind
@@ -33,7 +39,7 @@
 	Text   json.RawMessage // the text as a JSON string
 	Tokens int             // generated tokens, End only
 	Prompt int             // prompt tokens, End only
-	Reason string          // stop, length or cancel, End only
+	Reason string          // ReasonStop, ReasonLength, or why the text is not whole; End only
 }
 
 // Stream reads the events of one attempt.
@@ -180,3 +186,7 @@
 }
 
 func itoa(n int64) string { return strconv.FormatInt(n, 10) }
+
+// Whole reports whether an End closes a whole text. Any reason that is not known to be one counts as cut, because a
+// cut answer that looks whole cannot be noticed by anyone later.
+func (e *Event) Whole() bool { return e.Reason == ReasonStop || e.Reason == ReasonLength }
