proof, engine: jumbled streams, missing ratings and leaving servers that only one source names

Cause: answers that arrive twice or with gaps, and a rating service that is down or silent, were no case; every leaving engine was named by both sources.

Change: the fault jumble of the engine stand-in, three cases, and a choice by the seed of who says that an engine leaves.

--- a/internal/proof/cases.go
+++ b/internal/proof/cases.go
@@ -61,6 +61,11 @@
 	{"engine-closes", func(s *scene) error {
 		return during(s.backends(some(work.KindEngine, 2), "close", 0.5, faultTime))
 	}},
+	{"engine-jumbles", func(s *scene) error {
+		return during(s.backends(some(work.KindEngine, 2), "jumble", 0.03, faultTime))
+	}},
+	{"rating-down", func(s *scene) error { return during(s.rating("down")) }},
+	{"rating-silent", func(s *scene) error { return during(s.rating("silent")) }},
 	{"version-bad", func(s *scene) error {
 		return during(s.backends(some(work.KindEngine, 1), "bad", "small@2", 2*faultTime))
 	}},
--- a/internal/proof/run.go
+++ b/internal/proof/run.go
@@ -87,6 +87,8 @@
 		s.victims = append(s.victims, s.VMs[i])
 	}
 	s.domain = s.victims[0].Domain
+	s.after = time.Second + time.Duration(s.rand.IntN(500))*time.Millisecond
+	s.who = s.rand.IntN(3)
 	return nil
 }
 
@@ -106,7 +108,7 @@
 	done := make(chan error, 2)
 	go func() { done <- s.operate(e) }()
 	go func() {
-		time.Sleep(time.Second + time.Duration(s.rand.IntN(500))*time.Millisecond)
+		time.Sleep(s.after)
 		done <- c.do(s)
 	}()
 	e.Records = l.Run(context.Background()).Records
@@ -167,16 +169,22 @@
 	return nil
 }
 
-// leave lets a large engine outside the cut-off domain leave.
+// leave lets a large engine outside the cut-off domain leave. Either the engine says so, or the list of
+// VMs, or both.
 func (s *scene) leave(e *verdict.Evidence) error {
 	for _, b := range s.Backends {
 		if b.Kind != work.KindEngine || b.Pool != "large" || b.Domain == s.domain {
 			continue
 		}
-		if err := procs.Fault(b.Control, "leaving", nil, 0); err != nil {
-			return err
+		if s.who != 1 {
+			if err := procs.Fault(b.Control, "leaving", nil, 0); err != nil {
+				return err
+			}
 		}
 		e.Leaves = append(e.Leaves, verdict.Leave{Name: b.Name, At: max(s.clock.Wall(), s.healed()).Add(leaveBound)})
+		if s.who == 0 {
+			return nil
+		}
 		return s.Leave(b)
 	}
 	return nil
--- a/internal/proof/scene.go
+++ b/internal/proof/scene.go
@@ -22,8 +22,10 @@
 	rand  *rand.Rand
 	clock clock.Clock
 
-	victims []*procs.VM // entry VMs that faults may strike, in random order
-	domain  string      // failure domain that is cut off
+	victims []*procs.VM   // entry VMs that faults may strike, in random order
+	domain  string        // failure domain that is cut off
+	after   time.Duration // from the start of the load to the fault
+	who     int           // who says that an engine leaves: 0 itself, 1 the list of VMs, 2 both
 	lost    []verdict.Lost
 	killed  []*procs.VM
 	mu      sync.Mutex
@@ -96,6 +98,11 @@
 	return nil
 }
 
+// rating puts a fault of the rating service in force.
+func (s *scene) rating(name string) error {
+	return procs.Fault(s.RatingControl(), name, nil, clock.FromStd(faultTime))
+}
+
 // between returns the groups of connections between the cut-off domain and the others.
 func (s *scene) between() string {
 	var gs []string
--- a/internal/standin/engine/doc.go
+++ b/internal/standin/engine/doc.go
@@ -16,5 +16,6 @@
 // Faults: error (probability of HTTP 500), refuse (503, nothing ran), slow (factor on step times), silent
 // (open connections fall silent), close (closes after reading the request, nothing ran), bad
 // ("MODEL@VERSION": that version fails with HTTP 500), crash (ends running generations and breaks their
-// connections), leaving (reports leaving and refuses new work).
+// connections), leaving (reports leaving and refuses new work), jumble (probability that a token is lost on the
+// way or that the one before it is sent again).
 package engine
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -13,7 +13,7 @@
 )
 
 // Faults are the names of the faults of an engine.
-var Faults = []string{"error", "refuse", "slow", "silent", "close", "bad", "crash", "leaving"}
+var Faults = []string{"error", "refuse", "slow", "silent", "close", "bad", "crash", "leaving", "jumble"}
 
 // Engine is one stand-in model engine. The exported fields are set before Run.
 type Engine struct {
--- a/internal/standin/engine/http.go
+++ b/internal/standin/engine/http.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"strings"
 	"time"
@@ -150,8 +151,7 @@
 		have, outcome, changed := g.tokens, g.outcome, g.changed
 		e.mu.Unlock()
 		for ; n < have; n++ {
-			b, _ := json.Marshal(map[string]string{"text": e.text(g, n+1)})
-			fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n+1, b)
+			e.token(w, g, n+1)
 		}
 		switch outcome {
 		case outcomeCrashed:
@@ -179,6 +179,22 @@
 	}
 }
 
+// token sends one token, or with the fault "jumble" the one before again, or nothing.
+func (e *Engine) token(w io.Writer, g *generation, n int) {
+	if e.Ledger.Faults.Hits("jumble") {
+		if n == 1 || e.Ledger.Faults.Roll() < 0.5 {
+			return
+		}
+		e.event(w, g, n-1)
+	}
+	e.event(w, g, n)
+}
+
+func (e *Engine) event(w io.Writer, g *generation, n int) {
+	b, _ := json.Marshal(map[string]string{"text": e.text(g, n)})
+	fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n, b)
+}
+
 func (e *Engine) cancel(ctx *fasthttp.RequestCtx) {
 	var c call
 	if err := json.Unmarshal(ctx.PostBody(), &c); err != nil {
