cascade: choice of stages that learns from late and missing ratings

Cause: the daemon has only the fixed ladder, which pays a failed cheap attempt for every request that the cheap model cannot answer.

Ruled out: a threshold for each answer equal to the target, because the goal is an average and such a rule buys quality that nobody asked for; an average over all kinds for the start, because one kind would then pay for another; Thompson sampling, because its exploration depends on the number of ratings rather than on what a trial costs.

Change: core/cascade with the baselines Cheap, Costly and Ladder, and Learned: decayed ratings for each stage and kind, the stage of least expected cost, a threshold that keeps the average of accepted answers at the target, trials of cheaper stages bounded by their cost, and the fallback while ratings are missing.

--- /dev/null
+++ b/core/cascade/types.go
@@ -0,0 +1,110 @@
+package cascade
+
+import (
+	"github.com/cespare/xxhash/v2"
+
+	"shallotrun/core/clock"
+	"shallotrun/core/document"
+)
+
+// Bounds of the state.
+const (
+	// Kinds is the number of kinds of requests that are told apart within one cascade.
+	Kinds = groups * lengths
+	// MaxCascades is the number of cascades whose ratings are kept; the one unused for longest is forgotten.
+	MaxCascades = 64
+
+	groups  = 32 // of workspaces, by hash
+	lengths = 4  // classes of prompt length
+)
+
+// Kind is a bucket of requests that probably need the same stage.
+type Kind uint8
+
+// KindOf returns the kind of a request by its workspace and the length of its prompt in bytes.
+func KindOf(workspace string, length int) Kind {
+	class := 0
+	for limit := 256; class < lengths-1 && length >= limit; limit *= 4 {
+		class++
+	}
+	return Kind(xxhash.Sum64String(workspace)%groups*lengths + uint64(class))
+}
+
+// Ask is a request to a cascade.
+type Ask struct {
+	Cascade string
+	Target  int       // rating in percent
+	First   bool      // without a rating the first answer is accepted; otherwise the last stage is used
+	Costs   []float64 // of one answer of each stage, in any unit
+	Kind    Kind
+	Unrated bool // the rating service is known not to answer now
+}
+
+// Policy is the rule of choice.
+type Policy interface{ policy() }
+
+// Cheap always accepts the answer of the first stage. It is a baseline.
+type Cheap struct{}
+
+// Costly always starts with the last stage. It is a baseline.
+type Costly struct{}
+
+// Ladder tries every stage in turn until the rating reaches a threshold. It is a baseline.
+type Ladder struct {
+	Threshold int // rating in percent, 0 means the target
+}
+
+// Learned starts with the stage of the least expected cost and accepts ratings that keep the average of the accepted
+// answers at the target.
+type Learned struct {
+	// Slack is how far below the target the rating of a single accepted answer may be, 0 means DefaultSlack. A
+	// negative one accepts no answer below the target.
+	Slack int
+	// Half is the time after which an unconfirmed rating counts half, 0 means 10 min.
+	Half clock.Span
+	// Explore is the part of the last stage's cost that may be spent to try cheaper stages again, 0 means 0.02.
+	Explore float64
+}
+
+// DefaultSlack bounds how bad a single answer can be while the average is on target.
+const DefaultSlack = 15
+
+func (Cheap) policy()   {}
+func (Costly) policy()  {}
+func (Ladder) policy()  {}
+func (Learned) policy() {}
+
+func (p Learned) slack() int {
+	switch {
+	case p.Slack < 0:
+		return 0
+	case p.Slack == 0:
+		return DefaultSlack
+	}
+	return min(p.Slack, maxSlack)
+}
+
+func (p Learned) half() clock.Span {
+	if p.Half <= 0 {
+		return 10 * clock.Minute
+	}
+	return p.Half
+}
+
+func (p Learned) explore() float64 {
+	if p.Explore <= 0 {
+		return 0.02
+	}
+	return p.Explore
+}
+
+// last returns the index of the last stage.
+func (a Ask) last() int { return max(min(len(a.Costs), document.MaxStages)-1, 0) }
+
+// fallback returns the stage that is used without ratings.
+func (a Ask) fallback() int {
+	if a.First {
+		return 0
+	}
+	return a.last()
+}
