evidence: halt a bad version on the results of all requests

Cause: core/rollout decided nothing in the daemon; a bad canary went on until an operator withdrew it. Change: internal/evidence feeds results and peers' counts to the sequential test and halts the version; a halted live version is replaced by draining ones, the only version of a model is never halted. Ruled out: halting the only version, which turns bad answers of some requests into refusals of all. Conclusion: one VM halts on its own results; pooling needs the peers.

--- a/core/route/choose.go
+++ b/core/route/choose.go
@@ -77,7 +77,7 @@
 		return notAllowed(v.String())
 	case d.State == document.Withdrawn:
 		return refuse(work.CodeVersionWithdrawn, 409, v.String()+" is withdrawn")
-	case d.State == document.Draining && !session:
+	case d.State == document.Draining && !session && !t.liveHalted(v.Model, f):
 		return refuse(work.CodeVersionDraining, 409, v.String()+" gets no new sessions")
 	case f.Halted != nil && f.Halted(v.Model, v.Version):
 		return refuse(work.CodeVersionHalted, 409, v.String()+" is halted because its results are bad")
@@ -122,7 +122,7 @@
 	return Target{}, false
 }
 
-// spread chooses among the versions that may get new work: canaries get their share, live ones the rest.
+// spread chooses among the versions that may get new work: canaries get their share, the others the rest.
 func (t *Table) spread(a Ask, m *document.Model, f Facts) (Target, *work.Refusal) {
 	var live, canary []*document.Version
 	var first *work.Refusal
@@ -159,6 +159,21 @@
 	return Target{m.Name, live[min(i, len(live)-1)].Name}, nil
 }
 
+// liveHalted reports whether evidence halted the live version of a model. A draining version, which was in service
+// before it and is still loaded, then takes new work again.
+func (t *Table) liveHalted(model string, f Facts) bool {
+	m := t.models[model]
+	if m == nil || f.Halted == nil {
+		return false
+	}
+	for _, v := range m.Versions {
+		if v.State == document.Live && f.Halted(model, v.Name) {
+			return true
+		}
+	}
+	return false
+}
+
 func notAllowed(name string) *work.Refusal {
 	return refuse(work.CodeNotAllowed, 403, "the workspace does not allow "+name)
 }
--- a/core/route/route_test.go
+++ b/core/route/route_test.go
@@ -92,6 +92,16 @@
 	assert.Equal(t, tab.Check(nil, Target{"a", "1"}, true, Facts{}).Code, work.CodeKeyUnknown)
 }
 
+// Guards against refusals while the version before a halted one could serve.
+func TestFallbackToLastGood(t *testing.T) {
+	tab := table()
+	bad := Facts{Halted: func(_, v string) bool { return v == "1" || v == "2" }}
+	c, r := tab.Choose(Ask{Workspace: tab.Key("key"), Name: "a", Random: 0.4}, bad)
+	assert.Assert(t, r == nil)
+	assert.Equal(t, c.Stages[0].String(), "a@3")
+	assert.Assert(t, tab.Check(tab.Key("key"), c.Stages[0], false, bad) == nil)
+}
+
 // Guards against all versions being halted and new work being sent to one of them all the same.
 func TestAllHalted(t *testing.T) {
 	tab := table()
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"time"
 
@@ -16,6 +17,7 @@
 	"shallotrun/internal/config"
 	"shallotrun/internal/control"
 	"shallotrun/internal/entry"
+	"shallotrun/internal/evidence"
 	"shallotrun/internal/servers"
 	"shallotrun/internal/settings"
 	"shallotrun/io/operator"
@@ -42,6 +44,7 @@
 	direct   *direct
 	control  *control.Controller
 	recorder *control.Recorder
+	judge    *evidence.Judge
 	entry    *entry.Daemon
 }
 
@@ -102,6 +105,8 @@
 	d.recorder = &control.Recorder{
 		Name: s.VM.Name, Holds: d.control.Holds, Store: d.store, Writer: &config.Writer{Client: d.client}, Log: d.Log,
 	}
+	d.judge = &evidence.Judge{Store: d.store, Source: fmt.Sprintf("%s/%d", s.VM.Name, d.start), Log: d.Log}
+	d.judge.Attach()
 	d.register()
 	tracer, stop, err := d.tracer(ctx)
 	if err != nil {
@@ -111,7 +116,7 @@
 		Name: s.VM.Name, Domain: s.VM.Domain, Listen: s.Callers.Addr, Source: source,
 		Keys:  append([][]byte{s.Keys.Session}, s.Keys.Old...),
 		Clock: d.Clock, Log: d.Log,
-		Documents: d.store, Servers: d.servers, Bills: d.direct, Claims: d.direct, Rating: s.Callers.Rating,
+		Documents: d.store, Servers: d.servers, Bills: d.direct, Claims: d.direct, Rating: s.Callers.Rating, Evidence: d.judge,
 		Registry: d.registry, Tracer: tracer,
 	}
 	return stop, nil
--- /dev/null
+++ b/internal/evidence/judge.go
@@ -0,0 +1,161 @@
+package evidence
+
+import (
+	"strings"
+	"sync"
+
+	"github.com/rs/zerolog"
+
+	"shallotrun/core/document"
+	"shallotrun/core/relay"
+	"shallotrun/core/rollout"
+	"shallotrun/core/work"
+	"shallotrun/internal/config"
+)
+
+// Judge decides about versions. The exported fields are set before the first call, then Attach is called once. Its
+// methods may be called from several goroutines.
+type Judge struct {
+	Store  *config.Store
+	Source string // this VM with its incarnation, as VM/INCARNATION
+	Policy rollout.Policy
+	Log    zerolog.Logger
+
+	mu       sync.Mutex
+	evidence rollout.Evidence
+	state    map[string]string // of each version in the last document, by MODEL@VERSION
+}
+
+// Attach follows the document: a version that an operator puts back in service is judged anew.
+func (j *Judge) Attach() {
+	j.evidence.Policy, j.evidence.Source = j.Policy, j.Source
+	j.Store.Subscribe(func(s *document.Snapshot) { j.document(s.Document) })
+}
+
+// Report takes the result of an attempt of this VM.
+func (j *Judge) Report(r work.Result) {
+	if r.Model == "" || !rollout.Counts(r) {
+		return
+	}
+	d := j.current()
+	if d == nil || d.Version(r.Model, r.Version) == nil {
+		return
+	}
+	j.mu.Lock()
+	j.evidence.Report(r, controls(d, r.Model, r.Version)...)
+	decision := j.evidence.Decide(r.Model, r.Version)
+	j.mu.Unlock()
+	j.act(d, r.Model, r.Version, decision)
+}
+
+// Merge takes counts from peers. Repeated and reordered counts do no harm.
+func (j *Judge) Merge(rows []relay.Row) {
+	d := j.current()
+	if d == nil {
+		return
+	}
+	for _, row := range rows {
+		model, version, ok := strings.Cut(row.Version, "@")
+		if !ok || d.Version(model, version) == nil {
+			continue // counts of versions that are not in the document would grow without bound
+		}
+		t := rollout.Tally{Source: row.Source, Model: model, Version: version, Good: row.Good, Bad: row.Bad}
+		j.mu.Lock()
+		news := j.evidence.Merge(t, controls(d, model, version)...)
+		decision := j.evidence.Decide(model, version)
+		j.mu.Unlock()
+		if news {
+			j.act(d, model, version, decision)
+		}
+	}
+}
+
+// Decide returns what the pooled evidence says about a version.
+func (j *Judge) Decide(model, version string) rollout.Decision {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.evidence.Decide(model, version)
+}
+
+// Stage starts a new stage of a roll-out, for which new results are needed.
+func (j *Judge) Stage(model, version string) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.evidence.Stage(model, version)
+}
+
+// act halts a version if something else can take its place. Halting the only version of a model would turn bad
+// answers of some requests into refusals of all; the reason is logged for the operators instead.
+func (j *Judge) act(d *document.Document, model, version string, x rollout.Decision) {
+	if x.Action != rollout.Halt || j.Store.Halted(model, version) {
+		return
+	}
+	if v := d.Version(model, version); v.State == document.Live && !j.replaceable(d, model, version) {
+		j.Log.Error().Str("model", model).Str("version", version).Str("reason", x.Reason).
+			Msg("evidence: the only version of the model has bad results and is not halted")
+		return
+	}
+	j.Store.Halt(model, version, x.Reason)
+}
+
+// replaceable reports whether new work can go to another version of the model.
+func (j *Judge) replaceable(d *document.Document, model, version string) bool {
+	for _, m := range d.Models {
+		if m.Name != model {
+			continue
+		}
+		for _, v := range m.Versions {
+			if v.Name != version && v.State != document.Withdrawn && !j.Store.Halted(model, v.Name) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func (j *Judge) current() *document.Document {
+	if s := j.Store.Current(); s != nil {
+		return s.Document
+	}
+	return nil
+}
+
+func (j *Judge) document(d *document.Document) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	state := make(map[string]string)
+	for _, m := range d.Models {
+		for _, v := range m.Versions {
+			name := m.Name + "@" + v.Name
+			state[name] = v.State
+			if old, known := j.state[name]; known && old != v.State && (v.State == document.Canary || v.State == document.Live) {
+				j.reset(m.Name, v.Name, old)
+			}
+		}
+	}
+	j.state = state
+	j.evidence.Keep(func(model, version string) bool { _, ok := state[model+"@"+version]; return ok })
+}
+
+// reset starts the test anew, unless a canary became live: what was seen of it then still counts.
+func (j *Judge) reset(model, version, old string) {
+	if old != document.Canary {
+		j.evidence.Reset(model, version)
+	}
+}
+
+// controls names the versions that the error rate of a version is compared with: those that it would replace.
+func controls(d *document.Document, model, version string) []string {
+	var out []string
+	for _, m := range d.Models {
+		if m.Name != model {
+			continue
+		}
+		for _, v := range m.Versions {
+			if v.Name != version && v.State == document.Live {
+				out = append(out, v.Name)
+			}
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/evidence/judge_test.go
@@ -0,0 +1,86 @@
+package evidence
+
+import (
+	"encoding/json"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"shallotrun/core/clock"
+	"shallotrun/core/document"
+	"shallotrun/core/relay"
+	"shallotrun/core/work"
+	"shallotrun/internal/config"
+)
+
+func judge(t *testing.T, versions ...document.Version) *Judge {
+	t.Helper()
+	s := &config.Store{Clock: clock.NewManual(1000)}
+	offer(t, s, 1, versions...)
+	j := &Judge{Store: s, Source: "vm/1"}
+	j.Attach()
+	return j
+}
+
+func offer(t *testing.T, s *config.Store, revision uint64, versions ...document.Version) {
+	t.Helper()
+	raw, err := json.Marshal(document.Document{
+		Author: "test", Domains: []string{"a"}, Models: []document.Model{{Name: "m", Versions: versions}},
+		Pools: []document.Pool{{Name: "p", Models: []string{"m"}, Slots: 4}},
+	})
+	assert.NilError(t, err)
+	_, err = s.Offer(raw, revision)
+	assert.NilError(t, err)
+}
+
+func report(j *Judge, version string, n int, failed bool) {
+	for range n {
+		j.Report(work.Result{Server: "s", Model: "m", Version: version, Failed: failed})
+	}
+}
+
+var live, canary = document.Version{Name: "1", State: document.Live, Cost: 1}, document.Version{Name: "2", State: document.Canary, Share: 10, Cost: 1}
+
+// Guards against a bad canary that goes on because each VM sees too few of its requests alone.
+func TestPooledEvidenceHalts(t *testing.T) {
+	j := judge(t, live, canary)
+	report(j, "1", 300, false)
+	report(j, "2", 4, true)
+	report(j, "2", 16, false)
+	rows := []relay.Row{
+		{Source: "vm2/1", Version: "m@2", Good: 16, Bad: 4}, {Source: "domain", Version: "m@2", Good: 16, Bad: 4},
+		{Source: "vm2/1", Version: "m@2", Good: 16, Bad: 4}, // repeated
+		{Source: "vm3/1", Version: "gone@1", Good: 0, Bad: 9},
+	}
+	j.Merge(rows)
+	assert.Assert(t, j.Store.Halted("m", "2"))
+	assert.Assert(t, !j.Store.Halted("m", "1"))
+}
+
+// Guards against a halt of the only version, which would refuse every request for the model.
+func TestOnlyVersionIsNotHalted(t *testing.T) {
+	j := judge(t, live)
+	report(j, "1", 200, true)
+	assert.Assert(t, !j.Store.Halted("m", "1"))
+}
+
+// Guards against a live version that turns bad in mid-day while the version before it could serve.
+func TestLiveVersionTurnsBad(t *testing.T) {
+	j := judge(t, live, document.Version{Name: "0", State: document.Draining, Cost: 1})
+	report(j, "1", 5000, false)
+	report(j, "1", 60, true)
+	assert.Assert(t, j.Store.Halted("m", "1"))
+}
+
+// Guards against old failures that halt a version again after an operator put it back in service.
+func TestOperatorDecidesAnew(t *testing.T) {
+	j := judge(t, live, canary)
+	report(j, "2", 60, true)
+	assert.Assert(t, j.Store.Halted("m", "2"))
+	withdrawn := canary
+	withdrawn.State, withdrawn.Share = document.Withdrawn, 0
+	offer(t, j.Store, 2, live, withdrawn)
+	offer(t, j.Store, 3, live, canary)
+	report(j, "2", 30, false)
+	assert.Assert(t, !j.Store.Halted("m", "2"))
+}
