entry, flow: names are read again at dispatch, bounded load reports

Ruled out: refusing requests whose route changed while they waited. Change: if a new document came into force, the check at dispatch resolves the name again; another model sends the request to its queue (Rerouted). A version that may still be used is kept. At most 20 load reports a second are fetched, in turn, of engines that this VM has a share of; reports older than 10 s are not used.

--- a/core/flow/command.go
+++ b/core/flow/command.go
@@ -12,7 +12,8 @@
 		Abandon string   // server whose generation is to be cancelled without waiting, "" for none
 		Fresh   bool     // what was collected of this stage is void
 	}
-	// Check asks whether the stage's version may get new work: Checked or Refused follows.
+	// Check asks whether the stage's version may get new work: Checked, Refused or, while Fresh reports that nothing
+	// was generated, Rerouted follows.
 	Check struct{}
 	// Call opens a new connection to Server and reads the first event. From is the last token number that
 	// is not needed again. Resume says that the server must know the request already.
--- a/core/flow/event.go
+++ b/core/flow/event.go
@@ -33,6 +33,8 @@
 	Refused struct{ Refusal *work.Refusal }
 	// Checked says that the stage's version may get this work now.
 	Checked struct{}
+	// Rerouted says instead of Checked that the name which the caller asked for means other stages by now.
+	Rerouted struct{ Stages []Stage }
 	// Waiting says that the server reported that the request waits there.
 	Waiting struct{ Attempt int }
 	// Token says that the token with number N arrived, counted from 1. It is passed by pointer so that
@@ -70,6 +72,7 @@
 func (Granted) event()   {}
 func (Refused) event()   {}
 func (Checked) event()   {}
+func (Rerouted) event()  {}
 func (Waiting) event()   {}
 func (*Token) event()    {}
 func (End) event()       {}
--- a/core/flow/flow.go
+++ b/core/flow/flow.go
@@ -78,6 +78,11 @@
 // Began reports whether a token was delivered.
 func (f *Flow) Began() bool { return f.began }
 
+// Fresh reports whether nothing was generated yet, as far as is known: the stages may still change.
+func (f *Flow) Fresh() bool {
+	return !f.Resumed && f.stage == 0 && f.Last == 0 && len(f.bill) == 0
+}
+
 // Done reports whether the final command was returned.
 func (f *Flow) Done() bool { return f.state == done }
 
@@ -152,6 +157,11 @@
 			return f.fail(f.deadline())
 		}
 		return f.call()
+	case Rerouted:
+		if f.Fresh() {
+			f.Stages, f.exclude = e.Stages, nil
+			return f.enqueue()
+		}
 	case Refused:
 		return f.fail(e.Refusal)
 	}
--- a/core/flow/flow_test.go
+++ b/core/flow/flow_test.go
@@ -52,6 +52,9 @@
 		if w.chance(12) {
 			return Refused{w.refusal()}
 		}
+		if w.f.Fresh() && w.chance(8) {
+			return Rerouted{w.f.Stages}
+		}
 		w.checked = true
 		return Checked{}
 	case Call:
--- a/internal/entry/background.go
+++ b/internal/entry/background.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"strings"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -13,8 +15,13 @@
 // tickEvery is how often deadlines of waiting requests and changes of the server list are looked at.
 const tickEvery = 25 * clock.Millisecond
 
-// pollParallel is the number of load reports that are fetched at the same time.
-const pollParallel = 16
+// Bounds on load reports. A report costs about 400 bytes on the wire, so that 20 a second stay within half of the
+// 18 KB a second that control may use on a VM, whatever the size of the fleet.
+const (
+	pollParallel = 16
+	pollRate     = 20 // reports a second
+	loadAge      = 10 * clock.Second
+)
 
 // tick runs the queues.
 func (d *Daemon) tick(ctx context.Context) {
@@ -25,27 +32,48 @@
 	})
 }
 
-// poll fetches load reports of the engines in pools that are in use.
+// poll fetches load reports of the engines that this VM may use, in turn.
 func (d *Daemon) poll(ctx context.Context) {
-	s := d.Poll
+	s, rate := d.Poll, d.Reports
 	if s == 0 {
 		s = 500 * clock.Millisecond
 	}
+	if rate == 0 {
+		rate = pollRate
+	}
+	turn := 0
 	every(ctx, s, func() {
 		var g errgroup.Group
 		g.SetLimit(pollParallel)
-		for _, p := range d.all() {
-			for _, v := range d.Servers.Servers(p.name) {
-				if v.Kind != work.KindEngine || v.State != work.StateLive {
-					continue
-				}
-				g.Go(func() error { d.fetch(p, v); return nil })
-			}
+		jobs := d.engineList()
+		for range min(len(jobs), max(rate*int(s)/int(clock.Second), 1)) {
+			j := jobs[turn%len(jobs)]
+			turn++
+			g.Go(func() error { d.fetch(j.pool, j.vm); return nil })
 		}
 		_ = g.Wait()
 	})
 }
 
+// job is a load report to fetch.
+type job struct {
+	pool *pool
+	vm   work.VM
+}
+
+// engineList returns the engines that this VM may use, in a fixed order.
+func (d *Daemon) engineList() (out []job) {
+	for _, p := range d.all() {
+		for _, v := range d.Servers.Servers(p.name) {
+			if v.Kind == work.KindEngine && v.State == work.StateLive && p.usable(v.Name) {
+				out = append(out, job{p, v})
+			}
+		}
+	}
+	slices.SortFunc(out, func(a, b job) int { return strings.Compare(a.vm.Name, b.vm.Name) })
+	return out
+}
+
 func (d *Daemon) fetch(p *pool, v work.VM) {
 	l, err := d.engines.Load(v.Addr)
 	if err != nil {
--- a/internal/entry/chat.go
+++ b/internal/entry/chat.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/rand"
 	"errors"
+	"slices"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/valyala/fasthttp"
@@ -87,18 +88,10 @@
 	if refusal := r.setRank(choice.Rank); refusal != nil {
 		return nil, refusal
 	}
-	if r.head.Session == "new" {
-		for _, t := range choice.Stages {
-			x.session.Pins = append(x.session.Pins, token.Pin{Model: t.Model, Version: t.Version})
-		}
-	}
-	if x.cascade = choice.Cascade; x.cascade != nil {
-		x.base = d.beginCascade(x.cascade, x.prompt)
-		choice.Stages = choice.Stages[x.base:]
-	}
+	x.adopt(choice)
 	x.holder = d.Bills.Holder(r.id)
 	x.flow = flow.Flow{
-		Stages: stages(r.table, choice.Stages), Deadline: r.end, Retries: maxRetries, Resumes: maxResumes,
+		Stages: stages(r.table, choice.Stages[x.base:]), Deadline: r.end, Retries: maxRetries, Resumes: maxResumes,
 		Buffered: !x.streaming,
 	}
 	return x, nil
@@ -166,6 +159,29 @@
 	}
 }
 
+// adopt takes over what serves the request. A session that is being opened gets these versions.
+func (x *exchange) adopt(c route.Choice) {
+	x.cascade, x.base = c.Cascade, 0
+	if c.Cascade != nil {
+		x.base = x.d.beginCascade(c.Cascade, x.prompt)
+	}
+	if x.session != nil && !x.pinned {
+		x.session.Pins = nil
+		for _, t := range c.Stages {
+			x.pin(t)
+		}
+	}
+}
+
+// pin gives a session that is being opened its version of a model.
+func (x *exchange) pin(t route.Target) {
+	if x.session == nil || x.pinned {
+		return
+	}
+	x.session.Pins = slices.DeleteFunc(x.session.Pins, func(p token.Pin) bool { return p.Model == t.Model })
+	x.session.Pins = append(x.session.Pins, token.Pin{Model: t.Model, Version: t.Version})
+}
+
 // openSession reads the session token or opens a session.
 func (x *exchange) openSession() *work.Refusal {
 	switch text := x.request.head.Session; text {
@@ -183,7 +199,11 @@
 }
 
 func (x *exchange) ask() route.Ask {
-	return route.Ask{Workspace: x.request.space, Name: x.name, Session: x.session, Random: x.d.random()}
+	a := route.Ask{Workspace: x.request.space, Name: x.name, Random: x.d.random()}
+	if x.pinned {
+		a.Session = x.session
+	}
+	return a
 }
 
 // head sets the response headers of an answer.
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -44,7 +44,8 @@
 	Registry *prometheus.Registry // may be nil
 	Tracer   trace.Tracer         // may be nil
 
-	Poll     clock.Span // interval of load reports of engines, 0 means 500 ms
+	Poll     clock.Span // shortest interval of load reports of an engine, 0 means 500 ms
+	Reports  int        // load reports that are fetched in a second, 0 means 20
 	Silent   clock.Span // longest time without progress from an engine, 0 means 400 ms
 	Progress clock.Span // time in which a caller must read something, 0 means 10 s
 	Wait     int        // requests that may wait in one rank of a pool, 0 means 1000
@@ -135,7 +136,7 @@
 
 // report passes the result of an attempt on.
 func (d *Daemon) report(p *pool, r work.Result) {
-	p.report(r)
+	p.result(r)
 	d.metrics.attempt(r)
 	if d.Evidence != nil {
 		d.Evidence.Report(r)
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -244,30 +244,35 @@
 	}
 	t := x.d.table()
 	w := t.Workspace(x.request.space.Name)
-	refusal := t.Check(w, x.target(), x.pinned, x.d.facts())
-	if refusal == nil {
-		return flow.Checked{}
+	if t != x.request.table && w != nil && !x.pinned && x.flow.Fresh() {
+		return x.rechoose(t, w)
 	}
-	if x.rechoose(t, w) {
-		return flow.Checked{}
+	if refusal := t.Check(w, x.target(), x.pinned, x.d.facts()); refusal != nil {
+		return flow.Refused{Refusal: refusal}
 	}
-	return flow.Refused{Refusal: refusal}
+	return flow.Checked{}
 }
 
-// rechoose moves a request that waited while its version was withdrawn or halted to another version, if the
-// caller named only a model and has seen nothing yet.
-func (x *exchange) rechoose(t *route.Table, w *route.Workspace) bool {
-	if w == nil || x.session != nil || x.resumed != nil || x.flow.Last > 0 || x.cascade != nil {
-		return false
+// rechoose applies a document that came into force while the request waited: the name may mean another model by
+// now, and the version may be withdrawn. A version that may still be used is kept.
+func (x *exchange) rechoose(t *route.Table, w *route.Workspace) flow.Event {
+	x.request.table, x.request.space = t, w
+	before := x.target()
+	c, refusal := t.Choose(x.ask(), x.d.facts())
+	if refusal != nil {
+		return flow.Refused{Refusal: refusal}
 	}
-	a := x.ask()
-	a.Workspace = w
-	c, refusal := t.Choose(a, x.d.facts())
-	if refusal != nil || c.Cascade != nil || c.Stages[0].Model != x.target().Model {
-		return false
+	x.adopt(c)
+	s := stages(t, c.Stages[x.base:])
+	if before.Model == s[0].Model {
+		if t.Check(w, before, false, x.d.facts()) == nil {
+			s[0].Version = before.Version
+			x.pin(before)
+		}
+		x.flow.Stages = s
+		return flow.Checked{}
 	}
-	x.flow.Stages = stages(t, c.Stages)
-	return true
+	return flow.Rerouted{Stages: s}
 }
 
 // call opens an attempt.
--- a/internal/entry/fake_test.go
+++ b/internal/entry/fake_test.go
@@ -132,7 +132,8 @@
 		Pools:    []document.Pool{{Name: "engines", Models: []string{"m", "x", "other"}, Slots: 4}},
 		Services: []document.Service{{Name: "tags", Pool: "desk", Slots: 4, Calls: []document.Call{{Method: "POST", Path: "/find", Repeat: true}}}},
 		Workspaces: []document.Workspace{{Name: "yard", Keys: []string{hex.EncodeToString(sum[:])}, Allow: []string{"m", "x"},
-			Services: []string{"tags"}, Rank: "normal", Weight: 1, Limit: 100, Routes: []string{"both"}}},
+			Services: []string{"tags"}, Rank: "normal", Weight: 1, Limit: 100, Routes: []string{"both", "label"}}},
+		Routes:   []document.Route{{Name: "label", Model: "m"}},
 		Cascades: []document.Cascade{{Name: "both", Stages: []string{"m", "x"}, Quality: 80, Down: "last", Wait: 200}},
 	}
 }
--- a/internal/entry/metrics_test.go
+++ b/internal/entry/metrics_test.go
@@ -3,10 +3,14 @@
 import (
 	"os"
 	"regexp"
+	"slices"
 	"testing"
+	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"gotest.tools/v3/assert"
+
+	"shallotrun/core/work"
 )
 
 // Guards against metrics that operators cannot look up.
@@ -25,3 +29,25 @@
 		assert.Check(t, regexp.MustCompile("`"+m[1]+"`").Match(page), m[1])
 	}
 }
+
+// Guards against load reports that grow with the fleet until they use up a VM's share of the network.
+func TestLoadReportsAreBounded(t *testing.T) {
+	var all []string
+	e := fake(t, five)
+	for range 200 {
+		all = append(all, e.addr)
+	}
+	f := &fakes{}
+	d := start(t, f, all, nil, func(d *Daemon) { d.Poll, d.Reports = 100, 50 })
+	d.pool("engines", 4)
+	f.mu.Lock()
+	vms := slices.Clone(f.servers["engines"])
+	for i := range vms {
+		vms[i].Kind = work.KindEngine
+	}
+	f.servers["engines"] = vms
+	f.mu.Unlock()
+	time.Sleep(1050 * time.Millisecond)
+	n := e.count("GET /v1/load")
+	assert.Check(t, n > 10 && n <= 55, "%d reports in a second", n)
+}
--- a/internal/entry/pool.go
+++ b/internal/entry/pool.go
@@ -30,7 +30,7 @@
 	tickets map[string]*ticket
 	parked  []*ticket // popped, waiting for a server that fits
 	own     map[string]int
-	loads   map[string]work.Load
+	loads   map[string]report
 	cands   []place.Candidate // reused
 }
 
@@ -43,6 +43,12 @@
 	server string     // granted, "" before and after
 }
 
+// report is a load report with the time when it arrived.
+type report struct {
+	work.Load
+	at clock.Time
+}
+
 type grant struct {
 	server  work.VM
 	refusal *work.Refusal
@@ -66,7 +72,7 @@
 			placer:  place.Placer{Domain: d.Domain, Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))},
 			tickets: make(map[string]*ticket),
 			own:     make(map[string]int),
-			loads:   make(map[string]work.Load),
+			loads:   make(map[string]report),
 		}
 		d.pools[name] = p
 	}
@@ -155,7 +161,7 @@
 	t.server = ""
 }
 
-func (p *pool) report(r work.Result) {
+func (p *pool) result(r work.Result) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.placer.Report(p.d.Clock.Now(), r)
@@ -179,7 +185,7 @@
 func (p *pool) load(server string, l work.Load) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.loads[server] = l
+	p.loads[server] = report{l, p.d.Clock.Now()}
 	p.pump(p.d.Clock.Now())
 }
 
@@ -188,9 +194,18 @@
 func (p *pool) run() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.pump(p.d.Clock.Now())
+	now := p.d.Clock.Now()
+	p.pump(now)
+	for name, l := range p.loads {
+		if now.Sub(l.at) > loadForget {
+			delete(p.loads, name)
+		}
+	}
 }
 
+// loadForget is the age at which the report of a server is forgotten that is gone or that this VM may not use.
+const loadForget = 10 * clock.Minute
+
 // state returns the waiting requests of each rank, the running ones and the live servers.
 func (p *pool) state() (waiting [work.Ranks]int, running, servers int) {
 	p.mu.Lock()
@@ -302,15 +317,16 @@
 
 // candidates prepares the live servers and returns the number of free slots and of live servers.
 func (p *pool) candidates() (free, live int) {
+	now := p.d.Clock.Now()
 	p.cands = p.cands[:0]
 	for _, v := range p.d.Servers.Servers(p.name) {
 		l, known := p.loads[v.Name]
 		if v.State == work.StateLeaving || l.Leaving {
 			continue
 		}
-		c := place.Candidate{Name: v.Name, Domain: v.Domain, Slots: p.slots, Own: p.own[v.Name], Load: l, Known: known}
-		if p.d.Slots != nil {
-			c.Slots = p.d.Slots(p.name, v.Name, p.slots)
+		c := place.Candidate{Name: v.Name, Domain: v.Domain, Slots: p.share(v.Name), Own: p.own[v.Name]}
+		if known && now.Sub(l.at) < loadAge {
+			c.Load, c.Known = l.Load, true
 		}
 		live++
 		switch {
@@ -326,6 +342,21 @@
 	return min(free, math.MaxInt32), live
 }
 
+// share returns how many requests this VM may have at a server.
+func (p *pool) share(server string) int {
+	if p.d.Slots == nil {
+		return p.slots
+	}
+	return p.d.Slots(p.name, server, p.slots)
+}
+
+// usable reports whether this VM may use a server at all.
+func (p *pool) usable(server string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.slots == 0 || p.share(server) > 0
+}
+
 func (p *pool) server(name string) work.VM {
 	for _, v := range p.d.Servers.Servers(p.name) {
 		if v.Name == name {
--- a/internal/entry/session_test.go
+++ b/internal/entry/session_test.go
@@ -71,6 +71,10 @@
 	})
 	fixed := make(chan string, 1)
 	go func() { c, _ := code(t, post(t, d, chatBody("m@v1", false))); fixed <- c }()
+	routed := make(chan string, 1)
+	go func() { routed <- post(t, d, chatBody("label", false)).Header.Get("Shallot-Model") }()
+	opened := make(chan *http.Response, 1)
+	go func() { opened <- post(t, d, chatBody("m", false), "Shallot-Session", "new") }()
 	moved := make(chan string, 1)
 	go func() { moved <- post(t, d, chatBody("m", false)).Header.Get("Shallot-Model") }()
 	waitFor(t, func() bool {
@@ -80,15 +84,21 @@
 		p := d.all()[0]
 		p.mu.Lock()
 		defer p.mu.Unlock()
-		return len(p.tickets) == 2
+		return len(p.tickets) == 4
 	})
 	f.change(func(x *document.Document) {
 		x.Models[0].Versions = []document.Version{{Name: "v1", State: document.Withdrawn}, {Name: "v2", State: document.Live}}
+		x.Routes[0].Model = "x"
 	})
 	slots.Store(4)
 	assert.Equal(t, <-fixed, "version-withdrawn")
 	assert.Equal(t, <-moved, "m@v2")
-	assert.Equal(t, e.count(generate), 1)
+	assert.Equal(t, <-routed, "x@v1")
+	first := <-opened
+	assert.Equal(t, first.Header.Get("Shallot-Model"), "m@v2")
+	next := post(t, d, chatBody("m", false), "Shallot-Session", first.Header.Get("Shallot-Session"))
+	assert.Equal(t, next.Header.Get("Shallot-Model"), "m@v2")
+	assert.Equal(t, e.count(generate), 4)
 }
 
 // Guards against a stream that cannot be continued at another entry VM, or that is billed by both.
