--- a/internal/entry/chat.go
+++ b/internal/entry/chat.go
@@ -87,13 +87,10 @@
 	if refusal := r.setRank(choice.Rank); refusal != nil {
 		return nil, refusal
 	}
-	if x.cascade = choice.Cascade; x.cascade != nil {
-		x.base = d.beginCascade(x.cascade, x.prompt)
-		choice.Stages = choice.Stages[x.base:]
-	}
+	x.adopt(choice)
 	x.holder = d.Bills.Holder(r.id)
 	x.flow = flow.Flow{
-		Stages: stages(r.table, choice.Stages), Deadline: r.end, Retries: maxRetries, Resumes: maxResumes,
+		Stages: stages(r.table, choice.Stages[x.base:]), Deadline: r.end, Retries: maxRetries, Resumes: maxResumes,
 		Buffered: !x.streaming,
 	}
 	return x, nil
@@ -161,6 +158,14 @@
 	}
 }
 
+// adopt takes over what serves the request.
+func (x *exchange) adopt(c route.Choice) {
+	x.cascade, x.base = c.Cascade, 0
+	if c.Cascade != nil {
+		x.base = x.d.beginCascade(c.Cascade, x.prompt)
+	}
+}
+
 // openSession reads the session token or opens a session.
 func (x *exchange) openSession() *work.Refusal {
 	switch text := x.request.head.Session; text {
@@ -178,7 +183,11 @@
 }
 
 func (x *exchange) ask() route.Ask {
-	return route.Ask{Workspace: x.request.space, Name: x.name, Session: x.session, Random: x.d.random()}
+	a := route.Ask{Workspace: x.request.space, Name: x.name, Random: x.d.random()}
+	if x.pinned {
+		a.Session = x.session
+	}
+	return a
 }
 
 // head sets the response headers of an answer.
