control: canaries advance on evidence where the operators allow it

Cause: a roll-out went on only by hand; an operator who is away leaves it at its first share. Change: field auto of a version; the holder of a lease raises the share through 1, 5, 20 and 50% to live when the sequential test is sure enough, each step a conditional update; a new share starts a new stage of the test. Ruled out: progress in memory, which a lost holder would take with it. Conclusion: an interrupted roll-out goes on from the document.

--- a/core/document/edit.go
+++ b/core/document/edit.go
@@ -43,11 +43,11 @@
 		}
 		for j := range d.Models[i].Versions {
 			if w := &d.Models[i].Versions[j]; w.State == Live && w.Name != version {
-				w.State = Draining
+				w.State, w.Auto = Draining, false
 			}
 		}
 	}
-	v.State, v.Share = Live, 0
+	v.State, v.Share, v.Auto = Live, 0, false
 	return nil
 }
 
@@ -70,7 +70,7 @@
 	if promote == version {
 		return oops.Errorf("%s@%s cannot take its own place", model, version)
 	}
-	v.State, v.Share = state, 0
+	v.State, v.Share, v.Auto = state, 0, false
 	if promote == "" {
 		return nil
 	}
--- a/core/document/types.go
+++ b/core/document/types.go
@@ -59,6 +59,7 @@
 	Name  string `json:"name"`
 	State string `json:"state"`
 	Share int    `json:"share,omitempty"` // percent of new work while canary
+	Auto  bool   `json:"auto,omitempty"`  // the system raises the share of a canary on evidence
 	Cost  int    `json:"cost"`            // millionths of a currency unit for 1,000 generated tokens
 	Exact bool   `json:"exact,omitempty"` // the same request gives the same tokens on every replica
 	Stale string `json:"stale,omitempty"` // StaleServe (default) or StaleRefuse
--- a/core/document/validate.go
+++ b/core/document/validate.go
@@ -100,6 +100,9 @@
 		if v.Share != 0 && v.State != Canary {
 			c.fault(q+".share", "only a canary has a share")
 		}
+		if v.Auto && v.State == Draining {
+			c.fault(q+".auto", "a draining version is not advanced")
+		}
 		switch v.State {
 		case Canary:
 			canary++
--- a/internal/control/recorder_test.go
+++ b/internal/control/recorder_test.go
@@ -82,3 +82,39 @@
 	load()
 	assert.Equal(t, record().Revision, uint64(6))
 }
+
+// Guards against a roll-out that the next holder of the lease starts anew or skips stages of, and against a canary that
+// is advanced though its operators did not allow it.
+func TestAdvance(t *testing.T) {
+	tests := []struct {
+		name        string
+		before      document.Version
+		ok          bool
+		state       string
+		share       int
+		predecessor string // state of the live version afterwards
+	}{
+		{"first stage", document.Version{State: document.Canary, Auto: true}, true, document.Canary, 1, document.Live},
+		{"goes on where it was", document.Version{State: document.Canary, Auto: true, Share: 20}, true, document.Canary, 50, document.Live},
+		{"after the last stage", document.Version{State: document.Canary, Auto: true, Share: 50}, true, document.Live, 0, document.Draining},
+		{"not proven", document.Version{State: document.Canary, Auto: true, Share: 5}, false, document.Canary, 5, document.Live},
+		{"left to operators", document.Version{State: document.Canary, Share: 5}, true, document.Canary, 5, document.Live},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			tc.before.Name = "2"
+			d := &document.Document{Author: "ana", Domains: []string{"loka-a"}, Models: []document.Model{{
+				Name: "m", Versions: []document.Version{{Name: "1", State: document.Live}, tc.before}}}}
+			r := &Recorder{
+				Name: "entry-1", Store: &config.Store{},
+				Advance: func(string, string) (bool, string) { return tc.ok, "1 of 300 requests failed" },
+			}
+			assert.NilError(t, r.advance(d))
+			v := d.Version("m", "2")
+			assert.Equal(t, v.State, tc.state)
+			assert.Equal(t, v.Share, tc.share)
+			assert.Equal(t, d.Version("m", "1").State, tc.predecessor)
+			assert.Equal(t, len(document.Validate(d)), 0)
+		})
+	}
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -102,11 +102,12 @@
 		Self: s.VM.Name, Domain: s.VM.Domain, Incarnation: uint64(d.start), Clock: d.Clock, Log: d.Log,
 		Objects: d.client, Engines: &order.Client{Source: source}, Document: d.store.Current, Servers: d.servers.All,
 	}
+	d.judge = &evidence.Judge{Store: d.store, Source: fmt.Sprintf("%s/%d", s.VM.Name, d.start), Log: d.Log}
+	d.judge.Attach()
 	d.recorder = &control.Recorder{
 		Name: s.VM.Name, Holds: d.control.Holds, Store: d.store, Writer: &config.Writer{Client: d.client}, Log: d.Log,
+		Advance: d.judge.Advance,
 	}
-	d.judge = &evidence.Judge{Store: d.store, Source: fmt.Sprintf("%s/%d", s.VM.Name, d.start), Log: d.Log}
-	d.judge.Attach()
 	d.register()
 	tracer, stop, err := d.tracer(ctx)
 	if err != nil {
--- a/internal/evidence/judge.go
+++ b/internal/evidence/judge.go
@@ -23,7 +23,7 @@
 
 	mu       sync.Mutex
 	evidence rollout.Evidence
-	state    map[string]string // of each version in the last document, by MODEL@VERSION
+	state    map[string]document.Version // in the last document, by MODEL@VERSION
 }
 
 // Attach follows the document: a version that an operator puts back in service is judged anew.
@@ -70,18 +70,12 @@
 	}
 }
 
-// Decide returns what the pooled evidence says about a version.
-func (j *Judge) Decide(model, version string) rollout.Decision {
+// Advance reports whether the pooled evidence allows the next stage of a canary, and why.
+func (j *Judge) Advance(model, version string) (ok bool, reason string) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	return j.evidence.Decide(model, version)
-}
-
-// Stage starts a new stage of a roll-out, for which new results are needed.
-func (j *Judge) Stage(model, version string) {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	j.evidence.Stage(model, version)
+	x := j.evidence.Decide(model, version)
+	return x.Action == rollout.Advance, x.Reason
 }
 
 // act halts a version if something else can take its place. Halting the only version of a model would turn bad
@@ -123,13 +117,13 @@
 func (j *Judge) document(d *document.Document) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	state := make(map[string]string)
+	state := make(map[string]document.Version)
 	for _, m := range d.Models {
 		for _, v := range m.Versions {
 			name := m.Name + "@" + v.Name
-			state[name] = v.State
-			if old, known := j.state[name]; known && old != v.State && (v.State == document.Canary || v.State == document.Live) {
-				j.reset(m.Name, v.Name, old)
+			state[name] = v
+			if old, known := j.state[name]; known {
+				j.changed(m.Name, old, v)
 			}
 		}
 	}
@@ -137,10 +131,15 @@
 	j.evidence.Keep(func(model, version string) bool { _, ok := state[model+"@"+version]; return ok })
 }
 
-// reset starts the test anew, unless a canary became live: what was seen of it then still counts.
-func (j *Judge) reset(model, version, old string) {
-	if old != document.Canary {
-		j.evidence.Reset(model, version)
+// changed follows a change of a version: a version that is put back in service is judged anew, and a new share of a
+// canary starts a new stage. A canary that became live keeps what was seen of it.
+func (j *Judge) changed(model string, old, v document.Version) {
+	service := v.State == document.Canary || v.State == document.Live
+	switch {
+	case service && old.State != v.State && old.State != document.Canary:
+		j.evidence.Reset(model, v.Name)
+	case v.State == document.Canary && old.Share != v.Share:
+		j.evidence.Stage(model, v.Name)
 	}
 }
 
--- a/internal/evidence/judge_test.go
+++ b/internal/evidence/judge_test.go
@@ -84,3 +84,20 @@
 	report(j, "2", 30, false)
 	assert.Assert(t, !j.Store.Halted("m", "2"))
 }
+
+// Guards against a roll-out that takes several stages on the results of one.
+func TestStageNeedsNewResults(t *testing.T) {
+	j := judge(t, live, canary)
+	report(j, "1", 1000, false)
+	report(j, "2", 1000, false)
+	ok, _ := j.Advance("m", "2")
+	assert.Assert(t, ok)
+	next := canary
+	next.Share = 20
+	offer(t, j.Store, 2, live, next)
+	ok, _ = j.Advance("m", "2")
+	assert.Assert(t, !ok)
+	report(j, "2", 1000, false)
+	ok, _ = j.Advance("m", "2")
+	assert.Assert(t, ok)
+}
