entry, engine: tests of limits and of bills before the end of plain answers

Cause: some limits had no test that exceeds them. Change: table cases for long keys and model names, endless and false answers of engines; the bill of a plain call must be there when its answer ends.

--- a/internal/entry/chat_test.go
+++ b/internal/entry/chat_test.go
@@ -59,6 +59,8 @@
 		headers          []string
 	}{
 		{"key", chatBody("m", false), "key-unknown", 401, []string{"Authorization", "Bearer nobody"}},
+		{"long key", chatBody("m", false), "key-unknown", 401, []string{"Authorization", "Bearer " + strings.Repeat("a", 129)}},
+		{"long model name", chatBody(strings.Repeat("m", 129), false), "bad-request", 400, nil},
 		{"model", chatBody("none", false), "model-unknown", 404, nil},
 		{"allowed", chatBody("other", false), "not-allowed", 403, nil},
 		{"rank", chatBody("m", false), "rank-not-allowed", 403, []string{"Shallot-Rank", "urgent"}},
--- a/internal/entry/service_test.go
+++ b/internal/entry/service_test.go
@@ -62,13 +62,14 @@
 				bills = 0
 				got, ran := code(t, resp)
 				assert.Check(t, got == c.code && ran == c.ran, "%s %s", got, ran)
-			} else if c.status == 201 {
-				v, _ := io.ReadAll(resp.Body)
-				assert.Equal(t, string(v), `{"number":1}`)
+			} else {
+				v, err := io.ReadAll(resp.Body)
+				assert.NilError(t, err)
+				assert.Equal(t, string(v) == `{"number":1}`, c.status == 201)
 			}
 			call := c.method + " " + c.path
 			assert.Equal(t, a.count(call)+b.count(call), c.calls)
-			waitFor(t, func() bool { return len(f.billed()) == bills })
+			assert.Equal(t, len(f.billed()), bills, "the bill is filed before the end of the answer")
 			if c.key != "" { // the same call again
 				got, _ := code(t, do(t, d, c.method, "/services/tags"+c.path, "{}", "Idempotency-Key", c.key))
 				assert.Equal(t, got, work.CodeClaimTaken)
--- a/io/engine/stream_test.go
+++ b/io/engine/stream_test.go
@@ -3,10 +3,15 @@
 import (
 	"bufio"
 	"encoding/json"
+	"errors"
+	"net"
 	"strings"
 	"testing"
 
+	"github.com/valyala/fasthttp"
 	"gotest.tools/v3/assert"
+
+	"shallotrun/io/conn"
 )
 
 // Guards against a short way for plain tokens that reads something else than the JSON decoder, which would
@@ -42,3 +47,39 @@
 		assert.Check(t, s.next(&ev) != nil, "%.40q", c)
 	}
 }
+
+// Guards against an engine that fills the memory with an endless answer, and against a refusal that is believed
+// without "ran": false.
+func TestAnswersOfEngines(t *testing.T) {
+	for _, c := range []struct {
+		status int
+		body   string
+		fails  bool // of a load report
+		own    bool // the engine's own refusal of a generation
+	}{
+		{200, `{"running":3,"slots":8}`, false, false},
+		{200, `{"running":3,"slots":8,"x":"` + strings.Repeat("a", maxAnswer) + `"}`, true, false},
+		{200, `{`, true, false},
+		{503, `{"code":"full","ran":false}`, true, true},
+		{503, `{"code":"full"}`, true, false},
+		{503, `{"code":"full","ran":true}`, true, false},
+		{500, `{"code":"failed","ran":true}`, true, false},
+	} {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NilError(t, err)
+		s := &fasthttp.Server{Handler: func(ctx *fasthttp.RequestCtx) {
+			ctx.SetStatusCode(c.status)
+			ctx.SetBodyString(c.body)
+		}}
+		go func() { _ = s.Serve(ln) }()
+		e := &Client{Pool: &conn.Pool{}}
+		l, err := e.Load(ln.Addr().String())
+		assert.Equal(t, err != nil, c.fails, "%d %.20s", c.status, c.body)
+		assert.Check(t, c.fails || l.Running == 3)
+		_, err = e.Generate(ln.Addr().String(), &Generate{Request: "r", Attempt: 1}, 0, "")
+		var own *Refused
+		assert.Equal(t, errors.As(err, &own), c.own, "%d %.20s", c.status, c.body)
+		e.Pool.Close()
+		assert.NilError(t, s.Shutdown())
+	}
+}
