--- a/core/place/affine.go
+++ b/core/place/affine.go
@@ -72,7 +72,7 @@
 // seems full, since below that they say less than chance about the moment when the request arrives.
 func (p *Placer) rough(pol Affine, c Candidate) float64 {
 	w := p.wait(pol, c)
-	if slots := p.slots(c); p.estimate(c) < slots+2 {
+	if slots := p.slots(c); p.estimate(c) < slots-1 {
 		w = pol.loaded(float64(c.Starting)/slots) * p.slowness(c.Name)
 	}
 	return w
