--- a/core/queue/order.go
+++ b/core/queue/order.go
@@ -48,7 +48,7 @@
 	for r := range q.lanes {
 		l := &q.lanes[r]
 		e := l.head()
-		if e == nil || free <= p.reserve(work.Rank(r), false) {
+		if e == nil || free <= p.reserve(work.Rank(r), false) || q.held(work.Rank(r)) {
 			continue
 		}
 		if free > p.reserve(work.Rank(r), true) || !q.ends || !l.heavy(e.flow) {
@@ -61,6 +61,11 @@
 	return nil
 }
 
+// held reports whether a rank has to leave slots to more urgent work on other VMs.
+func (q *Queue) held(r work.Rank) bool {
+	return q.Hold > 0 && r >= q.Hold && q.lanes[r].running >= q.Keep[r]
+}
+
 // settle moves the virtual start of a flow.
 func (l *lane) settle(f *flow, by float64) {
 	f.start = max(f.start+by, l.now)
--- a/core/queue/queue.go
+++ b/core/queue/queue.go
@@ -19,6 +19,11 @@
 	// be changed at any time.
 	Margin clock.Span
 
+	// Hold, when not 0, says that more urgent work waits on other VMs: a rank that is not more urgent than Hold
+	// starts nothing beyond Keep running requests. It needs Done, and applies to the policy Fair.
+	Hold work.Rank
+	Keep [work.Ranks]int
+
 	entries   map[string]*entry
 	lanes     [work.Ranks]lane
 	deadlines deadlines
--- a/core/queue/queue_test.go
+++ b/core/queue/queue_test.go
@@ -115,6 +115,22 @@
 	assert.Check(t, ok)
 }
 
+// Guards against less urgent work that starts while another VM needs the slot, and against a hold that takes away the
+// minimum shares.
+func TestHold(t *testing.T) {
+	q := &Queue{Hold: work.Normal, Keep: [work.Ranks]int{0, 1, 1}}
+	for _, id := range []string{"a", "b", "c"} {
+		for r := work.Urgent; r <= work.Batch; r++ {
+			assert.Assert(t, q.Push(0, Item{ID: fmt.Sprint(id, r), Rank: r}) == nil)
+		}
+	}
+	var started [work.Ranks]int
+	for it, ok := q.Pop(0); ok; it, ok = q.Pop(0) {
+		started[it.Rank]++
+	}
+	assert.Equal(t, started, [work.Ranks]int{3, 1, 1})
+}
+
 // Guards against a large tenant that delays the small ones, and against credit for time spent idle.
 func TestTenants(t *testing.T) {
 	q := &Queue{Limit: 1000}
--- a/core/queue/shares.go
+++ b/core/queue/shares.go
@@ -18,6 +18,12 @@
 func (q *Queue) owed(p Fair) *entry {
 	for r := work.Normal; r <= work.Batch; r++ {
 		e := q.lanes[r].head()
+		if e != nil && q.Hold > 0 && q.ends {
+			if q.lanes[r].running < q.Keep[r] {
+				return e
+			}
+			continue
+		}
 		if e != nil && p.share(r) > 0 && q.contended(r) && q.earned(p, e) {
 			return e
 		}
--- /dev/null
+++ b/core/share/share_test.go
@@ -0,0 +1,118 @@
+package share
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"shallotrun/core/clock"
+	"shallotrun/core/work"
+)
+
+// Guards against slots that are granted twice, whatever messages are lost, late or out of order, and also when a new
+// owner takes over that knows nothing.
+func TestGrantsNeverExceedSlots(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		servers := map[string]int{"s1": 8, "s2": 5}
+		members := []string{"a", "b", "c", "d"}
+		owner := &Owner{Name: "a", Servers: servers, Members: members, Policy: Demand{Reserve: rapid.IntRange(0, 3).Draw(t, "reserve")}}
+		holders := map[string]*Holder{}
+		for _, m := range members {
+			holders[m] = &Holder{VM: m}
+		}
+		var asks []Ask
+		var grants []Grant
+		now := clock.Time(0)
+		for range rapid.IntRange(1, 150).Draw(t, "steps") {
+			switch rapid.IntRange(0, 9).Draw(t, "call") {
+			case 0, 1, 2:
+				h := holders[rapid.SampledFrom(members).Draw(t, "holder")]
+				if rapid.Bool().Draw(t, "give") {
+					h.Give("s1", 0)
+				}
+				a := Ask{Waiting: [work.Ranks]int{rapid.IntRange(0, 9).Draw(t, "urgent"), 0, rapid.IntRange(0, 9).Draw(t, "batch")}, Running: map[string]int{}}
+				for s, n := range servers {
+					a.Running[s] = rapid.IntRange(0, min(n, h.slots[s])).Draw(t, "running")
+				}
+				asks = append(asks, h.Ask(now, owner.Name, a))
+			case 3, 4, 5:
+				if len(asks) > 0 {
+					a := rapid.SampledFrom(asks[max(0, len(asks)-6):]).Draw(t, "ask")
+					// Messages older than the validity cannot arrive: their connection was closed.
+					if a.Owner == owner.Name && now.Sub(holders[a.VM].asked[a.Num%16]) < Expiry/8 {
+						grants = append(grants, owner.Ask(now, a)...)
+					}
+				}
+			case 6, 7:
+				if len(grants) > 0 {
+					g := rapid.SampledFrom(grants[max(0, len(grants)-6):]).Draw(t, "grant")
+					holders[g.VM].Grant(now, g)
+				}
+			case 8:
+				now = now.Add(clock.Span(rapid.IntRange(0, 900).Draw(t, "step")))
+			case 9:
+				if rapid.IntRange(0, 9).Draw(t, "lost") == 0 {
+					owner = &Owner{Name: owner.Name + "'", Servers: servers, Members: members}
+				}
+			}
+			for s, n := range servers {
+				used := 0
+				for _, h := range holders {
+					if now < h.until {
+						used += h.slots[s]
+					}
+				}
+				assert.Assert(t, used <= n, "%d of %d slots of %s granted", used, n, s)
+			}
+		}
+	})
+}
+
+// Guards against a division that breaks the order of ranks, the minimum shares or equality, or loses slots.
+func TestDivide(t *testing.T) {
+	tests := []struct {
+		policy Policy
+		total  int
+		wants  [][work.Ranks]int
+		want   string
+	}{
+		{Equal{}, 10, [][work.Ranks]int{{9, 0, 0}, {0, 0, 0}, {0, 0, 0}}, "[4 3 3]"},
+		{Demand{}, 10, [][work.Ranks]int{{2, 0, 0}, {0, 0, 50}}, "[2 8]"},
+		{Demand{}, 20, [][work.Ranks]int{{50, 0, 0}, {0, 50, 0}, {0, 0, 50}}, "[17 2 1]"},
+		{Demand{}, 20, [][work.Ranks]int{{50, 0, 0}, {50, 0, 0}, {3, 0, 0}}, "[9 8 3]"},
+		{Demand{Reserve: 4}, 20, [][work.Ranks]int{{0, 0, 50}, {0, 0, 50}}, "[8 8]"},
+		{Demand{Reserve: 4}, 20, [][work.Ranks]int{{9, 0, 50}, {0, 0, 50}}, "[13 3]"},
+		{Demand{}, 10, [][work.Ranks]int{{1, 0, 0}, {0, 0, 0}}, "[6 4]"},
+		{Demand{}, 10, nil, "[]"},
+	}
+	for _, tt := range tests {
+		got, _ := divide(tt.policy, tt.total, tt.wants)
+		assert.Equal(t, fmt.Sprint(got), tt.want, "%T %v", tt.policy, tt.wants)
+	}
+}
+
+// Guards against holders without an owner that stop serving, or that together take more than the slots.
+func TestFallback(t *testing.T) {
+	h := &Holder{VM: "a"}
+	assert.Equal(t, h.Slots(0, "s", 8, 3), 2)
+	a := h.Ask(100, "o", Ask{})
+	assert.Check(t, h.Grant(200, Grant{VM: "a", Owner: "o", Seq: 1, Num: a.Num, Slots: map[string]int{"s": 7}, Span: Expiry}))
+	assert.Check(t, !h.Grant(200, Grant{VM: "a", Owner: "old", Seq: 9, Num: a.Num, Span: Expiry}))
+	assert.Check(t, !h.Grant(200, Grant{VM: "a", Owner: "o", Seq: 1, Num: a.Num, Span: Expiry}))
+	assert.Equal(t, h.Slots(clock.Time(99+Expiry), "s", 8, 3), 7)
+	assert.Equal(t, h.Slots(clock.Time(100+Expiry), "s", 8, 3), 2)
+}
+
+// Guards against owners that differ between VMs, or that all pools share.
+func TestRendezvous(t *testing.T) {
+	owners := map[string]bool{}
+	for i := range 50 {
+		pool := fmt.Sprint("pool-", i)
+		o := Rendezvous(pool, []string{"a", "b", "c"})
+		assert.Equal(t, o, Rendezvous(pool, []string{"c", "a", "b"}))
+		owners[o] = true
+	}
+	assert.Equal(t, len(owners), 3)
+}
--- a/internal/bench/engine.go
+++ b/internal/bench/engine.go
@@ -69,7 +69,9 @@
 	active  []*job // with a slot
 	busy    bool
 	cache   cache
-	limit   int // most that may wait inside the engine, 0 means no limit
+	begin   func(*job) // when a job gets a slot, nil for nothing
+	over    int        // jobs that found no slot
+	limit   int        // most that may wait inside the engine, 0 means no limit
 	down    bool
 	report  work.Load
 }
@@ -86,6 +88,7 @@
 		return
 	}
 	if e.running >= e.slots {
+		e.over++
 		e.waiting = insert(e.waiting, j)
 		return
 	}
@@ -127,6 +130,9 @@
 }
 
 func (e *engine) start(j *job) {
+	if e.begin != nil {
+		e.begin(j)
+	}
 	e.running++
 	e.active = append(e.active, j)
 	j.started = e.sim.now
--- a/internal/bench/front.go
+++ b/internal/bench/front.go
@@ -16,8 +16,10 @@
 	sim      *sim
 	domain   string
 	engines  []*engine
-	q        *queue.Queue // nil sends at once; the engines then hold the waiting requests
-	share    int          // requests that this VM may have at each engine, 0 for no limit
+	q        *queue.Queue      // nil sends at once; the engines then hold the waiting requests
+	share    int               // requests that this VM may have at each engine, 0 for no limit
+	room     func(*engine) int // the same where it differs, nil for share
+	nudge    func()            // after each change, nil for nothing
 	placer   *place.Placer
 	budget   *retry.Budget
 	backoff  *retry.Backoff // nil repeats at once
@@ -29,12 +31,13 @@
 	rand     *rand.Rand
 	usual    retry.Hedge // time from the attempt to the first token
 
-	own   map[string]int
-	begun map[string]int // own requests at an engine before their first token
-	calls map[string]*call
-	first int // first attempts
-	extra int // retries
-	ended []*call
+	own    map[string]int
+	active [work.Ranks]int
+	begun  map[string]int // own requests at an engine before their first token
+	calls  map[string]*call
+	first  int // first attempts
+	extra  int // retries
+	ended  []*call
 }
 
 // call is one request at a front with its attempts.
@@ -94,12 +97,15 @@
 	for f.free() > 0 {
 		it, ok := f.q.PopFree(f.sim.clock(), f.free())
 		if !ok {
-			return
+			break
 		}
 		c := f.calls[it.ID]
 		delete(f.calls, it.ID)
 		f.begin(c)
 	}
+	if f.nudge != nil {
+		f.nudge()
+	}
 }
 
 // free returns the slots of this VM at the engines whose breaker is closed.
@@ -107,12 +113,20 @@
 	n := 0
 	for _, e := range f.engines {
 		if f.breakers == nil || !f.breakers.Open(f.sim.clock(), e.name, "m", "1") {
-			n += max(f.share-f.own[e.name], 0)
+			n += max(f.most(e)-f.own[e.name], 0)
 		}
 	}
 	return n
 }
 
+// most returns the requests that this VM may have at an engine.
+func (f *front) most(e *engine) int {
+	if f.room != nil {
+		return f.room(e)
+	}
+	return f.share
+}
+
 // begin makes an attempt.
 func (f *front) begin(c *call) {
 	now := f.sim.clock()
@@ -121,7 +135,10 @@
 		if f.breakers != nil && f.breakers.Open(now, e.name, "m", "1") {
 			continue
 		}
-		cs = append(cs, place.Candidate{Name: e.name, Domain: e.domain, Slots: f.share, Own: f.own[e.name],
+		if f.room != nil && f.room(e) <= f.own[e.name] {
+			continue
+		}
+		cs = append(cs, place.Candidate{Name: e.name, Domain: e.domain, Slots: f.most(e), Own: f.own[e.name],
 			Starting: f.begun[e.name], Load: e.report, Known: e.report.At > 0})
 	}
 	ask := place.Ask{Model: "m", Version: "1", Session: c.job.session, Prefix: c.job.prefix, Tokens: c.job.prompt, Exclude: c.tried}
@@ -157,6 +174,7 @@
 	j := &job{id: fmt.Sprint(c.job.id, "/", c.count), rank: c.job.rank, tenant: c.job.tenant, session: c.job.session, prefix: c.job.prefix,
 		prompt: c.job.prompt, out: c.job.out, guess: c.job.guess, arrived: f.sim.now}
 	f.own[e.name]++
+	f.active[j.rank]++
 	f.begun[e.name]++
 	over, given := false, false
 	started := func() {
@@ -193,6 +211,7 @@
 func (f *front) result(c *call, e *engine, j *job) {
 	now := f.sim.clock()
 	f.own[e.name]--
+	f.active[j.rank]--
 	r := work.Result{Server: e.name, Model: "m", Version: "1", Failed: j.failed, Refused: j.refused, Tokens: j.out,
 		First: clock.Span((j.first - j.arrived) / 1000), Total: clock.Span((f.sim.now - j.arrived) / 1000)}
 	f.placer.Report(now, r)
--- a/internal/bench/run.go
+++ b/internal/bench/run.go
@@ -19,6 +19,7 @@
 		{"retries", overload},
 		{"rollout", rollouts},
 		{"place", placement},
+		{"share", sharing},
 	}
 }
 
