cascade: one exchange rate between quality and cost

Cause: the first rule kept the accepted cheap answers at the target and took the last stage to be at the target too.

Ruled out: a threshold from the counted ratings of all stages, because it needs a model of the mix that comes next.

Change: a cascade has a worth, the points of rating that one costly answer is worth. An integrator moves it until the answers average the target, so the error of an average falls with the number of answers whatever the mix is. The start, the threshold and the next stage maximise points less cost. A part of the last stage's answers is to be rated in the background.

--- a/core/cascade/ratings.go
+++ b/core/cascade/ratings.go
@@ -7,42 +7,39 @@
 )
 
 const (
-	// maxSlack is the number of ratings below the target that are counted one by one.
-	maxSlack = 20
-	// Memory in ratings. A kind has to notice a changed model within a few dozen requests; the threshold needs
-	// more ratings than that, or its noise shows in the quality.
+	// Ratings are counted one by one from this many points below the target to this many above it.
+	below = 40
+	above = 15
+	// Memory in ratings. A kind has to notice a changed model within a few dozen requests.
 	kindMemory  = 25
 	stageMemory = 300
 	soonMemory  = 20
 	// The ratings of the whole stage count like this many ratings of a kind.
 	priorWeight = 3
-	// The threshold stays at the target until this many ratings are known.
-	enough = 20
-	// The accepted answers average this many points above the target, against the noise of the threshold.
-	margin = 0.3
 )
 
-// ratings are the recent ratings of one stage, relative to the target. Old ones count less.
+// ratings are the recent ratings of one stage in points above the target. Old ones count less.
 type ratings struct {
-	weight [maxSlack + 2]float32 // far below the target, -maxSlack to -1, at least the target
-	low    float64               // weighted sum of those far below
-	high   float64               // weighted sum of those at or above the target
+	weight [below + above + 1]float32
+	rest   float32 // weight of ratings below the counted ones
+	low    float64 // weighted sum of those
+	high   float64 // weighted sum of the points of the last counter, which also has all ratings above it
 	last   clock.Time
 }
 
-// add records a rating relative to the target.
+// add records a rating in points above the target.
 func (r *ratings) add(now clock.Time, half clock.Span, memory float64, points int) {
 	r.fade(now, half)
 	r.scale(1 - 1/memory)
 	switch {
-	case points >= 0:
-		r.weight[maxSlack+1]++
+	case points >= above:
+		r.weight[below+above]++
 		r.high += float64(points)
-	case points < -maxSlack:
-		r.weight[0]++
+	case points < -below:
+		r.rest++
 		r.low += float64(points)
 	default:
-		r.weight[points+maxSlack+1]++
+		r.weight[points+below]++
 	}
 }
 
@@ -60,41 +57,29 @@
 	for i := range r.weight {
 		r.weight[i] *= float32(f)
 	}
+	r.rest *= float32(f)
 	r.low *= f
 	r.high *= f
 }
 
-// above returns the weight of the ratings of at least the target minus slack, and the sum of their points.
-func (r *ratings) above(slack int) (n, points float64) {
-	n, points = float64(r.weight[maxSlack+1]), r.high
-	for i := 1; i <= slack; i++ {
-		w := float64(r.weight[maxSlack+1-i])
+// from returns the weight and the sum of the points of the ratings of at least a threshold within the counted range.
+func (r *ratings) from(threshold int) (n, points float64) {
+	n, points = float64(r.weight[below+above]), r.high
+	for i := below + above - 1; i >= threshold+below; i-- {
+		w := float64(r.weight[i])
 		n += w
-		points -= w * float64(i)
+		points += w * float64(i-below)
 	}
 	return n, points
 }
 
 // total returns the weight and the sum of the points of all ratings.
 func (r *ratings) total() (n, points float64) {
-	n, points = r.above(maxSlack)
-	return n + float64(r.weight[0]), points + r.low
+	n, points = r.from(-below)
+	return n + float64(r.rest), points + r.low
 }
 
-// slack returns how far below the target a rating may be so that the accepted ones still average the target.
-func (r *ratings) slack(limit int) int {
-	if n, _ := r.total(); n < enough {
-		return 0
-	}
-	for s := limit; s > 0; s-- {
-		if n, points := r.above(s); points >= margin*n {
-			return s
-		}
-	}
-	return 0
-}
-
-// share is a decayed share of successes that drifts back to 1.
+// share is a decayed share of successes that starts at 1.
 type share struct{ miss float64 }
 
 func (s *share) add(ok bool) {
--- a/core/cascade/types.go
+++ b/core/cascade/types.go
@@ -12,9 +12,9 @@
 	// Kinds is the number of kinds of requests that are told apart within one cascade.
 	Kinds = groups * lengths
 	// MaxCascades is the number of cascades whose ratings are kept; the one unused for longest is forgotten.
-	MaxCascades = 64
+	MaxCascades = 32
 
-	groups  = 32 // of workspaces, by hash
+	groups  = 16 // of workspaces, by hash
 	lengths = 4  // classes of prompt length
 )
 
@@ -33,7 +33,7 @@
 // Ask is a request to a cascade.
 type Ask struct {
 	Cascade string
-	Target  int       // rating in percent
+	Target  int       // average rating in percent
 	First   bool      // without a rating the first answer is accepted; otherwise the last stage is used
 	Costs   []float64 // of one answer of each stage, in any unit
 	Kind    Kind
@@ -54,8 +54,8 @@
 	Threshold int // rating in percent, 0 means the target
 }
 
-// Learned starts with the stage of the least expected cost and accepts ratings that keep the average of the accepted
-// answers at the target.
+// Learned starts with the stage that promises the best quality for its cost, and accepts ratings that keep the
+// average of all answers at the target.
 type Learned struct {
 	// Slack is how far below the target the rating of a single accepted answer may be, 0 means DefaultSlack. A
 	// negative one accepts no answer below the target.
@@ -67,7 +67,7 @@
 }
 
 // DefaultSlack bounds how bad a single answer can be while the average is on target.
-const DefaultSlack = 15
+const DefaultSlack = 40
 
 func (Cheap) policy()   {}
 func (Costly) policy()  {}
@@ -81,7 +81,7 @@
 	case p.Slack == 0:
 		return DefaultSlack
 	}
-	return min(p.Slack, maxSlack)
+	return min(p.Slack, below)
 }
 
 func (p Learned) half() clock.Span {
@@ -108,3 +108,13 @@
 	}
 	return a.last()
 }
+
+// cost returns the cost of a stage relative to the last one. Where the document gives no cost of the last stage, the
+// costs are taken to rise evenly.
+func (a Ask) cost(stage int) float64 {
+	last := a.last()
+	if a.Costs[last] <= 0 {
+		return float64(stage+1) / float64(last+1)
+	}
+	return a.Costs[stage] / a.Costs[last]
+}
