bench: quality and cost of cascades against fixed rules

Cause: the goals of cascades were not measured.

Ruled out: only the ladder at the target as fixed rule.

Change: part cascades: two hours of requests through all entry VMs, each with its own state, in six phases with another mix; in two of them the cheap model is bad at one task. Ratings come in time, 30% are missing, all are 30 s late, or none come for 30 minutes, with both fallbacks.

--- /dev/null
+++ b/internal/bench/cascades_test.go
@@ -0,0 +1,26 @@
+package bench
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"shallotrun/core/cascade"
+)
+
+// Guards against rules that are compared on different requests, or whose cost leaves out a failed cheap attempt.
+func TestCascadeRulesSeeTheSameQueries(t *testing.T) {
+	u := users()[0]
+	qs := queries(u, 3)[:4000]
+	sum := func(p cascade.Policy) (all tab) {
+		for _, x := range judge(u, qs, weathers()[0], 3, p) {
+			all.add(x)
+		}
+		return all
+	}
+	costly, cheap, both := sum(cascade.Costly{}), sum(cascade.Cheap{}), sum(cascade.Ladder{Threshold: 101})
+	assert.Equal(t, costly.n, float64(len(qs)))
+	assert.Equal(t, both.points, costly.points)
+	assert.Check(t, both.cost > 0.999*(cheap.cost+costly.cost) && both.cost < 1.001*(cheap.cost+costly.cost))
+	assert.Equal(t, sum(cascade.Learned{}), sum(cascade.Learned{}))
+}
--- a/internal/bench/run.go
+++ b/internal/bench/run.go
@@ -17,6 +17,7 @@
 		{"ranks", ranks},
 		{"tenants", fairness},
 		{"retries", overload},
+		{"cascades", cascades},
 	}
 }
 
