entry: only first attempts earn retries

Cause: the retry budget counted retries as first attempts of chats, and did not count first attempts of plain calls at all, so that their budget stayed at its starting value. Change: both count the first attempt of a request once; a test looks at the content type of a plain answer.

--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -282,7 +282,7 @@
 	x.attempt = attempt{start: now}
 	if c.Resume {
 		x.d.metrics.resumes.Inc()
-	} else if x.pool != nil {
+	} else if x.pool != nil && c.Attempt == 1 {
 		x.pool.attempt()
 	}
 	t := x.target()
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -38,6 +38,7 @@
 	call    plain.Call
 	repeat  bool
 	claimed bool
+	tries   int
 	conn    net.Conn // of the caller
 	holder  string
 	pool    *pool
@@ -177,6 +178,9 @@
 	defer span.End()
 	describe(span, c.service.Name, "", c.vm.Name, 0)
 	c.call.Trace = c.request.parent(span)
+	if c.tries++; c.tries == 1 {
+		c.pool.attempt()
+	}
 	start := c.d.Clock.Now()
 	c.call.Left = c.request.left(start, serviceWait)
 	a, err := c.d.plains.Do(c.vm.Addr, &c.call)
--- a/internal/entry/service_test.go
+++ b/internal/entry/service_test.go
@@ -115,6 +115,7 @@
 	b, err := io.ReadAll(resp.Body)
 	assert.NilError(t, err)
 	assert.Check(t, string(b) == big)
+	assert.Equal(t, resp.Header.Get("Content-Type"), "application/json")
 	r := <-seen
 	assert.Equal(t, r.URL.String(), "/7/state?by=gate")
 	assert.Equal(t, r.Header.Get("X-Gate"), "4")
