entry: hedged lookups; a refusal after an unsure attempt is unknown

Cause: a plain call that may be repeated waited for its whole deadline, 30 s by default, when its connection was silent; and when its last attempt was refused it said "not run" although an earlier attempt may have run. Ruled out: a short fixed timeout, which fails calls of services that are slow for all. Refusals after an attempt that may have run say unknown. Conclusion: table cases with silent, closed and refusing servers; go test -race -count=2 ./internal/entry passes.

--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -16,6 +16,7 @@
 	ratings  *prometheus.CounterVec // result
 	resumes  prometheus.Counter
 	retries  prometheus.Counter
+	hedges   prometheus.Counter
 	gone     prometheus.Counter
 	open     prometheus.Gauge
 	first    *prometheus.HistogramVec // rank
@@ -39,6 +40,7 @@
 		ratings:  counter("shallot_ratings_total", "Answers of cascade stages by what their rating led to.", "result"),
 		resumes:  prometheus.NewCounter(prometheus.CounterOpts{Name: "shallot_resumes_total", Help: "Streams resumed on a new connection."}),
 		retries:  prometheus.NewCounter(prometheus.CounterOpts{Name: "shallot_retries_total", Help: "Attempts on another server."}),
+		hedges:   prometheus.NewCounter(prometheus.CounterOpts{Name: "shallot_hedges_total", Help: "Second attempts beside a slow first one."}),
 		gone:     prometheus.NewCounter(prometheus.CounterOpts{Name: "shallot_gone_total", Help: "Requests whose caller went away."}),
 		open:     prometheus.NewGauge(prometheus.GaugeOpts{Name: "shallot_open", Help: "Requests that are open."}),
 		first:    span("shallot_first_seconds", "Time to the first token."),
@@ -50,7 +52,7 @@
 // all lists the metrics, with the state of the daemon's pools.
 func (m *metrics) all(d *Daemon) []prometheus.Collector {
 	return []prometheus.Collector{
-		m.requests, m.refusals, m.attempts, m.tokens, m.ratings, m.resumes, m.retries, m.gone, m.open, m.first, m.queued, pools{d},
+		m.requests, m.refusals, m.attempts, m.tokens, m.ratings, m.resumes, m.retries, m.hedges, m.gone, m.open, m.first, m.queued, pools{d},
 	}
 }
 
--- a/internal/entry/pool.go
+++ b/internal/entry/pool.go
@@ -27,6 +27,7 @@
 	queue   queue.Queue
 	placer  place.Placer
 	budget  retry.Budget
+	hedge   retry.Hedge
 	tickets map[string]*ticket
 	parked  []*ticket // popped, waiting for a server that fits
 	own     map[string]int
@@ -181,6 +182,13 @@
 	return p.budget.Retry(p.d.Clock.Now())
 }
 
+// refund gives back an extra attempt that was not made.
+func (p *pool) refund() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.budget.Refund(p.d.Clock.Now())
+}
+
 // load records a load report.
 func (p *pool) load(server string, l work.Load) {
 	p.mu.Lock()
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -42,7 +43,6 @@
 	conn    net.Conn // of the caller
 	holder  string
 	pool    *pool
-	vm      work.VM
 }
 
 // service serves ANY /services/NAME/....
@@ -79,65 +79,100 @@
 		return nil, again(refuse(work.CodeBillingFull, 503, "too many bills wait to be stored"))
 	}
 	method := string(ctx.Method())
-	return &plainCall{
+	c := &plainCall{
 		d: d, request: r, service: s, repeat: route.Repeats(s, method, path), conn: ctx.Conn(),
 		call: plain.Call{
 			Method: method, URI: "/" + rest, Header: &ctx.Request.Header, Body: ctx.PostBody(), Request: r.id,
 		},
-	}, nil
+	}
+	if c.repeat { // a slow attempt may outlive the answer of a faster one, and fasthttp's buffers
+		c.call.Header = new(fasthttp.RequestHeader)
+		ctx.Request.Header.CopyTo(c.call.Header)
+		c.call.Body = bytes.Clone(c.call.Body)
+	}
+	return c, nil
+}
+
+// leg is one attempt at one server.
+type leg struct {
+	vm     work.VM
+	ticket *ticket
+	call   plain.Call
 }
 
 // run sends the call, and again as far as that is allowed.
 func (c *plainCall) run() (*plain.Answer, *work.Refusal) {
 	c.holder = c.d.Bills.Holder(c.request.id)
 	var exclude []string
+	unsure := false // an earlier attempt may have run
 	for n := 1; ; n++ {
-		a, refusal := c.try(exclude)
-		if refusal == nil {
-			return a, nil
+		o := c.try(exclude)
+		if o.refusal == nil {
+			return o.answer, nil
+		}
+		if o.refusal.Ran != work.NotRun {
+			unsure = true
 		}
 		// What certainly did not run may be sent to another server. A call that may not be repeated and has
 		// no claim is only sent again if the connection could not even be opened.
-		again := c.vm.Name != "" && (c.repeat || refusal.Ran == work.NotRun && (c.claimed || refusal.Code == work.CodeNoServer))
+		again := o.leg != nil && (c.repeat || o.refusal.Ran == work.NotRun && (c.claimed || o.refusal.Code == work.CodeNoServer))
 		now := c.d.Clock.Now()
 		pause := retry.Backoff{Max: clock.Second}.After(n, c.d.random())
 		if !again || n > maxRetries || !retry.InTime(now, pause, 0, c.request.end) || !c.pool.spend() {
-			return nil, refusal
+			if unsure {
+				o.refusal.Ran = work.Unknown
+			}
+			return nil, o.refusal
 		}
-		exclude = append(exclude, c.vm.Name)
+		exclude = append(exclude, o.leg.vm.Name)
 		c.d.metrics.retries.Inc()
 		time.Sleep(pause.Std())
 	}
 }
 
-// try waits for a server and sends the call to it once.
-func (c *plainCall) try(exclude []string) (*plain.Answer, *work.Refusal) {
-	c.vm = work.VM{}
+// try waits for a server and sends the call to it, and to a second one if it may be repeated and the first is slow.
+func (c *plainCall) try(exclude []string) outcome {
 	c.pool = c.d.pool(c.service.Pool, c.service.Slots)
+	l, refusal := c.acquire(exclude)
+	if refusal != nil {
+		return outcome{refusal: refusal}
+	}
+	if refusal := c.check(); refusal != nil {
+		c.pool.release(l.ticket, 0)
+		return outcome{refusal: refusal}
+	}
+	if c.tries++; c.tries == 1 {
+		c.pool.attempt()
+	}
+	if c.repeat {
+		return c.hedge(l, exclude)
+	}
+	return c.send(l)
+}
+
+// acquire waits for a server.
+func (c *plainCall) acquire(exclude []string) (*leg, *work.Refusal) {
 	span := c.d.step(c.request, spanQueue)
 	defer span.End()
-	ticket, refusal := c.pool.enter(queue.Item{
-		ID: c.request.id, Rank: c.request.rank, Tenant: c.request.space.Name, Weight: c.request.space.Weight,
-		Cost: serviceCost, Deadline: c.request.end, Arrived: c.request.arrived,
-	}, place.Ask{Exclude: exclude})
+	t, refusal := c.pool.enter(c.item(c.request.id), place.Ask{Exclude: exclude})
 	if refusal != nil {
 		return nil, refusal
 	}
-	g, gone := c.pool.await(ticket, func() bool { return caller.Gone(c.conn) })
+	g, gone := c.pool.await(t, func() bool { return caller.Gone(c.conn) })
 	switch {
 	case gone:
 		return nil, refuse(work.CodeDeadline, 504, "the caller went away")
 	case g.refusal != nil:
 		return nil, g.refusal
 	}
-	c.vm = g.server
-	defer c.pool.release(ticket, serviceCost)
-	span.End()
-	if refusal := c.check(); refusal != nil {
-		c.vm.Name = ""
-		return nil, refusal
+	return &leg{vm: g.server, ticket: t, call: c.call}, nil
+}
+
+func (c *plainCall) item(id string) queue.Item {
+	return queue.Item{
+		ID: id, Rank: c.request.rank, Tenant: c.request.space.Name, Weight: c.request.space.Weight,
+		Cost: serviceCost, Deadline: c.request.end, Arrived: c.request.arrived,
 	}
-	return c.send()
 }
 
 // check decides with the document in force now whether the call may go out, and claims its key.
@@ -173,44 +208,49 @@
 	return again(refuse(work.CodeClaimUnavailable, 503, "the key could not be claimed"))
 }
 
-func (c *plainCall) send() (*plain.Answer, *work.Refusal) {
+// send sends the call once and gives the server's slot back.
+func (c *plainCall) send(l *leg) outcome {
+	defer c.pool.release(l.ticket, serviceCost)
 	span := c.d.step(c.request, spanBackend)
 	defer span.End()
-	describe(span, c.service.Name, "", c.vm.Name, 0)
-	c.call.Trace = c.request.parent(span)
-	if c.tries++; c.tries == 1 {
-		c.pool.attempt()
-	}
+	describe(span, c.service.Name, "", l.vm.Name, 0)
+	l.call.Trace = c.request.parent(span)
 	start := c.d.Clock.Now()
-	c.call.Left = c.request.left(start, serviceWait)
-	a, err := c.d.plains.Do(c.vm.Addr, &c.call)
-	res := work.Result{Server: c.vm.Name, Total: c.d.Clock.Now().Sub(start)}
+	l.call.Left = c.request.left(start, serviceWait)
+	a, err := c.d.plains.Do(l.vm.Addr, &l.call)
+	res := work.Result{Server: l.vm.Name, Total: c.d.Clock.Now().Sub(start)}
 	var own *plain.Refused
-	var link *conn.Error
 	switch {
 	case err == nil:
 		res.First = res.Total
-		c.d.report(c.pool, res)
-		return a, nil
+		c.pool.observe(res.First)
 	case errors.As(err, &own):
 		res.Refused = true
-		c.d.report(c.pool, res)
 		if own.Code == "leaving" {
-			c.d.Servers.MarkLeaving(c.vm.Name)
+			c.d.Servers.MarkLeaving(l.vm.Name)
 		}
-		return nil, again(refuse(work.CodeOverloaded, 503, "the service refused: "+own.Code))
+	default:
+		res.Failed = true
+		fault(span, err.Error())
 	}
-	res.Failed = true
-	fault(span, err.Error())
 	c.d.report(c.pool, res)
-	if errors.As(err, &link) && !link.Sent {
-		return nil, again(refuse(work.CodeNoServer, 503, "the backend server could not be reached"))
-	}
-	r := &work.Refusal{Code: work.CodeBackendFailed, Status: 502, Ran: work.Unknown, Detail: "no answer came from the backend server"}
-	if errors.Is(err, conn.ErrSilent) {
-		r.Code, r.Status = work.CodeDeadline, 504
+	return outcome{leg: l, answer: a, refusal: callRefusal(err, own)}
+}
+
+// callRefusal says what is known about a call that failed.
+func callRefusal(err error, own *plain.Refused) *work.Refusal {
+	var link *conn.Error
+	switch {
+	case err == nil:
+		return nil
+	case own != nil:
+		return again(refuse(work.CodeOverloaded, 503, "the service refused: "+own.Code))
+	case errors.As(err, &link) && !link.Sent:
+		return again(refuse(work.CodeNoServer, 503, "the backend server could not be reached"))
+	case errors.Is(err, conn.ErrSilent):
+		return &work.Refusal{Code: work.CodeDeadline, Status: 504, Ran: work.Unknown, Detail: "no answer came in time"}
 	}
-	return nil, r
+	return &work.Refusal{Code: work.CodeBackendFailed, Status: 502, Ran: work.Unknown, Detail: "no answer came from the backend server"}
 }
 
 // answer passes the service's answer on.
--- a/internal/entry/service_test.go
+++ b/internal/entry/service_test.go
@@ -20,6 +20,7 @@
 	ok := func(c net.Conn) { reply(c, 201, `{"number":1}`) }
 	closed := func(c net.Conn) { _ = c.Close() }
 	refused := func(c net.Conn) { reply(c, 503, ownRefusal) }
+	silent := func(net.Conn) {}
 	busy := func(c net.Conn) { reply(c, 503, `{"error":"busy"}`) }
 	for _, c := range []struct {
 		name, method, path, key string
@@ -37,6 +38,10 @@
 		{"issue with key, own refusal", "POST", "/issue", "k3", []func(net.Conn){refused}, 201, "", "", 2},
 		{"find, connection closed", "POST", "/find", "", []func(net.Conn){closed}, 201, "", "", 2},
 		{"find, own refusal", "POST", "/find", "", []func(net.Conn){refused, refused}, 201, "", "", 3},
+		{"find, closed and then refused", "POST", "/find", "", []func(net.Conn){closed, refused, refused}, 503, "overloaded", "unknown", 3},
+		{"find, silent", "POST", "/find", "", []func(net.Conn){silent}, 201, "", "", 2},
+		{"find, silent and closed", "POST", "/find", "", []func(net.Conn){silent, closed}, 504, "deadline", "unknown", 2},
+		{"issue, silent", "POST", "/issue", "", []func(net.Conn){silent}, 504, "deadline", "unknown", 1},
 		{"path that only starts like find", "POST", "/findorissue", "", []func(net.Conn){closed}, 502, "backend-failed", "unknown", 1},
 		{"get, connection closed", "GET", "/1", "", []func(net.Conn){closed}, 201, "", "", 2},
 		{"path with dots", "POST", "/find/../issue", "", nil, 400, "bad-request", "not run", 0},
@@ -55,7 +60,7 @@
 			}
 			a, b := fake(t, s), fake(t, s)
 			d := start(t, f, nil, []string{a.addr, b.addr})
-			resp := do(t, d, c.method, "/services/tags"+c.path, "{}", "Idempotency-Key", c.key)
+			resp := do(t, d, c.method, "/services/tags"+c.path, "{}", "Idempotency-Key", c.key, "Shallot-Deadline", "2500")
 			assert.Equal(t, resp.StatusCode, c.status)
 			bills := 1
 			if c.code != "" {
