entry, plain: attempts of a hedged call share no header; bills stay where they are

Cause: the race detector reported a race once in some runs of the tests of hedged calls. Two attempts read one fasthttp header, and reading it changes it (it uses a buffer of its own). Ruled out: two copies of the header, which a second retry would share again. Change: the headers are copied once into plain fields. Any failure of Take but a deadline leaves the bill with the first VM.

--- a/internal/entry/chat.go
+++ b/internal/entry/chat.go
@@ -8,7 +8,6 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/valyala/fasthttp"
 
-	"shallotrun/core/bill"
 	"shallotrun/core/clock"
 	"shallotrun/core/flow"
 	"shallotrun/core/place"
@@ -134,9 +133,10 @@
 	ctx, cancel := context.WithTimeout(context.Background(), takeWait.Std())
 	defer cancel()
 	if err := d.Bills.Take(ctx, id, x.holder); err != nil {
-		// The rest of the answer is served all the same. Without an answer of the holder, File decides later.
+		// The rest of the answer is served all the same, and the bill stays with the first VM. Only if the holder
+		// did not answer in time, it is File that decides later.
 		d.Log.Info().Err(err).Str("request", id).Msg("caller: resumed without taking the bill over")
-		x.unbilled = errors.Is(err, bill.ErrFiled)
+		x.unbilled = !errors.Is(err, context.DeadlineExceeded)
 	}
 }
 
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -82,12 +82,10 @@
 	c := &plainCall{
 		d: d, request: r, service: s, repeat: route.Repeats(s, method, path), conn: ctx.Conn(),
 		call: plain.Call{
-			Method: method, URI: "/" + rest, Header: &ctx.Request.Header, Body: ctx.PostBody(), Request: r.id,
+			Method: method, URI: "/" + rest, Fields: plain.Fields(&ctx.Request.Header), Body: ctx.PostBody(), Request: r.id,
 		},
 	}
 	if c.repeat { // a slow attempt may outlive the answer of a faster one, and fasthttp's buffers
-		c.call.Header = new(fasthttp.RequestHeader)
-		ctx.Request.Header.CopyTo(c.call.Header)
 		c.call.Body = bytes.Clone(c.call.Body)
 	}
 	return c, nil
--- a/io/plain/client.go
+++ b/io/plain/client.go
@@ -19,11 +19,14 @@
 	Progress clock.Span // time for each read of a body, 0 means 10 s
 }
 
-// Call is one call. The header and body belong to the caller and are only read.
+// Field is one header of a call.
+type Field struct{ Name, Value string }
+
+// Call is one call. Fields and body are only read, so that two attempts may share them.
 type Call struct {
 	Method  string
-	URI     string // path and query
-	Header  *fasthttp.RequestHeader
+	URI     string  // path and query
+	Fields  []Field // that pass through
 	Body    []byte
 	Request string
 	Left    clock.Span // time until the header of the answer must have arrived
@@ -47,14 +50,23 @@
 	Small []byte
 }
 
+// Fields copies the headers that pass through. Attempts that run at the same time cannot share fasthttp's header:
+// reading it changes it.
+func Fields(h *fasthttp.RequestHeader) (out []Field) {
+	for k, v := range h.All() {
+		if passes(string(k)) {
+			out = append(out, Field{string(k), string(v)})
+		}
+	}
+	return out
+}
+
 // Do sends the call once. Errors are a *Refused or a *conn.Error.
 func (c *Client) Do(addr string, v *Call) (*Answer, error) {
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
-	for k, b := range v.Header.All() {
-		if passes(string(k)) {
-			req.Header.AddBytesKV(k, b)
-		}
+	for _, f := range v.Fields {
+		req.Header.Add(f.Name, f.Value)
 	}
 	req.Header.SetMethod(v.Method)
 	req.Header.SetRequestURI(v.URI)
