--- a/internal/proof/run.go
+++ b/internal/proof/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"os"
@@ -133,10 +134,22 @@
 	res.report = verdict.Check(*e)
 	s.reverted(&res.report)
 	if len(res.report.Violations) == 0 {
-		os.RemoveAll(res.dir)
 		res.dir = ""
+		return os.RemoveAll(s.Dir)
 	}
-	return nil
+	return s.keep(*e, res.report)
+}
+
+// keep writes what was compared beside the logs, to trace a violation.
+func (s *scene) keep(e verdict.Evidence, r verdict.Report) error {
+	b, err := json.MarshalIndent(struct {
+		Evidence verdict.Evidence
+		Report   verdict.Report
+	}{e, r}, "", " ")
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(filepath.Join(s.Dir, "evidence.json"), b, 0o600)
 }
 
 // operate does the operators' work of every case: a withdrawal, a changed route, a leaving engine and a
--- a/internal/verdict/evidence.go
+++ b/internal/verdict/evidence.go
@@ -16,7 +16,7 @@
 	Engines   []ledger.Entry
 	Services  []ledger.Entry
 	Bills     []Bill
-	Allowed   func(workspace, model, version string) bool
+	Allowed   func(workspace, model, version string) bool `json:"-"`
 	Withdrawn []Withdrawal
 	Reroutes  []Reroute
 	Stops     []Stop
