--- a/internal/bench/run.go
+++ b/internal/bench/run.go
@@ -20,6 +20,7 @@
 		{"rollout", rollouts},
 		{"place", placement},
 		{"share", sharing},
+		{"cascade", cascades},
 	}
 }
 
