share, rollout: bound what a peer may report

Cause: asks and tallies come from other processes; a negative slot count would have made the owner grant too much, and any name would have taken memory. Ruled out: checks in the peers' protocol package, which does not know the servers and members.

--- a/core/rollout/tally.go
+++ b/core/rollout/tally.go
@@ -6,6 +6,9 @@
 // restarts a day it lasts for a roll-out of ten days; later sources are ignored.
 const sourcesMost = 4096
 
+// countMost bounds a count: a source that claims more is broken.
+const countMost = 1 << 40
+
 // Tally is what one source counted for a version since it started. A source is an entry VM with its incarnation, so
 // that a restart counts from zero under a new name.
 type Tally struct {
@@ -24,6 +27,9 @@
 
 // merge takes the larger counts and returns how many results are new.
 func (c counts) merge(t Tally) (good, bad uint64) {
+	if t.Good > countMost || t.Bad > countMost {
+		return 0, 0
+	}
 	old, known := c[t.Source]
 	if !known && len(c) >= sourcesMost {
 		return 0, 0
--- /dev/null
+++ b/core/share/fuzz_test.go
@@ -0,0 +1,46 @@
+package share
+
+import (
+	"testing"
+
+	"github.com/fxamacker/cbor/v2"
+	"gotest.tools/v3/assert"
+)
+
+// Guards against an ask from a broken peer that makes the owner grant more slots than there are, or keep names that
+// nobody vouches for.
+func FuzzOwnerTakesAnyAsk(f *testing.F) {
+	for _, a := range []Ask{
+		{VM: "a", Num: 1, Running: map[string]int{"s": -5}, Slots: map[string]int{"s": 99, "x": 1}},
+		{VM: "b", Num: 9, Waiting: [3]int{1 << 60, -1, 3}},
+		{VM: "nobody", Num: 1, Slots: map[string]int{"s": 8}},
+	} {
+		b, err := cbor.Marshal(a)
+		assert.NilError(f, err)
+		f.Add(b)
+	}
+	f.Fuzz(func(t *testing.T, b []byte) {
+		var a Ask
+		if err := cbor.Unmarshal(b, &a); err != nil {
+			return
+		}
+		o := &Owner{Name: "a", Servers: map[string]int{"s": 8, "t": 3}, Members: []string{"a", "b"}}
+		asks := []Ask{{VM: "a", Num: 1, Waiting: [3]int{20, 0, 0}}, a, {VM: "b", Num: 2}, a, {VM: "a", Num: 3, Waiting: [3]int{20, 0, 0}}}
+		granted := map[string]Grant{}
+		for _, x := range asks {
+			for _, g := range o.Ask(100, x) {
+				granted[g.VM] = g
+			}
+		}
+		assert.Assert(t, len(o.holders) <= 2)
+		for s, n := range o.Servers {
+			used := 0
+			for _, g := range granted {
+				assert.Assert(t, g.Slots[s] >= 0)
+				used += g.Slots[s]
+			}
+			// A peer that lies about the slots that it has can take its own part twice, but never the others'.
+			assert.Assert(t, used <= 2*n)
+		}
+	})
+}
--- a/core/share/messages.go
+++ b/core/share/messages.go
@@ -13,7 +13,7 @@
 
 // Ask reports a holder's demand to the owner. Its lack of an answer is no error: the next ask replaces it.
 type Ask struct {
-	VM      string          `cbor:"vm"`
+	VM      string          `cbor:"vm"` // with its incarnation, since Num starts again after a restart
 	Owner   string          `cbor:"owner"`
 	Num     uint64          `cbor:"num"`     // counts the asks of this holder
 	Seq     uint64          `cbor:"seq"`     // of the last grant of this owner that the holder has in force
--- a/core/share/owner.go
+++ b/core/share/owner.go
@@ -46,6 +46,10 @@
 	}
 	o.expire(now)
 	h := o.holders[a.VM]
+	if h == nil && !slices.Contains(o.Members, a.VM) {
+		return nil // a name that nobody vouches for would take memory and slots
+	}
+	o.clean(&a)
 	if h == nil {
 		h = &holder{name: a.VM, grant: maps.Clone(a.Slots)}
 		o.holders[a.VM] = h
@@ -71,6 +75,27 @@
 	return out
 }
 
+// demandMost bounds the demand that a holder may report; more makes no difference to the division.
+const demandMost = 1 << 20
+
+// clean brings an ask into the limits of what a holder can have, as it comes from another process.
+func (o *Owner) clean(a *Ask) {
+	limit := func(m map[string]int) map[string]int {
+		out := make(map[string]int, len(o.Servers))
+		for s, n := range o.Servers {
+			if v := m[s]; v > 0 {
+				out[s] = min(v, n)
+			}
+		}
+		return out
+	}
+	a.Running, a.Slots = limit(a.Running), limit(a.Slots)
+	for r := range a.Active {
+		a.Active[r] = min(max(a.Active[r], 0), demandMost)
+		a.Waiting[r] = min(max(a.Waiting[r], 0), demandMost)
+	}
+}
+
 // Leave forgets a holder that stopped and has no requests left.
 func (o *Owner) Leave(vm string) { delete(o.holders, vm) }
 
