cascade: take the search by class out again

Cause: a learning choice of stages was written in parallel, is wired into the daemon and has its own measures (cascade, one exchange rate between quality and cost). Two packages for one decision help nobody.

--- a/internal/bench/run.go
+++ b/internal/bench/run.go
@@ -20,7 +20,6 @@
 		{"rollout", rollouts},
 		{"place", placement},
 		{"share", sharing},
-		{"cascade", cascades},
 	}
 }
 
