--- a/cmd/shallotlab/main.go
+++ b/cmd/shallotlab/main.go
@@ -1,23 +1,37 @@
-// Command shallotlab runs the project's runners: shallotlab bench.
+// Command shallotlab runs the project's runners: the demonstration, the proofs, the benchmarks of the policies and the cost of control.
 package main
 
 import (
 	"fmt"
+	"io"
 	"os"
+
+	"shallotrun/internal/demo"
+	"shallotrun/internal/proof"
+	"shallotrun/internal/scale"
 )
 
+var commands = []struct {
+	name string
+	run  func(args []string, out, errs io.Writer) int
+}{
+	{"demo", demo.Main},
+	{"proof", proof.Main},
+	{"bench", benchCommand},
+	{"scale", scale.Main},
+}
+
 func main() {
-	commands := []struct {
-		name string
-		run  func(args []string) int
-	}{
-		{"bench", benchCommand},
+	if len(os.Args) > 1 {
+		for _, c := range commands {
+			if c.name == os.Args[1] {
+				os.Exit(c.run(os.Args[2:], os.Stdout, os.Stderr))
+			}
+		}
 	}
+	fmt.Fprintln(os.Stderr, "usage: shallotlab COMMAND [flags]; commands:")
 	for _, c := range commands {
-		if len(os.Args) > 1 && os.Args[1] == c.name {
-			os.Exit(c.run(os.Args[2:]))
-		}
+		fmt.Fprintln(os.Stderr, " ", c.name)
 	}
-	fmt.Fprintln(os.Stderr, "usage: shallotlab bench [flags]")
 	os.Exit(2)
 }
--- a/core/document/types.go
+++ b/core/document/types.go
@@ -23,7 +23,7 @@
 // Snapshot is a validated document with its place in the order of documents.
 type Snapshot struct {
 	Revision uint64     `json:"revision"` // version of the platform object; only grows
-	Digest   string     `json:"digest"`   // hex xxhash of the document's bytes
+	Digest   string     `json:"digest"`   // hex xxhash of the document's compact JSON
 	At       clock.Time `json:"at"`       // when this process put it in force, wall clock
 	Document *Document  `json:"document"`
 }
@@ -59,6 +59,7 @@
 	Name  string `json:"name"`
 	State string `json:"state"`
 	Share int    `json:"share,omitempty"` // percent of new work while canary
+	Auto  bool   `json:"auto,omitempty"`  // the system raises the share of a canary on evidence
 	Cost  int    `json:"cost"`            // millionths of a currency unit for 1,000 generated tokens
 	Exact bool   `json:"exact,omitempty"` // the same request gives the same tokens on every replica
 	Stale string `json:"stale,omitempty"` // StaleServe (default) or StaleRefuse
@@ -68,9 +69,10 @@
 // Pool is a group of model engines that serve the same models.
 type Pool struct {
 	Name   string   `json:"name"`
-	Models []string `json:"models"` // model names
-	Fenced bool     `json:"fenced"` // the engines refuse an order with an old fencing number
-	Slots  int      `json:"slots"`  // concurrent requests for each backend server
+	Models []string `json:"models"`         // model names
+	Fenced bool     `json:"fenced"`         // the engines refuse an order with an old fencing number
+	Slots  int      `json:"slots"`          // concurrent requests for each backend server
+	Role   string   `json:"role,omitempty"` // role that the engines are ordered to take, "" orders none
 }
 
 // Service is a plain HTTP service.
--- /dev/null
+++ b/io/engine/stream_test.go
@@ -0,0 +1,85 @@
+package engine
+
+import (
+	"bufio"
+	"encoding/json"
+	"errors"
+	"net"
+	"strings"
+	"testing"
+
+	"github.com/valyala/fasthttp"
+	"gotest.tools/v3/assert"
+
+	"shallotrun/io/conn"
+)
+
+// Guards against a short way for plain tokens that reads something else than the JSON decoder, which would
+// change an answer or let invalid JSON through to callers.
+func TestPlainTokenEqualsDecoder(t *testing.T) {
+	for _, c := range []string{
+		`{"text":" harbor"}`, `{"text":""}`, `{"text":"a\"b"}`, `{"text":"a\nb"}`, `{"text":"é"}`, `{"text":"a","x":"b"}`,
+		`{"text":"a"b"}`, `{"text":"a\"}`, `{"text":"\"}`, `{"text":"` + "\x01" + `"}`, `{"text":1}`, `{"text":"a"} `, `{"text":"`, `{"text":"}`, `{}`,
+	} {
+		s := &Stream{br: bufio.NewReader(strings.NewReader("id: 1\ndata: " + c + "\n\n"))}
+		var ev Event
+		err := s.next(&ev)
+		var v struct{ Text *string }
+		want := json.Unmarshal([]byte(c), &v) == nil && v.Text != nil
+		assert.Equal(t, err == nil, want, c)
+		if want {
+			var got string
+			assert.NilError(t, json.Unmarshal(ev.Text, &got), c)
+			assert.Equal(t, got, *v.Text)
+		}
+	}
+}
+
+// Guards against events that are taken for tokens or for an end although they are neither.
+func TestBadEvents(t *testing.T) {
+	for _, c := range []string{
+		"data: {\"text\":\"a\"}\n\n", "id: 0\ndata: {\"text\":\"a\"}\n\n", "id: x\ndata: {\"text\":\"a\"}\n\n",
+		"id: 1\ndata: {\"text\":\"a\"}\n", "event: other\ndata: {}\n\n", "id: 1\ndata: " + strings.Repeat("a", Limit) + "\n\n",
+		strings.Repeat("x: y\n", Limit/4),
+	} {
+		s := &Stream{br: bufio.NewReader(strings.NewReader(c))}
+		var ev Event
+		assert.Check(t, s.next(&ev) != nil, "%.40q", c)
+	}
+}
+
+// Guards against an engine that fills the memory with an endless answer, and against a refusal that is believed
+// without "ran": false.
+func TestAnswersOfEngines(t *testing.T) {
+	for _, c := range []struct {
+		status int
+		body   string
+		fails  bool // of a load report
+		own    bool // the engine's own refusal of a generation
+	}{
+		{200, `{"running":3,"slots":8}`, false, false},
+		{200, `{"running":3,"slots":8,"x":"` + strings.Repeat("a", maxAnswer) + `"}`, true, false},
+		{200, `{`, true, false},
+		{503, `{"code":"full","ran":false}`, true, true},
+		{503, `{"code":"full"}`, true, false},
+		{503, `{"code":"full","ran":true}`, true, false},
+		{500, `{"code":"failed","ran":true}`, true, false},
+	} {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NilError(t, err)
+		s := &fasthttp.Server{Handler: func(ctx *fasthttp.RequestCtx) {
+			ctx.SetStatusCode(c.status)
+			ctx.SetBodyString(c.body)
+		}}
+		go func() { _ = s.Serve(ln) }()
+		e := &Client{Pool: &conn.Pool{}}
+		l, err := e.Load(ln.Addr().String())
+		assert.Equal(t, err != nil, c.fails, "%d %.20s", c.status, c.body)
+		assert.Check(t, c.fails || l.Running == 3)
+		_, err = e.Generate(ln.Addr().String(), &Generate{Request: "r", Attempt: 1}, 0, "")
+		var own *Refused
+		assert.Equal(t, errors.As(err, &own), c.own, "%d %.20s", c.status, c.body)
+		e.Pool.Close()
+		assert.NilError(t, s.Shutdown())
+	}
+}
