cascade: stop waiting for a slow rating service sooner

Cause: 45 requests had to wait in vain before a silent rating service was not waited for any more.

Ruled out: the breaker for late ratings, because it would stop the questions whose late answers are still learned from.

Change: the share of ratings in time remembers 10 ratings instead of 20, and a quarter of them is the bound for waiting, so 13 vain waits are enough.

--- a/core/cascade/chooser.go
+++ b/core/cascade/chooser.go
@@ -10,7 +10,7 @@
 	// maxExplore is the largest part of the requests that start at a stage only to learn about it.
 	maxExplore = 0.1
 	// When fewer ratings than this part come in time, only a few requests wait for one.
-	worthWaiting = 0.1
+	worthWaiting = 0.25
 	fewWait      = 0.1
 	// sampled is the part of the last stage's answers that are rated in the background.
 	sampled = 0.1
--- a/core/cascade/ratings.go
+++ b/core/cascade/ratings.go
@@ -13,7 +13,7 @@
 	// Memory in ratings. A kind has to notice a changed model within a few dozen requests.
 	kindMemory  = 25
 	stageMemory = 300
-	soonMemory  = 20
+	soonMemory  = 10
 	// The ratings of the whole stage count like this many ratings of a kind.
 	priorWeight = 3
 )
