entry: cascades learn, also from ratings that come late

Cause: the daemon used the fixed ladder, dropped ratings that came after the wait of their request, and let each request wait for a service that is always too slow.

Ruled out: counting a late rating as a failure of the service, because its breaker would then stop the questions; rating every answer of the last stage, because a sample of a tenth is enough for an average.

Change: Daemon.Cascades is a policy of core/cascade, nil means the learned one. A question is awaited for up to a minute beside its request, at most 128 of them and 4 MiB; late ratings are learned from. When hardly any rating comes in time, requests do not wait. A tenth of the last stage's answers, up to 64 KiB each, is rated in the background. Metrics count the starts by stage, late ratings, and the size of the state.

--- a/internal/entry/cascade.go
+++ b/internal/entry/cascade.go
@@ -2,119 +2,106 @@
 
 import (
 	"encoding/json"
+	"strconv"
 	"strings"
-	"sync"
 
+	"shallotrun/core/cascade"
 	"shallotrun/core/clock"
-	"shallotrun/core/document"
 	"shallotrun/core/flow"
-	"shallotrun/core/retry"
-	"shallotrun/core/work"
-	"shallotrun/io/conn"
+	"shallotrun/core/route"
 	"shallotrun/io/rating"
 )
 
-// Cascades decides about the stages of cascades. It is called from many goroutines.
-type Cascades interface {
-	// Begin returns the index of the stage to start with.
-	Begin(c *document.Cascade, prompt string) int
-	// Judge takes the rating of a stage's answer and returns whether the answer is good enough, and if not,
-	// the index of the stage to go on with.
-	Judge(c *document.Cascade, prompt string, stage, rating int) (accept bool, next int)
-}
-
-// ladder is the fixed rule: every stage in turn until the rating reaches the target.
-type ladder struct{}
-
-func (ladder) Begin(*document.Cascade, string) int { return 0 }
-
-func (ladder) Judge(c *document.Cascade, _ string, stage, rating int) (bool, int) {
-	return rating >= c.Quality, stage + 1
-}
-
-// ratings asks the rating service and holds back while it is down, so that no request waits for a rating that
-// will not come.
-type ratings struct {
-	client   rating.Client
-	clock    clock.Clock
-	mu       sync.Mutex
-	breakers retry.Breakers
-}
-
-// ratingWait is the time for a rating where the cascade sets none.
-const ratingWait = 500 * clock.Millisecond
-
-// down reports whether ratings are held back now.
-func (r *ratings) down() bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.client.Addr == "" || r.breakers.Open(r.clock.Now(), r.client.Addr, "", "")
-}
+// sampleBytes bounds the answers of last stages that are kept for a rating in the background.
+const sampleBytes = 64 << 10
 
-func (r *ratings) rate(q *rating.Question, wait clock.Span) (int, bool) {
-	r.mu.Lock()
-	ok := r.client.Addr != "" && r.breakers.Allow(r.clock.Now(), r.client.Addr, "", "")
-	r.mu.Unlock()
-	if !ok {
-		return 0, false
-	}
-	n, err := r.client.Rate(q, wait)
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.breakers.Report(r.clock.Now(), work.Result{Server: r.client.Addr, Failed: err != nil})
-	return n, err == nil
+// beginCascade sets the first stage of a cascade and returns the stages from there on.
+func (x *exchange) beginCascade(t *route.Table, stages []route.Target) []route.Target {
+	d := x.d
+	x.rule = cascadeAsk(t, x.request.space.Name, x.cascade, stages, x.prompt)
+	x.rule.Unrated = d.ratings.down()
+	x.base = min(max(d.cascades.begin(x.rule), 0), len(stages)-1)
+	x.sampled = d.cascades.sample()
+	d.metrics.starts.WithLabelValues(x.cascade.Name, strconv.Itoa(x.base)).Inc()
+	return stages[x.base:]
 }
 
-func (d *Daemon) newRatings() *ratings {
-	return &ratings{client: rating.Client{Addr: d.Rating, Pool: &conn.Pool{Clock: d.Clock}}, clock: d.Clock}
-}
-
-// begin returns the index of a cascade's first stage. While ratings are missing, a cascade that falls back to
-// its last stage starts there: a cheaper answer could not be used.
-func (d *Daemon) beginCascade(c *document.Cascade, prompt string) int {
-	last := len(c.Stages) - 1
-	if c.Down != downFirst && d.ratings.down() {
-		return last
-	}
-	return min(max(d.Cascades.Begin(c, prompt), 0), last)
-}
-
-// downFirst is the value of a cascade's Down that accepts the first answer without a rating.
-const downFirst = "first"
-
 // rate decides whether a held answer is given to the caller.
 func (x *exchange) rate() flow.Event {
-	c, t := x.cascade, x.target()
 	stage := x.base + x.flow.Stage()
-	wait := clock.Span(c.Wait)
-	if wait == 0 {
-		wait = ratingWait
-	}
+	usual := x.ratingWait()
+	wait := usual
 	if x.request.end != 0 {
 		wait = min(wait, max(x.request.end.Sub(x.d.Clock.Now()), 1))
 	}
-	n, ok := x.d.ratings.rate(&rating.Question{
-		Request: x.request.id, Model: t.Model, Version: t.Version, Prompt: x.prompt, Answer: x.heldText(),
-	}, wait)
-	accept, next := c.Down == downFirst, len(c.Stages)-1
-	if ok {
-		accept, next = x.d.Cascades.Judge(c, x.prompt, stage, n)
+	if !x.d.cascades.wait(x.rule) {
+		wait = 0
 	}
+	n, ok := x.d.ratings.rate(x.question(heldText(x.hold)), wait, usual, x.d.late(x.rule, stage))
+	var accept bool
+	var next int
 	result := "missing"
 	switch {
-	case ok && accept:
-		result = "accepted"
-	case ok:
+	case !ok:
+		accept, next = x.d.cascades.missing(x.rule, stage, wait >= usual && !x.d.ratings.down())
+	default:
+		accept, next = x.d.cascades.judge(x.rule, stage, n)
 		result = "escalated"
+		if accept {
+			result = "accepted"
+		}
 	}
 	x.d.metrics.ratings.WithLabelValues(result).Inc()
 	return flow.Rated{Accept: accept, Next: next - x.base}
 }
 
-// heldText returns the text of the held answer.
-func (x *exchange) heldText() string {
+// late returns what is done with a rating that comes after the decision.
+func (d *Daemon) late(a cascade.Ask, stage int) func(int, bool) {
+	return func(n int, soon bool) {
+		d.cascades.late(a, stage, n, soon)
+		d.metrics.ratings.WithLabelValues("late").Inc()
+	}
+}
+
+// sample asks in the background for the rating of an answer of the last stage.
+func (x *exchange) sample() {
+	stage := x.base + x.flow.Stage()
+	if x.cascade == nil || !x.sampled || stage != len(x.cascade.Stages)-1 || len(x.sampleText) > sampleBytes {
+		return
+	}
+	var s string
+	if json.Unmarshal(append(append([]byte{'"'}, x.sampleText...), '"'), &s) != nil {
+		return
+	}
+	late := x.d.late(x.rule, stage)
+	if n, ok := x.d.ratings.rate(x.question(s), 0, x.ratingWait(), late); ok {
+		late(n, true)
+	}
+}
+
+// keepSample keeps a part of the answer for a rating in the background.
+func (x *exchange) keepSample(text []byte) {
+	if x.sampled && len(x.sampleText) <= sampleBytes {
+		x.sampleText = append(x.sampleText, text[1:len(text)-1]...)
+	}
+}
+
+func (x *exchange) question(answer string) *rating.Question {
+	t := x.target()
+	return &rating.Question{Request: x.request.id, Model: t.Model, Version: t.Version, Prompt: x.prompt, Answer: answer}
+}
+
+func (x *exchange) ratingWait() clock.Span {
+	if x.cascade.Wait == 0 {
+		return ratingWait
+	}
+	return clock.Span(x.cascade.Wait)
+}
+
+// heldText returns the text of a held answer.
+func heldText(hold []held) string {
 	var b strings.Builder
-	for _, h := range x.hold {
+	for _, h := range hold {
 		var s string
 		if json.Unmarshal(h.text, &s) == nil {
 			b.WriteString(s)
--- /dev/null
+++ b/internal/entry/cascades_test.go
@@ -0,0 +1,150 @@
+package entry
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"shallotrun/core/clock"
+	"shallotrun/core/document"
+	"shallotrun/io/conn"
+	"shallotrun/io/rating"
+)
+
+// rater is a rating service that gives answers of m the rating cheap and others 95, after a delay in milliseconds.
+func rater(t *testing.T, cheap int, delay *atomic.Int64) *backend {
+	return fake(t, func(_ int, c net.Conn, _ *http.Request, q map[string]any) {
+		time.Sleep(time.Duration(delay.Load()) * time.Millisecond)
+		n := 95
+		if q["model"] == "m" {
+			n = cheap
+		}
+		reply(c, 200, fmt.Sprintf(`{"rating":%d}`, n))
+	})
+}
+
+// sendChats sends chats to the cascade, a few at a time, and returns how many each model answered, and how many took
+// at least the wait for a rating.
+func sendChats(t *testing.T, d *Daemon, n int) (models map[string]int, waited int) {
+	models = map[string]int{}
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	limit := make(chan struct{}, 3)
+	for range n {
+		wg.Add(1)
+		limit <- struct{}{}
+		go func() {
+			defer wg.Done()
+			begin := time.Now()
+			resp := post(t, d, chatBody("both", false))
+			mu.Lock()
+			defer mu.Unlock()
+			models[resp.Header.Get("Shallot-Model")]++
+			if time.Since(begin) >= 200*time.Millisecond {
+				waited++
+			}
+			<-limit
+		}()
+	}
+	wg.Wait()
+	return models, waited
+}
+
+// Guards against ratings after the wait that are lost, against requests that go on waiting for a service that is
+// always too slow, and against a service that is never waited for again once it is fast.
+func TestLateRatingsAreLearned(t *testing.T) {
+	for _, c := range []struct {
+		cheap  int
+		model  string // that answers most requests once the ratings are known
+		answer string // after the service became fast
+	}{{10, "x@v1", "x@v1"}, {95, "m@v1", "m@v1"}} {
+		t.Run(c.model, func(t *testing.T) {
+			t.Parallel()
+			f, delay := &fakes{}, new(atomic.Int64)
+			delay.Store(400)
+			r := rater(t, c.cheap, delay)
+			d := start(t, f, []string{fake(t, five).addr}, nil, func(d *Daemon) { d.Rating = r.addr })
+			f.change(func(x *document.Document) { x.Cascades[0].Down = "first" })
+			sendChats(t, d, 60)
+			time.Sleep(600 * time.Millisecond) // the last ratings come
+			models, waited := sendChats(t, d, 40)
+			assert.Check(t, models[c.model] > 20, "%v", models)
+			assert.Check(t, waited < 20, "%d of 40 waited", waited)
+			assert.Check(t, metric(t, d, "shallot_cascade_kinds") > 0)
+			assert.Check(t, metric(t, d, "shallot_cascade_starts_total") == 100)
+			late := counted(t, d, "late")
+			assert.Check(t, late > 0)
+			time.Sleep(600 * time.Millisecond)
+			delay.Store(0)
+			models, _ = sendChats(t, d, 60)
+			assert.Check(t, models[c.answer] > 30, "%v", models)
+			assert.Check(t, counted(t, d, "accepted")+counted(t, d, "escalated") > 0)
+			for _, b := range f.billed() {
+				assert.Check(t, len(b.Stages) <= 2)
+			}
+			assert.Equal(t, len(f.billed()), 160)
+		})
+	}
+}
+
+// counted returns the number of ratings with a result.
+func counted(t *testing.T, d *Daemon, result string) float64 {
+	all, err := d.Registry.Gather()
+	assert.NilError(t, err)
+	for _, f := range all {
+		for _, m := range f.GetMetric() {
+			if f.GetName() == "shallot_ratings_total" && m.GetLabel()[0].GetValue() == result {
+				return m.GetCounter().GetValue()
+			}
+		}
+	}
+	return 0
+}
+
+// Guards against a last stage whose quality is never learned, and against a sample with another text than the caller
+// got.
+func TestLastStageIsSampled(t *testing.T) {
+	f, texts := &fakes{}, make(chan any, 1000)
+	r := fake(t, func(_ int, c net.Conn, _ *http.Request, q map[string]any) {
+		if q["model"] == "x" {
+			texts <- q["answer"]
+		}
+		reply(c, 200, `{"rating":10}`)
+	})
+	d := start(t, f, []string{fake(t, five).addr}, nil, func(d *Daemon) { d.Rating = r.addr })
+	for i := 0; i < 300 && len(texts) == 0; i++ {
+		resp := post(t, d, chatBody("both", i%2 == 0))
+		assert.Equal(t, resp.StatusCode, 200)
+		_ = readEvents(resp)
+	}
+	select {
+	case s := <-texts:
+		assert.Equal(t, s, fiveText)
+	case <-time.After(5 * time.Second):
+		t.Fatal("no sample")
+	}
+}
+
+// Guards against awaited ratings that grow without bound while the service is slow.
+func TestAwaitedRatingsAreBounded(t *testing.T) {
+	for _, c := range []struct{ size, fit int }{{10, lateCount}, {lateBytes / 2, 2}} {
+		r := &ratings{client: rating.Client{Addr: "127.0.0.1:1", Pool: &conn.Pool{}}}
+		for range c.fit {
+			p, ok := r.enter(c.size, 200)
+			assert.Check(t, ok && p == latePatience)
+		}
+		p, ok := r.enter(c.size, 200)
+		assert.Check(t, ok && p == 200)
+		_, ok = r.enter(c.size, 0)
+		assert.Check(t, !ok)
+		r.leave(c.size, true, false)
+		p, ok = r.enter(c.size, 200)
+		assert.Check(t, ok && p == clock.Minute)
+	}
+}
--- a/internal/entry/chat.go
+++ b/internal/entry/chat.go
@@ -88,8 +88,7 @@
 		return nil, refusal
 	}
 	if x.cascade = choice.Cascade; x.cascade != nil {
-		x.base = d.beginCascade(x.cascade, x.prompt)
-		choice.Stages = choice.Stages[x.base:]
+		choice.Stages = x.beginCascade(r.table, choice.Stages)
 	}
 	x.holder = d.Bills.Holder(r.id)
 	x.flow = flow.Flow{
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -14,6 +14,7 @@
 	"go.opentelemetry.io/otel/trace/noop"
 	"golang.org/x/sync/errgroup"
 
+	"shallotrun/core/cascade"
 	"shallotrun/core/clock"
 	"shallotrun/core/token"
 	"shallotrun/core/work"
@@ -37,9 +38,9 @@
 	Servers   Servers
 	Bills     Bills
 	Claims    Claims
-	Evidence  Evidence // may be nil
-	Cascades  Cascades // nil means every stage in turn until the rating reaches the target
-	Rating    string   // IP:port of the rating service, "" for none
+	Evidence  Evidence       // may be nil
+	Cascades  cascade.Policy // nil means cascade.Learned{}
+	Rating    string         // IP:port of the rating service, "" for none
 
 	Registry *prometheus.Registry // may be nil
 	Tracer   trace.Tracer         // may be nil
@@ -62,6 +63,7 @@
 	live     map[string]*exchange // by request
 	metrics  *metrics
 	ratings  *ratings
+	cascades *cascades
 }
 
 // Run serves until the context ends, then shuts down gracefully: it is not ready any more, accepts nothing
@@ -115,12 +117,10 @@
 	d.pools = make(map[string]*pool)
 	d.live = make(map[string]*exchange)
 	d.ratings = d.newRatings()
+	d.cascades = newCascades(d.Cascades, d.Clock)
 	if d.Tracer == nil {
 		d.Tracer = noop.NewTracerProvider().Tracer("")
 	}
-	if d.Cascades == nil {
-		d.Cascades = ladder{}
-	}
 	d.metrics = newMetrics()
 	if d.Registry != nil {
 		d.Registry.MustRegister(d.metrics.all(d)...)
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -13,6 +13,7 @@
 	"github.com/samber/oops"
 	"go.opentelemetry.io/otel/trace"
 
+	"shallotrun/core/cascade"
 	"shallotrun/core/clock"
 	"shallotrun/core/document"
 	"shallotrun/core/flow"
@@ -38,7 +39,9 @@
 	session   *token.Session
 	pinned    bool // the session already had its versions
 	cascade   *document.Cascade
+	rule      cascade.Ask // about the cascade
 	base      int         // index of the flow's first stage in the cascade
+	sampled   bool        // an answer of the last stage is rated in the background
 	moved     atomic.Bool // another exchange of this VM took the request over
 	resumed   *token.Resume
 	holder    string
@@ -65,6 +68,8 @@
 	sent   int    // bytes of out that were read
 	text   []byte // answer of a request that is not streamed
 	hold   []held // tokens of a stage that waits for its rating
+
+	sampleText []byte // answer of the last stage if it is sampled
 }
 
 // held is a token that waits for a rating.
@@ -182,6 +187,7 @@
 
 // deliver writes a token for the caller.
 func (x *exchange) deliver(n int, text []byte) {
+	x.keepSample(text)
 	if !x.streaming {
 		x.text = append(x.text, text[1:len(text)-1]...)
 		return
@@ -202,7 +208,7 @@
 	x.hangup()
 	x.letGo()
 	if c.Fresh {
-		x.text, x.hold = nil, nil
+		x.text, x.hold, x.sampleText = nil, nil, nil
 	}
 	if c.Abandon != "" {
 		vm, t := x.vm, x.target()
@@ -454,6 +460,7 @@
 	x.final = c
 	switch c := c.(type) {
 	case flow.Finish:
+		x.sample()
 		if !x.streaming {
 			return
 		}
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -14,6 +14,7 @@
 	attempts *prometheus.CounterVec // model, version, result
 	tokens   *prometheus.CounterVec // model, version
 	ratings  *prometheus.CounterVec // result
+	starts   *prometheus.CounterVec // cascade, stage
 	resumes  prometheus.Counter
 	retries  prometheus.Counter
 	gone     prometheus.Counter
@@ -37,6 +38,7 @@
 		attempts: counter("shallot_attempts_total", "Attempts at backend servers.", "model", "version", "result"),
 		tokens:   counter("shallot_tokens_total", "Tokens of finished attempts.", "model", "version"),
 		ratings:  counter("shallot_ratings_total", "Answers of cascade stages by what their rating led to.", "result"),
+		starts:   counter("shallot_cascade_starts_total", "Requests to cascades by the stage that they start with.", "cascade", "stage"),
 		resumes:  prometheus.NewCounter(prometheus.CounterOpts{Name: "shallot_resumes_total", Help: "Streams resumed on a new connection."}),
 		retries:  prometheus.NewCounter(prometheus.CounterOpts{Name: "shallot_retries_total", Help: "Attempts on another server."}),
 		gone:     prometheus.NewCounter(prometheus.CounterOpts{Name: "shallot_gone_total", Help: "Requests whose caller went away."}),
@@ -50,7 +52,7 @@
 // all lists the metrics, with the state of the daemon's pools.
 func (m *metrics) all(d *Daemon) []prometheus.Collector {
 	return []prometheus.Collector{
-		m.requests, m.refusals, m.attempts, m.tokens, m.ratings, m.resumes, m.retries, m.gone, m.open, m.first, m.queued, pools{d},
+		m.requests, m.refusals, m.attempts, m.tokens, m.ratings, m.starts, m.resumes, m.retries, m.gone, m.open, m.first, m.queued, pools{d}, learning{d},
 	}
 }
 
