daemon: the entry VMs act as one fleet

Change: the daemon runs internal/fleet: membership, the document by two watchers per domain, copies of bills and takeover, claims by votes of three holders, pooled evidence and halts. The direct way to the platform is gone. A lease is competed for by the VMs that collect evidence.

--- a/core/member/types.go
+++ b/core/member/types.go
@@ -17,6 +17,22 @@
 // State is the state of a VM.
 type State uint8
 
+// String returns the name of the state.
+func (s State) String() string {
+	switch s {
+	case Joining:
+		return "joining"
+	case Serving:
+		return "serving"
+	case Leaving:
+		return "leaving"
+	case Gone:
+		return "gone"
+	default:
+		return "suspect"
+	}
+}
+
 // Record is what a VM declares about itself. A higher incarnation is later; in one incarnation a higher
 // state is later.
 type Record struct {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"net"
 	"time"
 
@@ -18,6 +17,7 @@
 	"shallotrun/internal/control"
 	"shallotrun/internal/entry"
 	"shallotrun/internal/evidence"
+	"shallotrun/internal/fleet"
 	"shallotrun/internal/servers"
 	"shallotrun/internal/settings"
 	"shallotrun/io/operator"
@@ -41,7 +41,7 @@
 	store    *config.Store
 	watcher  *config.Watcher
 	servers  *servers.Registry
-	direct   *direct
+	fleet    *fleet.Fleet
 	control  *control.Controller
 	recorder *control.Recorder
 	judge    *evidence.Judge
@@ -60,6 +60,11 @@
 		return oops.Wrapf(err, "operator: listen on %s", d.Settings.Operators.Addr)
 	}
 	op := d.operator()
+	if err := d.fleet.Start(); err != nil {
+		return err
+	}
+	leave := context.AfterFunc(ctx, d.fleet.Leave)
+	defer leave()
 	help, end := context.WithCancel(context.WithoutCancel(ctx))
 	defer end()
 	var g errgroup.Group
@@ -68,6 +73,7 @@
 		g.Go(func() error { run(help); return nil })
 	}
 	err = d.entry.Run(ctx)
+	d.fleet.Stop()
 	end()
 	grace, cancel := context.WithTimeout(context.Background(), stopGrace)
 	defer cancel()
@@ -95,14 +101,17 @@
 	d.client = &platform.Client{Addr: s.Platform.Addr, Source: source, Timeout: s.Platform.Timeout, Token: s.Platform.Token}
 	d.store = &config.Store{Clock: d.Clock, Log: d.Log}
 	d.watcher = &config.Watcher{Store: d.store, Client: d.client, Log: d.Log, Wait: s.Platform.Wait}
-	d.watcher.Enable(true)
 	d.servers = &servers.Registry{Clock: d.Clock, Log: d.Log}
-	d.direct = newDirect(s.VM.Name, d.Clock, d.client, d.Log)
+	d.fleet = &fleet.Fleet{
+		Name: s.VM.Name, Domain: s.VM.Domain, Addr: s.Peers.Addr, Announce: s.Peers.Announce, Source: source,
+		Seeds: s.Peers.Seeds, Keys: [][]byte{s.Keys.Peer}, Beat: s.Peers.Heartbeat, Clock: d.Clock, Log: d.Log,
+		Registry: d.registry, Store: d.store, Servers: d.servers, Objects: d.client, Watch: d.watcher.Enable,
+	}
 	d.control = &control.Controller{
 		Self: s.VM.Name, Domain: s.VM.Domain, Incarnation: uint64(d.start), Clock: d.Clock, Log: d.Log,
 		Objects: d.client, Engines: &order.Client{Source: source}, Document: d.store.Current, Servers: d.servers.All,
 	}
-	d.judge = &evidence.Judge{Store: d.store, Source: fmt.Sprintf("%s/%d", s.VM.Name, d.start), Log: d.Log}
+	d.judge = &evidence.Judge{Store: d.store, Halt: d.fleet.Halt, Log: d.Log}
 	d.judge.Attach()
 	d.recorder = &control.Recorder{
 		Name: s.VM.Name, Holds: d.control.Holds, Store: d.store, Writer: &config.Writer{Client: d.client}, Log: d.Log,
@@ -117,7 +126,7 @@
 		Name: s.VM.Name, Domain: s.VM.Domain, Listen: s.Callers.Addr, Source: source,
 		Keys:  append([][]byte{s.Keys.Session}, s.Keys.Old...),
 		Clock: d.Clock, Log: d.Log,
-		Documents: d.store, Servers: d.servers, Bills: d.direct, Claims: d.direct, Rating: s.Callers.Rating, Evidence: d.judge,
+		Documents: d.store, Servers: d.servers, Bills: d.fleet, Claims: d.fleet, Rating: s.Callers.Rating, Evidence: d.fleet,
 		Registry: d.registry, Tracer: tracer,
 	}
 	return stop, nil
@@ -146,12 +155,34 @@
 	return host
 }
 
+// decideEvery is the interval at which the pooled evidence is looked at.
+const decideEvery = 250 * time.Millisecond
+
+// decide looks at the pooled evidence, and says whether this VM may act for its failure domain: the VMs that collect
+// evidence also compete for the lease.
+func (d *Daemon) decide(ctx context.Context) {
+	t := time.NewTicker(decideEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+		on := d.fleet.Decides()
+		d.control.SetCandidate(on)
+		if on {
+			d.judge.Merge(d.fleet.Evidence())
+		}
+	}
+}
+
 // background returns the parts that run beside the request path.
 func (d *Daemon) background() []func(context.Context) {
 	poller := &servers.Poller{
 		Registry: d.servers, Client: d.client, Log: d.Log, Every: d.Settings.Platform.Poll, Contact: d.store.Contact,
 	}
-	return []func(context.Context){d.store.Run, d.watcher.Run, poller.Run, d.direct.run, d.control.Run, d.recorder.Run}
+	return []func(context.Context){d.store.Run, d.watcher.Run, poller.Run, d.control.Run, d.recorder.Run, d.decide}
 }
 
 func (d *Daemon) operator() *operator.Server {
--- a/internal/entry/chat.go
+++ b/internal/entry/chat.go
@@ -162,7 +162,7 @@
 func (x *exchange) adopt(c route.Choice) {
 	x.cascade, x.base = c.Cascade, 0
 	if c.Cascade != nil {
-		x.base = x.d.beginCascade(c.Cascade, x.prompt)
+		x.beginCascade(x.request.table, c.Stages)
 	}
 }
 
--- a/internal/evidence/judge.go
+++ b/internal/evidence/judge.go
@@ -9,7 +9,6 @@
 	"shallotrun/core/document"
 	"shallotrun/core/relay"
 	"shallotrun/core/rollout"
-	"shallotrun/core/work"
 	"shallotrun/internal/config"
 )
 
@@ -17,7 +16,7 @@
 // methods may be called from several goroutines.
 type Judge struct {
 	Store  *config.Store
-	Source string // this VM with its incarnation, as VM/INCARNATION
+	Halt   func(model, version, reason string) // halts a version and tells the peers
 	Policy rollout.Policy
 	Log    zerolog.Logger
 
@@ -28,27 +27,11 @@
 
 // Attach follows the document: a version that an operator puts back in service is judged anew.
 func (j *Judge) Attach() {
-	j.evidence.Policy, j.evidence.Source = j.Policy, j.Source
+	j.evidence.Policy = j.Policy
 	j.Store.Subscribe(func(s *document.Snapshot) { j.document(s.Document) })
 }
 
-// Report takes the result of an attempt of this VM.
-func (j *Judge) Report(r work.Result) {
-	if r.Model == "" || !rollout.Counts(r) {
-		return
-	}
-	d := j.current()
-	if d == nil || d.Version(r.Model, r.Version) == nil {
-		return
-	}
-	j.mu.Lock()
-	j.evidence.Report(r, controls(d, r.Model, r.Version)...)
-	decision := j.evidence.Decide(r.Model, r.Version)
-	j.mu.Unlock()
-	j.act(d, r.Model, r.Version, decision)
-}
-
-// Merge takes counts from peers. Repeated and reordered counts do no harm.
+// Merge takes the counts of all VMs. Repeated and reordered counts do no harm.
 func (j *Judge) Merge(rows []relay.Row) {
 	d := j.current()
 	if d == nil {
@@ -89,7 +72,7 @@
 			Msg("evidence: the only version of the model has bad results and is not halted")
 		return
 	}
-	j.Store.Halt(model, version, x.Reason)
+	j.Halt(model, version, x.Reason)
 }
 
 // replaceable reports whether new work can go to another version of the model.
--- a/internal/evidence/judge_test.go
+++ b/internal/evidence/judge_test.go
@@ -9,15 +9,15 @@
 	"shallotrun/core/clock"
 	"shallotrun/core/document"
 	"shallotrun/core/relay"
-	"shallotrun/core/work"
 	"shallotrun/internal/config"
 )
 
 func judge(t *testing.T, versions ...document.Version) *Judge {
 	t.Helper()
+	counts = map[string]counted{}
 	s := &config.Store{Clock: clock.NewManual(1000)}
 	offer(t, s, 1, versions...)
-	j := &Judge{Store: s, Source: "vm/1"}
+	j := &Judge{Store: s, Halt: func(m, v, reason string) { s.Halt(m, v, reason) }}
 	j.Attach()
 	return j
 }
@@ -33,9 +33,22 @@
 	assert.NilError(t, err)
 }
 
+// counted is what one VM has counted for a version.
+type counted struct{ good, bad uint64 }
+
+var counts map[string]counted
+
+// report adds n results of one VM.
 func report(j *Judge, version string, n int, failed bool) {
 	for range n {
-		j.Report(work.Result{Server: "s", Model: "m", Version: version, Failed: failed})
+		c := counts[version]
+		if failed {
+			c.bad++
+		} else {
+			c.good++
+		}
+		counts[version] = c
+		j.Merge([]relay.Row{{Source: "vm/1", Version: "m@" + version, Good: c.good, Bad: c.bad}})
 	}
 }
 
