bench: sessions within the capacity, and preemption beside the reserve

Preemption of batch work had not been measured. Ruled out: keeping the old mix; time to the first token says nothing beyond capacity. Change: sessions end at 8,000 tokens, the prefix cache holds 180,000, a mix with a third of it shows the dependence; urgent work may cancel the batch request that started last, as an alternative to the reserve. Preemption would pay for batch requests that nobody streams; it is not used.

--- a/internal/bench/placement.go
+++ b/internal/bench/placement.go
@@ -10,6 +10,8 @@
 
 const (
 	placeLength = 1500 * second
+	contextMost = 8000              // tokens at which a session ends, so that no mix is beyond the capacity
+	contextEnd  = 0.93              // part of the drawn turns that take place, measured
 	reportGap   = 500 * millisecond // between load reports
 	reportLag   = 300 * millisecond // until a report is known at the entry VMs
 )
@@ -21,12 +23,14 @@
 	sessions float64 // part of the requests that belong to a session
 	turns    int     // mean turns of a session
 	prefixes int     // shared prefixes of the requests without a session, 0 for none
+	cache    int     // tokens in the prefix cache of one engine, 0 for cacheTokens
 	slow     bool    // one engine is three times slower
 }
 
 func mixes() []mix {
 	return []mix{
 		{name: "session-heavy", load: 0.7, sessions: 0.85, turns: 10},
+		{name: "session-heavy-small-cache", load: 0.7, sessions: 0.85, turns: 10, cache: cacheTokens / 3},
 		{name: "few-sessions", load: 0.7, sessions: 0.1, turns: 4},
 		{name: "none", load: 0.7},
 		{name: "shared-prefix", load: 0.7, prefixes: 1},
@@ -66,6 +70,11 @@
 	if m.slow {
 		es[1].slow = 3
 	}
+	for _, e := range es {
+		if m.cache > 0 {
+			e.cache.limit = m.cache
+		}
+	}
 	fs := u.fronts(s, es, seed, func(f *front) { f.placer = &place.Placer{Policy: p, Domain: f.domain, Rand: f.rand} })
 	for i, e := range es {
 		s.after(micros(i)*reportGap/micros(len(es)), func() {
@@ -82,7 +91,7 @@
 	// A session begins as often as makes its turns the wanted part of the requests.
 	rate := m.load * u.capacity()
 	if m.turns > 0 {
-		s.feed(seed, 2, source{rank: work.Normal, rate: rate * m.sessions / float64(m.turns), to: placeLength}, func(j *job) {
+		s.feed(seed, 2, source{rank: work.Normal, rate: rate * m.sessions / (float64(m.turns) * contextEnd), to: placeLength}, func(j *job) {
 			talk(s, rnd, m, next(), j, m.first(rnd), send)
 		})
 	}
@@ -107,7 +116,7 @@
 	return v
 }
 
-func (m mix) first(rnd *rand.Rand) int { return int(lognormal(rnd, 1000, 0.5)) }
+func (m mix) first(rnd *rand.Rand) int { return int(lognormal(rnd, 500, 0.5)) }
 
 // talk plays a session: each turn repeats the conversation so far in its prompt.
 func talk(s *sim, rnd *rand.Rand, m mix, id string, j *job, context int, send func(*job)) {
@@ -120,7 +129,7 @@
 		send(j)
 		context = j.prompt + j.out
 		left--
-		if left <= 0 || s.now > placeLength {
+		if left <= 0 || context > contextMost || s.now > placeLength {
 			return
 		}
 		again := draw(rnd, 0, source{rank: work.Normal})
--- a/internal/bench/ranks.go
+++ b/internal/bench/ranks.go
@@ -18,6 +18,8 @@
 	done    []*job
 	lost    []*job // refused or expired
 	expired int
+	preempt bool // whether urgent work that finds no slot cancels a batch request, which starts again later
+	wasted  float64
 }
 
 func newHall(u user, p queue.Policy) *hall {
@@ -40,6 +42,33 @@
 	}
 	h.jobs[j.id] = j
 	h.dispatch()
+	if h.preempt && j.rank == work.Urgent && j.started == 0 {
+		h.cancelBatch()
+		h.dispatch()
+	}
+}
+
+// cancelBatch cancels the batch request that was started last and queues it again.
+func (h *hall) cancelBatch() {
+	var last *job
+	var at *engine
+	for _, e := range h.engines {
+		for _, j := range e.active {
+			if j.rank == work.Batch && (last == nil || j.started > last.started) {
+				last, at = j, e
+			}
+		}
+	}
+	if last == nil {
+		return
+	}
+	at.cancel(last)
+	it := queue.Item{ID: last.id, Rank: last.rank, Tenant: last.tenant, Cost: last.guess}
+	h.q.Done(h.sim.clock(), it, 0)
+	h.wasted += float64(h.sim.now - last.started)
+	again := &job{id: last.id, rank: last.rank, tenant: last.tenant, prompt: last.prompt, out: last.out, guess: last.guess, arrived: last.arrived}
+	delete(h.jobs, last.id)
+	h.arrive(again)
 }
 
 func (h *hall) dispatch() {
@@ -96,7 +125,11 @@
 			s := worstShares(h)
 			row = append(row, s[work.Normal], s[work.Batch], 100*float64(h.expired)/float64(len(h.lost)))
 		}
-		return row
+		calm, full := playWith(u, queue.Fair{}, seed, usual, true), playWith(u, queue.Fair{}, seed, batch, true)
+		slots := float64(u.replicas*slotsEach) * float64(ranksLength)
+		row = append(row, quantile(firsts(full, isUrgent), 0.99)/quantile(firsts(calm, isUrgent), 0.99), 100*full.wasted/slots)
+		reserve := play(u, fair, seed, batch)
+		return append(row, tokens(full)/tokens(reserve))
 	})
 	n := u.name + "/ranks."
 	return []line{
@@ -104,6 +137,9 @@
 		{name: n + "urgent-p99-ratio-batch-flood", policy: "fair", got: column(rs, 0), naive: "fifo", baseline: column(rs, 2), goal: 1.2},
 		{name: n + "normal-least-share-urgent-flood", policy: "fair", got: column(rs, 3), naive: "strict", baseline: column(rs, 6), goal: 9, least: true},
 		{name: n + "batch-least-share-urgent-flood", policy: "fair", got: column(rs, 4), naive: "strict", baseline: column(rs, 7), goal: 4, least: true},
+		{name: n + "urgent-p99-ratio-batch-flood", policy: "preempt", got: column(rs, 9), naive: "strict", baseline: column(rs, 1), goal: 1.2},
+		{name: n + "percent-of-slot-time-wasted", policy: "preempt", got: column(rs, 10), naive: "none", info: true},
+		{name: n + "tokens-ratio-to-reserve-batch-flood", policy: "preempt", got: column(rs, 11), naive: "none", info: true},
 		{name: n + "percent-of-losses-late", policy: "fair", got: column(rs, 5), naive: "strict", baseline: column(rs, 8), info: true},
 	}
 }
@@ -116,11 +152,17 @@
 
 // play runs the sources through one queue and returns it after the end.
 func play(u user, p queue.Policy, seed uint64, sources []source) *hall {
+	return playWith(u, p, seed, sources, false)
+}
+
+// playWith is play with the choice to preempt batch work.
+func playWith(u user, p queue.Policy, seed uint64, sources []source, preempt bool) *hall {
 	var end micros
 	for _, src := range sources {
 		end = max(end, src.to)
 	}
 	h := newHall(u, p)
+	h.preempt = preempt
 	for i, src := range sources {
 		h.sim.feed(seed, i+1, src, h.arrive)
 	}
--- a/internal/bench/user.go
+++ b/internal/bench/user.go
@@ -10,7 +10,7 @@
 
 const (
 	slotsEach   = 8
-	cacheTokens = 60_000 // tokens in the prefix cache of one replica
+	cacheTokens = 180_000 // tokens in the prefix cache of one replica
 	meanPrompt  = 400
 	meanOut     = 150
 	tenants     = 10
