--- a/internal/bench/shares.go
+++ b/internal/bench/shares.go
@@ -36,9 +36,9 @@
 	known    [][3]int // waiting urgent and normal requests in the last ask
 	messages int
 
-	starts, inversions, urgent int
-	idle, slotTime             float64
-	tokens                     []float64 // started output tokens by second
+	starts, inversions, urgent, stale int
+	idle, slotTime                    float64
+	tokens                            []float64 // started output tokens by second
 }
 
 // sharing measures a flood of batch work that arrives unevenly at the entry VMs.
@@ -49,7 +49,7 @@
 		for _, m := range modes {
 			f := crowd(u, seed, m, "")
 			row = append(row, 100*float64(f.inversions)/float64(f.starts), 100*f.idle/f.slotTime,
-				100*float64(f.overs())/float64(f.starts), float64(f.messages)/float64(f.starts), 100*float64(f.urgent)/float64(f.starts))
+				100*float64(f.overs())/float64(f.starts), float64(f.messages)/float64(f.starts), 100*float64(f.urgent)/float64(f.starts), 100*float64(f.stale)/float64(f.starts))
 		}
 		for _, fault := range []string{"lost", "frozen", "partitioned"} {
 			row = append(row, crowd(u, seed, "granted", fault).dip(u))
@@ -59,17 +59,18 @@
 	n := u.name + "/share."
 	var out []line
 	for i, m := range []string{"independent", "choices"} {
-		k := 5 * (i + 1)
+		k := 6 * (i + 1)
 		out = append(out,
 			line{name: n + "percent-rank-inversions", policy: "granted", got: column(rs, 0), naive: m, baseline: column(rs, k), goal: 1},
 			line{name: n + "percent-urgent-inversions", policy: "granted", got: column(rs, 4), naive: m, baseline: column(rs, k+4), goal: 1},
+			line{name: n + "percent-inversions-over-10ms", policy: "granted", got: column(rs, 5), naive: m, baseline: column(rs, k+5), info: true},
 			line{name: n + "percent-idle-while-waiting", policy: "granted", got: column(rs, 1), naive: m, baseline: column(rs, k+1), goal: 2},
 			line{name: n + "percent-starts-over-slots", policy: "granted", got: column(rs, 2), naive: m, baseline: column(rs, k+2), info: true},
 			line{name: n + "messages-per-request", policy: "granted", got: column(rs, 3), naive: m, baseline: column(rs, k+3), info: true})
 	}
 	for i, fault := range []string{"lost", "frozen", "partitioned"} {
-		out = append(out, line{name: n + "percent-starts-in-2s-after-owner-" + fault, policy: "granted", got: column(rs, 15+i),
-			naive: "independent", baseline: column(rs, 18), goal: 70, least: true})
+		out = append(out, line{name: n + "percent-starts-in-2s-after-owner-" + fault, policy: "granted", got: column(rs, 18+i),
+			naive: "independent", baseline: column(rs, 21), goal: 70, least: true})
 	}
 	return out
 }
@@ -131,6 +132,9 @@
 			w := f.waiting()
 			if w[0] > 0 && j.rank > work.Urgent || w[1] > 0 && j.rank > work.Normal {
 				f.inversions++
+				if f.oldest(j.rank) > 10*millisecond {
+					f.stale++
+				}
 				if w[0] > 0 && j.rank > work.Urgent {
 					f.urgent++
 				}
@@ -151,6 +155,19 @@
 	})
 }
 
+// oldest returns how long the oldest request that waits at a VM and is more urgent than a rank has waited.
+func (f *fleet) oldest(r work.Rank) micros {
+	var longest micros
+	for _, x := range f.fronts {
+		for _, c := range x.calls {
+			if c.job.rank < r {
+				longest = max(longest, f.sim.now-c.job.arrived)
+			}
+		}
+	}
+	return longest
+}
+
 // waiting returns the requests of each rank that wait, at the VMs or inside the engines.
 func (f *fleet) waiting() (w [work.Ranks]int) {
 	for _, x := range f.fronts {
