bench: count long inversions inside the engines too

Cause: with power of two choices requests wait in the engines, which were left out, so its long inversions came out as 0. Ruled out: leaving that baseline out of the comparison. Change: requests that wait in an engine are looked at as well.

--- a/internal/bench/shares.go
+++ b/internal/bench/shares.go
@@ -155,7 +155,7 @@
 	})
 }
 
-// oldest returns how long the oldest request that waits at a VM and is more urgent than a rank has waited.
+// oldest returns how long the oldest request that waits at a VM or in an engine and is more urgent than a rank has waited.
 func (f *fleet) oldest(r work.Rank) micros {
 	var longest micros
 	for _, x := range f.fronts {
@@ -165,6 +165,13 @@
 			}
 		}
 	}
+	for _, e := range f.engines {
+		for _, j := range e.waiting {
+			if j.rank < r {
+				longest = max(longest, f.sim.now-j.arrived)
+			}
+		}
+	}
 	return longest
 }
 
