entry: test of engine faults reads the calls under the lock

Cause: TestFaultsOfEngines read the calls of a fake engine without its lock while a late call could still arrive.

Ruled out: a race in the daemon; both sides are in the test files.

Change: the calls are copied under the lock. The checks are the same.

Conclusion: the test is as strict as before.

--- a/internal/entry/fake_test.go
+++ b/internal/entry/fake_test.go
@@ -233,6 +233,18 @@
 	return n
 }
 
+// bodies returns the bodies of the calls of a path. More calls may arrive meanwhile.
+func (b *backend) bodies(call string) (out []map[string]any) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for i, c := range b.calls {
+		if c == call {
+			out = append(out, b.sent[i])
+		}
+	}
+	return out
+}
+
 const generate = "POST /v1/generate"
 
 // open starts an event stream whose end is the end of the connection.
--- a/internal/entry/fault_test.go
+++ b/internal/entry/fault_test.go
@@ -131,10 +131,7 @@
 			assert.Assert(t, len(bills) == 1, "%v", bills)
 			assert.Equal(t, bills[0].Stages[0].Tokens, c.billed)
 			attempts := map[any]bool{}
-			for i, x := range append(e.sent, o.sent...) {
-				if append(e.calls, o.calls...)[i] != generate {
-					continue
-				}
+			for _, x := range append(e.bodies(generate), o.bodies(generate)...) {
 				assert.Check(t, !attempts[x["attempt"]], "two calls for one attempt: %v", x)
 				attempts[x["attempt"]] = true
 				assert.Check(t, x["attach"] != true || from(x) > 0, "%v", x)
