cascade, entry: learn from every rating whether the service is in time

Ratings that no request waited for did not count as late, and the value of a cheap start took them for likely in time although most requests do not wait.

Change: Timely records for each rating that nobody waited for whether it would have been in time; the value of a start knows that most requests do not wait then.

--- a/core/cascade/chooser.go
+++ b/core/cascade/chooser.go
@@ -88,17 +88,18 @@
 	return accept, next
 }
 
-// Late takes a rating that came after the decision. Soon says that it would have come in time if the request had
-// waited for it.
-func (c *Chooser) Late(now clock.Time, a Ask, stage, rating int, soon bool) {
-	p, ok := c.policy().(Learned)
-	if !ok {
-		return
+// Late takes a rating that came after the decision.
+func (c *Chooser) Late(now clock.Time, a Ask, stage, rating int) {
+	if p, ok := c.policy().(Learned); ok {
+		c.learn(now, p, a, stage, rating)
 	}
-	if soon {
-		c.table(now, a).soon.add(true)
+}
+
+// Timely records whether a rating that no request waited for would have come in time.
+func (c *Chooser) Timely(now clock.Time, a Ask, soon bool) {
+	if _, ok := c.policy().(Learned); ok {
+		c.table(now, a).soon.add(soon)
 	}
-	c.learn(now, p, a, stage, rating)
 }
 
 // Wait reports whether a rating is worth waiting for. When hardly any comes in time, most requests do not wait.
--- a/core/cascade/value.go
+++ b/core/cascade/value.go
@@ -13,6 +13,9 @@
 	end := t.raw(now, p, a, last) - t.worth
 	best, value := last, end
 	soon := t.soon.value()
+	if soon < worthWaiting { // most requests do not wait
+		soon *= fewWait
+	}
 	for s := last - 1; s >= from; s-- {
 		e := t.stages[s].expect(now, p, a.Kind, threshold(p, value))
 		unrated := end
--- a/internal/bench/cascades.go
+++ b/internal/bench/cascades.go
@@ -143,6 +143,7 @@
 	ask    cascade.Ask
 	stage  int
 	rating int
+	waited bool
 }
 
 // tab is what a rule did.
@@ -182,7 +183,10 @@
 func (d *desk) serve(q query, w weather, a cascade.Ask) (int, float64) {
 	for len(d.late) > 0 && d.late[0].at <= q.at {
 		l := d.late[0]
-		d.chooser.Late(l.at, l.ask, l.stage, l.rating, false)
+		d.chooser.Late(l.at, l.ask, l.stage, l.rating)
+		if !l.waited {
+			d.chooser.Timely(l.at, l.ask, false)
+		}
 		d.late = d.late[1:]
 	}
 	a.Unrated = d.breakers.Open(q.at, "rating", "", "")
@@ -195,9 +199,10 @@
 	case asked && in && w.late == 0:
 		accept, _ = d.chooser.Judge(q.at, a, 0, q.ratings[0])
 	default:
-		accept, _ = d.chooser.Missing(q.at, a, 0, asked && d.chooser.Wait(q.at, a))
+		waited := asked && d.chooser.Wait(q.at, a)
+		accept, _ = d.chooser.Missing(q.at, a, 0, waited)
 		if in {
-			d.late = append(d.late, lateRating{q.at.Add(w.late), a, 0, q.ratings[0]})
+			d.late = append(d.late, lateRating{q.at.Add(w.late), a, 0, q.ratings[0], waited})
 		}
 	}
 	if accept {
@@ -224,9 +229,10 @@
 	}
 	switch _, in := d.rate(q, w); {
 	case in && w.late > 0:
-		d.late = append(d.late, lateRating{q.at.Add(w.late), a, 1, q.ratings[1]})
+		d.late = append(d.late, lateRating{q.at.Add(w.late), a, 1, q.ratings[1], false})
 	case in:
-		d.chooser.Late(q.at, a, 1, q.ratings[1], true)
+		d.chooser.Late(q.at, a, 1, q.ratings[1])
+		d.chooser.Timely(q.at, a, true)
 	}
 }
 
--- a/internal/entry/cascade.go
+++ b/internal/entry/cascade.go
@@ -37,7 +37,7 @@
 	if !x.d.cascades.wait(x.rule) {
 		wait = 0
 	}
-	n, ok := x.d.ratings.rate(x.question(heldText(x.hold)), wait, usual, x.d.late(x.rule, stage))
+	n, ok := x.d.ratings.rate(x.question(heldText(x.hold)), wait, usual, x.d.late(x.rule, stage, wait > 0))
 	var accept bool
 	var next int
 	result := "missing"
@@ -55,11 +55,16 @@
 	return flow.Rated{Accept: accept, Next: next - x.base}
 }
 
-// late returns what is done with a rating that comes after the decision.
-func (d *Daemon) late(a cascade.Ask, stage int) func(int, bool) {
-	return func(n int, soon bool) {
-		d.cascades.late(a, stage, n, soon)
-		d.metrics.ratings.WithLabelValues("late").Inc()
+// late returns what is done with a rating that comes after the decision. Waited says that the request waited for it.
+func (d *Daemon) late(a cascade.Ask, stage int, waited bool) func(outcome) {
+	return func(r outcome) {
+		if !waited {
+			d.cascades.timely(a, r.soon)
+		}
+		if r.ok {
+			d.cascades.late(a, stage, r.rating)
+			d.metrics.ratings.WithLabelValues("late").Inc()
+		}
 	}
 }
 
@@ -73,9 +78,9 @@
 	if json.Unmarshal(append(append([]byte{'"'}, x.sampleText...), '"'), &s) != nil {
 		return
 	}
-	late := x.d.late(x.rule, stage)
+	late := x.d.late(x.rule, stage, false)
 	if n, ok := x.d.ratings.rate(x.question(s), 0, x.ratingWait(), late); ok {
-		late(n, true)
+		late(outcome{n, true, true})
 	}
 }
 
--- a/internal/entry/cascades.go
+++ b/internal/entry/cascades.go
@@ -41,10 +41,16 @@
 	return c.chooser.Missing(c.clock.Now(), a, stage, waited)
 }
 
-func (c *cascades) late(a cascade.Ask, stage, rating int, soon bool) {
+func (c *cascades) late(a cascade.Ask, stage, rating int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.chooser.Late(c.clock.Now(), a, stage, rating, soon)
+	c.chooser.Late(c.clock.Now(), a, stage, rating)
+}
+
+func (c *cascades) timely(a cascade.Ask, soon bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.chooser.Timely(c.clock.Now(), a, soon)
 }
 
 func (c *cascades) wait(a cascade.Ask) bool {
--- a/internal/entry/ratings.go
+++ b/internal/entry/ratings.go
@@ -51,34 +51,39 @@
 	return r.count
 }
 
-// rate returns the rating of an answer if it comes within wait. One that comes afterwards is passed to late, with
-// whether it took at most the usual wait.
-func (r *ratings) rate(q *rating.Question, wait, usual clock.Span, late func(n int, soon bool)) (int, bool) {
+// outcome is what came of a question after its request had stopped waiting.
+type outcome struct {
+	rating int
+	ok     bool // there is a rating
+	soon   bool // it took at most the usual wait
+}
+
+// rate returns the rating of an answer if it comes within wait. What comes afterwards is passed to late.
+func (r *ratings) rate(q *rating.Question, wait, usual clock.Span, late func(outcome)) (int, bool) {
 	size := len(q.Prompt) + len(q.Answer)
 	patience, ok := r.enter(size, wait)
 	if !ok {
 		return 0, false
 	}
-	reply := make(chan int, 1)
+	out := make(chan int, 1)
 	var settled atomic.Bool // by the reply or by the end of the wait
 	start := r.clock.Now()
 	go func() {
-		defer close(reply)
+		defer close(out)
 		n, err := r.client.Rate(q, patience)
 		r.leave(size, patience > wait, err != nil)
 		switch first := settled.CompareAndSwap(false, true); {
-		case err != nil:
-		case first:
-			reply <- n
-		default:
-			late(n, r.clock.Now().Sub(start) <= usual)
+		case !first:
+			late(outcome{n, err == nil, err == nil && r.clock.Now().Sub(start) <= usual})
+		case err == nil:
+			out <- n
 		}
 	}()
 	if wait > 0 {
 		t := time.NewTimer(wait.Std())
 		defer t.Stop()
 		select {
-		case n, ok := <-reply:
+		case n, ok := <-out:
 			return n, ok
 		case <-t.C:
 		}
@@ -86,7 +91,7 @@
 	if settled.CompareAndSwap(false, true) {
 		return 0, false
 	}
-	n, ok := <-reply
+	n, ok := <-out
 	return n, ok
 }
 
