--- a/internal/entry/cascade.go
+++ b/internal/entry/cascade.go
@@ -15,15 +15,14 @@
 // sampleBytes bounds the answers of last stages that are kept for a rating in the background.
 const sampleBytes = 64 << 10
 
-// beginCascade sets the first stage of a cascade and returns the stages from there on.
-func (x *exchange) beginCascade(t *route.Table, stages []route.Target) []route.Target {
+// beginCascade sets the first stage of a cascade.
+func (x *exchange) beginCascade(stages []route.Target) {
 	d := x.d
-	x.rule = cascadeAsk(t, x.request.space.Name, x.cascade, stages, x.prompt)
+	x.rule = cascadeAsk(x.request.table, x.request.space.Name, x.cascade, stages, x.prompt)
 	x.rule.Unrated = d.ratings.down()
 	x.base = min(max(d.cascades.begin(x.rule), 0), len(stages)-1)
 	x.sampled = d.cascades.sample()
 	d.metrics.starts.WithLabelValues(x.cascade.Name, strconv.Itoa(x.base)).Inc()
-	return stages[x.base:]
 }
 
 // rate decides whether a held answer is given to the caller.
@@ -56,8 +55,8 @@
 }
 
 // late returns what is done with a rating that comes after the decision. Waited says that the request waited for it.
-func (d *Daemon) late(a cascade.Ask, stage int, waited bool) func(outcome) {
-	return func(r outcome) {
+func (d *Daemon) late(a cascade.Ask, stage int, waited bool) func(lateReply) {
+	return func(r lateReply) {
 		if !waited {
 			d.cascades.timely(a, r.soon)
 		}
@@ -80,7 +79,7 @@
 	}
 	late := x.d.late(x.rule, stage, false)
 	if n, ok := x.d.ratings.rate(x.question(s), 0, x.ratingWait(), late); ok {
-		late(outcome{n, true, true})
+		late(lateReply{n, true, true})
 	}
 }
 
--- a/internal/entry/chat.go
+++ b/internal/entry/chat.go
@@ -8,7 +8,6 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/valyala/fasthttp"
 
-	"shallotrun/core/bill"
 	"shallotrun/core/clock"
 	"shallotrun/core/flow"
 	"shallotrun/core/place"
@@ -87,12 +86,10 @@
 	if refusal := r.setRank(choice.Rank); refusal != nil {
 		return nil, refusal
 	}
-	if x.cascade = choice.Cascade; x.cascade != nil {
-		choice.Stages = x.beginCascade(r.table, choice.Stages)
-	}
+	x.adopt(choice)
 	x.holder = d.Bills.Holder(r.id)
 	x.flow = flow.Flow{
-		Stages: stages(r.table, choice.Stages), Deadline: r.end, Retries: maxRetries, Resumes: maxResumes,
+		Stages: stages(r.table, choice.Stages[x.base:]), Deadline: r.end, Retries: maxRetries, Resumes: maxResumes,
 		Buffered: !x.streaming,
 	}
 	return x, nil
@@ -136,9 +133,10 @@
 	ctx, cancel := context.WithTimeout(context.Background(), takeWait.Std())
 	defer cancel()
 	if err := d.Bills.Take(ctx, id, x.holder); err != nil {
-		// The rest of the answer is served all the same. Without an answer of the holder, File decides later.
+		// The rest of the answer is served all the same, and the bill stays with the first VM. Only if the holder
+		// did not answer in time, it is File that decides later.
 		d.Log.Info().Err(err).Str("request", id).Msg("caller: resumed without taking the bill over")
-		x.unbilled = errors.Is(err, bill.ErrFiled)
+		x.unbilled = !errors.Is(err, context.DeadlineExceeded)
 	}
 }
 
@@ -160,6 +158,14 @@
 	}
 }
 
+// adopt takes over what serves the request.
+func (x *exchange) adopt(c route.Choice) {
+	x.cascade, x.base, x.sampled = c.Cascade, 0, false
+	if c.Cascade != nil {
+		x.beginCascade(c.Stages)
+	}
+}
+
 // openSession reads the session token or opens a session.
 func (x *exchange) openSession() *work.Refusal {
 	switch text := x.request.head.Session; text {
@@ -177,7 +183,11 @@
 }
 
 func (x *exchange) ask() route.Ask {
-	return route.Ask{Workspace: x.request.space, Name: x.name, Session: x.session, Random: x.d.random()}
+	a := route.Ask{Workspace: x.request.space, Name: x.name, Random: x.d.random()}
+	if x.pinned {
+		a.Session = x.session
+	}
+	return a
 }
 
 // head sets the response headers of an answer.
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -45,10 +45,13 @@
 	Registry *prometheus.Registry // may be nil
 	Tracer   trace.Tracer         // may be nil
 
-	Poll     clock.Span // interval of load reports of engines, 0 means 500 ms
+	Poll     clock.Span // shortest interval of load reports of an engine, 0 means 500 ms
+	Reports  int        // load reports that are fetched in a second, 0 means 20
 	Silent   clock.Span // longest time without progress from an engine, 0 means 400 ms
 	Progress clock.Span // time in which a caller must read something, 0 means 10 s
 	Wait     int        // requests that may wait in one rank of a pool, 0 means 1000
+	Streams  int        // concurrent requests, waiting ones included, 0 means 4096
+	Linger   clock.Span // time in which a stopping daemon still answers new connections with a refusal, 0 means 200 ms
 	// Slots returns how many requests this VM may have at a backend server, nil for the configured number.
 	Slots func(pool, server string, configured int) int
 
@@ -57,6 +60,7 @@
 	plains   plain.Client
 	view     atomic.Pointer[view]
 	stopping atomic.Bool
+	open     atomic.Int64
 	addr     atomic.Pointer[net.TCPAddr]
 	mu       sync.Mutex
 	pools    map[string]*pool
@@ -76,7 +80,7 @@
 	}
 	addr, _ := ln.Addr().(*net.TCPAddr)
 	d.addr.Store(addr)
-	srv := &caller.Server{Listener: ln, Handler: d.serve, Progress: d.Progress, Log: d.Log}
+	srv := &caller.Server{Listener: ln, Handler: d.serve, Progress: d.Progress, Linger: d.Linger, Log: d.Log}
 	// The helpers outlive ctx: requests that are still running need them.
 	help, end := context.WithCancel(context.WithoutCancel(ctx))
 	var g errgroup.Group
@@ -118,6 +122,9 @@
 	d.live = make(map[string]*exchange)
 	d.ratings = d.newRatings()
 	d.cascades = newCascades(d.Cascades, d.Clock)
+	if d.Streams == 0 {
+		d.Streams = 4096
+	}
 	if d.Tracer == nil {
 		d.Tracer = noop.NewTracerProvider().Tracer("")
 	}
@@ -129,7 +136,7 @@
 
 // report passes the result of an attempt on.
 func (d *Daemon) report(p *pool, r work.Result) {
-	p.report(r)
+	p.result(r)
 	d.metrics.attempt(r)
 	if d.Evidence != nil {
 		d.Evidence.Report(r)
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -53,7 +53,7 @@
 	final   flow.Command
 	looked  clock.Time // when the caller's connection was looked at
 	pool    *pool
-	held    bool // a slot of vm is held
+	ticket  *ticket // holds a slot of vm, nil for none
 	vm      work.VM
 	stream  *engine.Stream
 	attempt attempt
@@ -236,7 +236,7 @@
 	case g.refusal != nil:
 		return flow.Refused{Refusal: g.refusal}
 	}
-	x.vm, x.held = g.server, true
+	x.vm, x.ticket = g.server, ticket
 	x.d.metrics.queued.WithLabelValues(x.request.rank.String()).Observe(x.d.Clock.Now().Sub(start).Std().Seconds())
 	return flow.Granted{Server: x.vm.Name}
 }
@@ -250,30 +250,34 @@
 	}
 	t := x.d.table()
 	w := t.Workspace(x.request.space.Name)
-	refusal := t.Check(w, x.target(), x.pinned, x.d.facts())
-	if refusal == nil {
-		return flow.Checked{}
+	if t != x.request.table && w != nil && !x.pinned && x.flow.Fresh() {
+		return x.rechoose(t, w)
 	}
-	if x.rechoose(t, w) {
-		return flow.Checked{}
+	if refusal := t.Check(w, x.target(), x.pinned, x.d.facts()); refusal != nil {
+		return flow.Refused{Refusal: refusal}
 	}
-	return flow.Refused{Refusal: refusal}
+	return flow.Checked{}
 }
 
-// rechoose moves a request that waited while its version was withdrawn or halted to another version, if the
-// caller named only a model and has seen nothing yet.
-func (x *exchange) rechoose(t *route.Table, w *route.Workspace) bool {
-	if w == nil || x.session != nil || x.resumed != nil || x.flow.Last > 0 || x.cascade != nil {
-		return false
+// rechoose applies a document that came into force while the request waited: the name may mean another model by
+// now, and the version may be withdrawn. A version that may still be used is kept.
+func (x *exchange) rechoose(t *route.Table, w *route.Workspace) flow.Event {
+	x.request.table, x.request.space = t, w
+	before := x.target()
+	c, refusal := t.Choose(x.ask(), x.d.facts())
+	if refusal != nil {
+		return flow.Refused{Refusal: refusal}
 	}
-	a := x.ask()
-	a.Workspace = w
-	c, refusal := t.Choose(a, x.d.facts())
-	if refusal != nil || c.Cascade != nil || c.Stages[0].Model != x.target().Model {
-		return false
+	x.adopt(c)
+	s := stages(t, c.Stages[x.base:])
+	if before.Model == s[0].Model {
+		if t.Check(w, before, false, x.d.facts()) == nil {
+			s[0].Version = before.Version
+		}
+		x.flow.Stages = s
+		return flow.Checked{}
 	}
-	x.flow.Stages = stages(t, c.Stages)
-	return true
+	return flow.Rerouted{Stages: s}
 }
 
 // call opens an attempt.
@@ -283,7 +287,7 @@
 	x.attempt = attempt{start: now}
 	if c.Resume {
 		x.d.metrics.resumes.Inc()
-	} else if x.pool != nil {
+	} else if x.pool != nil && c.Attempt == 1 {
 		x.pool.attempt()
 	}
 	t := x.target()
@@ -347,7 +351,7 @@
 	case engine.End:
 		x.last = x.read
 		x.seen()
-		cancelled := x.read.Reason == "cancelled"
+		cancelled := !x.read.Whole()
 		x.result(work.Result{})
 		x.hangup()
 		x.letGo()
@@ -506,8 +510,8 @@
 
 // letGo gives the slot back.
 func (x *exchange) letGo() {
-	if x.held {
-		x.held = false
-		x.pool.release(x.vm.Name)
+	if x.ticket != nil {
+		x.pool.release(x.ticket, max(x.attempt.tokens, x.flow.Last))
+		x.ticket = nil
 	}
 }
--- a/internal/entry/fault_test.go
+++ b/internal/entry/fault_test.go
@@ -101,6 +101,11 @@
 			tokens(c, 1, 2)
 			fmt.Fprint(c, "event: end\ndata: {\"tokens\":2,\"reason\":\"cancelled\",\"prompt\":3}\n\n")
 		}), " t1 t2", "backend-failed", 1, 2},
+		{"generation cut as the engines name it", "m", on(func(c net.Conn, _ map[string]any) {
+			open(c)
+			tokens(c, 1, 2)
+			fmt.Fprint(c, "event: end\ndata: {\"tokens\":2,\"reason\":\"cancel\",\"prompt\":3}\n\n")
+		}), " t1 t2", "backend-failed", 1, 2},
 		{"own refusal", "m", on(status(503, ownRefusal)), fiveText, "", 2, 5},
 		{"error", "m", on(status(500, "{}")), fiveText, "", 2, 5},
 	} {
@@ -265,7 +270,7 @@
 		open(c)
 		for n := 1; n <= 5; n++ {
 			tokens(c, n, n)
-			time.Sleep(100 * time.Millisecond)
+			time.Sleep(200 * time.Millisecond)
 		}
 		end(c, 5)
 	})
@@ -284,6 +289,10 @@
 	cancel()
 	time.Sleep(50 * time.Millisecond)
 	assert.Check(t, !d2.Ready())
+	late := post(t, d2, chatBody("m", true))
+	got, ran := code(t, late)
+	assert.Check(t, got == "stopping" && ran == "not run" && late.Header.Get("Retry-After") != "", got)
+	time.Sleep(300 * time.Millisecond)
 	if c, err := net.Dial("tcp", d2.Addr().String()); err == nil {
 		_ = c.Close()
 		t.Error("a new connection was accepted")
@@ -293,8 +302,8 @@
 		t.Fatal("Run returned before the stream ended")
 	default:
 	}
-	got := readEvents(resp)
-	assert.NilError(t, got.err)
-	assert.Check(t, got.done && got.text == fiveText, "%+v", got)
+	all := readEvents(resp)
+	assert.NilError(t, all.err)
+	assert.Check(t, all.done && all.text == fiveText, "%+v", all)
 	assert.NilError(t, <-done)
 }
--- a/internal/entry/pool.go
+++ b/internal/entry/pool.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"shallotrun/core/clock"
+	"shallotrun/core/document"
 	"shallotrun/core/place"
 	"shallotrun/core/queue"
 	"shallotrun/core/retry"
@@ -21,21 +22,32 @@
 
 	mu      sync.Mutex
 	slots   int // configured slots of each server, 0 for no limit
+	ranks   document.Ranks
+	fair    queue.Fair // policy in force
 	queue   queue.Queue
 	placer  place.Placer
 	budget  retry.Budget
+	hedge   retry.Hedge
 	tickets map[string]*ticket
 	parked  []*ticket // popped, waiting for a server that fits
 	own     map[string]int
-	loads   map[string]work.Load
+	loads   map[string]report
 	cands   []place.Candidate // reused
 }
 
-// ticket is a request that waits for a server.
+// ticket is a request that waits for a server or runs at one.
 type ticket struct {
-	item  queue.Item
-	ask   place.Ask
-	grant chan grant // buffered
+	item   queue.Item
+	ask    place.Ask
+	grant  chan grant // buffered
+	popped bool       // the queue has to be told when it ends
+	server string     // granted, "" before and after
+}
+
+// report is a load report with the time when it arrived.
+type report struct {
+	work.Load
+	at clock.Time
 }
 
 type grant struct {
@@ -61,16 +73,16 @@
 			placer:  place.Placer{Domain: d.Domain, Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))},
 			tickets: make(map[string]*ticket),
 			own:     make(map[string]int),
-			loads:   make(map[string]work.Load),
-		}
-		if t := d.table(); t != nil {
-			p.queue.Policy = queue.Fair{Normal: t.Document.Ranks.Normal, Batch: t.Document.Ranks.Batch}
+			loads:   make(map[string]report),
 		}
 		d.pools[name] = p
 	}
 	p.mu.Lock()
+	defer p.mu.Unlock()
 	p.slots = slots
-	p.mu.Unlock()
+	if t := d.table(); t != nil {
+		p.ranks = t.Document.Ranks
+	}
 	return p
 }
 
@@ -123,26 +135,34 @@
 		delete(p.tickets, t.item.ID)
 		p.queue.Remove(t.item.ID)
 		p.parked = slices.DeleteFunc(p.parked, func(x *ticket) bool { return x == t })
-		return
-	}
-	select {
-	case g := <-t.grant:
-		if g.refusal == nil {
-			p.free(g.server.Name)
-		}
-	default:
 	}
+	p.end(t, 0)
 }
 
-// release gives a server's slot back.
-func (p *pool) release(server string) {
+// release gives the slot of a ticket back after it used that many tokens.
+func (p *pool) release(t *ticket, used int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.free(server)
+	p.end(t, used)
 	p.pump(p.d.Clock.Now())
 }
 
-func (p *pool) report(r work.Result) {
+// end tells the queue and the server's slot count that a ticket ended, once. The lock is held.
+func (p *pool) end(t *ticket, used int) {
+	if t.popped {
+		t.popped = false
+		p.queue.Done(p.d.Clock.Now(), t.item, used)
+	}
+	if t.server == "" {
+		return
+	}
+	if p.own[t.server]--; p.own[t.server] <= 0 {
+		delete(p.own, t.server)
+	}
+	t.server = ""
+}
+
+func (p *pool) result(r work.Result) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.placer.Report(p.d.Clock.Now(), r)
@@ -162,11 +182,18 @@
 	return p.budget.Retry(p.d.Clock.Now())
 }
 
+// refund gives back an extra attempt that was not made.
+func (p *pool) refund() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.budget.Refund(p.d.Clock.Now())
+}
+
 // load records a load report.
 func (p *pool) load(server string, l work.Load) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.loads[server] = l
+	p.loads[server] = report{l, p.d.Clock.Now()}
 	p.pump(p.d.Clock.Now())
 }
 
@@ -175,9 +202,18 @@
 func (p *pool) run() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.pump(p.d.Clock.Now())
+	now := p.d.Clock.Now()
+	p.pump(now)
+	for name, l := range p.loads {
+		if now.Sub(l.at) > loadForget {
+			delete(p.loads, name)
+		}
+	}
 }
 
+// loadForget is the age at which the report of a server is forgotten that is gone or that this VM may not use.
+const loadForget = 10 * clock.Minute
+
 // state returns the waiting requests of each rank, the running ones and the live servers.
 func (p *pool) state() (waiting [work.Ranks]int, running, servers int) {
 	p.mu.Lock()
@@ -195,12 +231,6 @@
 	return waiting, running, servers
 }
 
-func (p *pool) free(server string) {
-	if p.own[server]--; p.own[server] <= 0 {
-		delete(p.own, server)
-	}
-}
-
 // pump grants servers while there are waiting requests and free slots. The lock is held.
 func (p *pool) pump(now clock.Time) {
 	if len(p.tickets) == 0 {
@@ -210,6 +240,7 @@
 		p.answer(it.ID, grant{refusal: p.late()})
 	}
 	free, _ := p.candidates()
+	p.policy(free)
 	for _, t := range slices.Clone(p.parked) {
 		switch {
 		case t.item.Deadline != 0 && !now.Before(t.item.Deadline):
@@ -224,9 +255,11 @@
 			return
 		}
 		t := p.tickets[it.ID]
-		if t == nil {
+		if t == nil { // cannot happen: a ticket leaves the queue together with its entry here
+			p.queue.Done(now, it, 0)
 			continue
 		}
+		t.popped = true
 		if p.place(now, t) {
 			free--
 		} else {
@@ -253,6 +286,7 @@
 		}
 	}
 	p.own[name]++
+	t.server = name
 	p.answer(t.item.ID, grant{server: p.server(name)})
 	return true
 }
@@ -264,20 +298,43 @@
 	}
 	delete(p.tickets, id)
 	p.parked = slices.DeleteFunc(p.parked, func(x *ticket) bool { return x == t })
+	if g.refusal != nil {
+		p.end(t, 0)
+	}
 	t.grant <- g
 }
 
+// reserveMost and reservePart bound the free slots that are left to more urgent work: what matters is how many
+// requests may arrive together, but in a small pool a fixed number would keep batch work out.
+const (
+	reserveMost = 8
+	reservePart = 8
+)
+
+// policy adapts the order of the queue to the document in force and the size of the pool.
+func (p *pool) policy(free int) {
+	total := free
+	for _, n := range p.own {
+		total += n
+	}
+	f := queue.Fair{Normal: p.ranks.Normal, Batch: p.ranks.Batch, Reserve: min(total/reservePart, reserveMost)}
+	if f != p.fair || p.queue.Policy == nil {
+		p.fair, p.queue.Policy = f, f
+	}
+}
+
 // candidates prepares the live servers and returns the number of free slots and of live servers.
 func (p *pool) candidates() (free, live int) {
+	now := p.d.Clock.Now()
 	p.cands = p.cands[:0]
 	for _, v := range p.d.Servers.Servers(p.name) {
 		l, known := p.loads[v.Name]
 		if v.State == work.StateLeaving || l.Leaving {
 			continue
 		}
-		c := place.Candidate{Name: v.Name, Domain: v.Domain, Slots: p.slots, Own: p.own[v.Name], Load: l, Known: known}
-		if p.d.Slots != nil {
-			c.Slots = p.d.Slots(p.name, v.Name, p.slots)
+		c := place.Candidate{Name: v.Name, Domain: v.Domain, Slots: p.share(v.Name), Own: p.own[v.Name]}
+		if known && now.Sub(l.at) < loadAge {
+			c.Load, c.Known = l.Load, true
 		}
 		live++
 		switch {
@@ -293,6 +350,21 @@
 	return min(free, math.MaxInt32), live
 }
 
+// share returns how many requests this VM may have at a server.
+func (p *pool) share(server string) int {
+	if p.d.Slots == nil {
+		return p.slots
+	}
+	return p.d.Slots(p.name, server, p.slots)
+}
+
+// usable reports whether this VM may use a server at all.
+func (p *pool) usable(server string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.slots == 0 || p.share(server) > 0
+}
+
 func (p *pool) server(name string) work.VM {
 	for _, v := range p.d.Servers.Servers(p.name) {
 		if v.Name == name {
--- a/internal/entry/ratings.go
+++ b/internal/entry/ratings.go
@@ -51,15 +51,15 @@
 	return r.count
 }
 
-// outcome is what came of a question after its request had stopped waiting.
-type outcome struct {
+// lateReply is what came of a question after its request had stopped waiting.
+type lateReply struct {
 	rating int
 	ok     bool // there is a rating
 	soon   bool // it took at most the usual wait
 }
 
 // rate returns the rating of an answer if it comes within wait. What comes afterwards is passed to late.
-func (r *ratings) rate(q *rating.Question, wait, usual clock.Span, late func(outcome)) (int, bool) {
+func (r *ratings) rate(q *rating.Question, wait, usual clock.Span, late func(lateReply)) (int, bool) {
 	size := len(q.Prompt) + len(q.Answer)
 	patience, ok := r.enter(size, wait)
 	if !ok {
@@ -74,7 +74,7 @@
 		r.leave(size, patience > wait, err != nil)
 		switch first := settled.CompareAndSwap(false, true); {
 		case !first:
-			late(outcome{n, err == nil, err == nil && r.clock.Now().Sub(start) <= usual})
+			late(lateReply{n, err == nil, err == nil && r.clock.Now().Sub(start) <= usual})
 		case err == nil:
 			out <- n
 		}
