--- a/internal/entry/cascade.go
+++ b/internal/entry/cascade.go
@@ -16,9 +16,9 @@
 const sampleBytes = 64 << 10
 
 // beginCascade sets the first stage of a cascade.
-func (x *exchange) beginCascade(t *route.Table, stages []route.Target) {
+func (x *exchange) beginCascade(stages []route.Target) {
 	d := x.d
-	x.rule = cascadeAsk(t, x.request.space.Name, x.cascade, stages, x.prompt)
+	x.rule = cascadeAsk(x.request.table, x.request.space.Name, x.cascade, stages, x.prompt)
 	x.rule.Unrated = d.ratings.down()
 	x.base = min(max(d.cascades.begin(x.rule), 0), len(stages)-1)
 	x.sampled = d.cascades.sample()
@@ -36,7 +36,7 @@
 	if !x.d.cascades.wait(x.rule) {
 		wait = 0
 	}
-	n, ok := x.d.ratings.rate(x.question(heldText(x.hold)), wait, usual, x.d.late(x.rule, stage))
+	n, ok := x.d.ratings.rate(x.question(heldText(x.hold)), wait, usual, x.d.late(x.rule, stage, wait > 0))
 	var accept bool
 	var next int
 	result := "missing"
@@ -54,11 +54,16 @@
 	return flow.Rated{Accept: accept, Next: next - x.base}
 }
 
-// late returns what is done with a rating that comes after the decision.
-func (d *Daemon) late(a cascade.Ask, stage int) func(int, bool) {
-	return func(n int, soon bool) {
-		d.cascades.late(a, stage, n, soon)
-		d.metrics.ratings.WithLabelValues("late").Inc()
+// late returns what is done with a rating that comes after the decision. Waited says that the request waited for it.
+func (d *Daemon) late(a cascade.Ask, stage int, waited bool) func(lateReply) {
+	return func(r lateReply) {
+		if !waited {
+			d.cascades.timely(a, r.soon)
+		}
+		if r.ok {
+			d.cascades.late(a, stage, r.rating)
+			d.metrics.ratings.WithLabelValues("late").Inc()
+		}
 	}
 }
 
@@ -72,9 +77,9 @@
 	if json.Unmarshal(append(append([]byte{'"'}, x.sampleText...), '"'), &s) != nil {
 		return
 	}
-	late := x.d.late(x.rule, stage)
+	late := x.d.late(x.rule, stage, false)
 	if n, ok := x.d.ratings.rate(x.question(s), 0, x.ratingWait(), late); ok {
-		late(n, true)
+		late(lateReply{n, true, true})
 	}
 }
 
--- a/internal/entry/chat.go
+++ b/internal/entry/chat.go
@@ -160,9 +160,9 @@
 
 // adopt takes over what serves the request.
 func (x *exchange) adopt(c route.Choice) {
-	x.cascade, x.base = c.Cascade, 0
+	x.cascade, x.base, x.sampled = c.Cascade, 0, false
 	if c.Cascade != nil {
-		x.beginCascade(x.request.table, c.Stages)
+		x.beginCascade(c.Stages)
 	}
 }
 
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -121,10 +121,10 @@
 	d.pools = make(map[string]*pool)
 	d.live = make(map[string]*exchange)
 	d.ratings = d.newRatings()
+	d.cascades = newCascades(d.Cascades, d.Clock)
 	if d.Streams == 0 {
 		d.Streams = 4096
 	}
-	d.cascades = newCascades(d.Cascades, d.Clock)
 	if d.Tracer == nil {
 		d.Tracer = noop.NewTracerProvider().Tracer("")
 	}
--- a/internal/entry/fake_test.go
+++ b/internal/entry/fake_test.go
@@ -234,7 +234,7 @@
 	return n
 }
 
-// bodies returns the bodies of the calls of a path.
+// bodies returns the bodies of the calls of a path. More calls may arrive meanwhile.
 func (b *backend) bodies(call string) (out []map[string]any) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
