--- a/io/plain/client.go
+++ b/io/plain/client.go
@@ -50,8 +50,8 @@
 	Small []byte
 }
 
-// Fields copies the headers that pass through. Attempts that run at the same time cannot share fasthttp's header:
-// reading it changes it.
+// Fields copies the headers that pass through. Two attempts may share the copy, and it may outlive fasthttp's
+// request.
 func Fields(h *fasthttp.RequestHeader) (out []Field) {
 	for k, v := range h.All() {
 		if passes(string(k)) {
