--- a/internal/procs/fleet.go
+++ b/internal/procs/fleet.go
@@ -33,6 +33,8 @@
 	Links   bool     // everything that entry VMs dial leads through the relay
 	Names   []string // of the failure domains, Domains if empty
 
+	Beat int // milliseconds between heartbeats, 0 means 250
+
 	// Flags added to those of the stand-ins.
 	EngineFlags, PlatformFlags []string
 
--- a/internal/procs/settings.go
+++ b/internal/procs/settings.go
@@ -23,7 +23,7 @@
 addr = %s
 announce = %s
 seeds = %s
-heartbeat = 250
+heartbeat = %d
 [operators]
 addr = %s
 [platform]
@@ -32,10 +32,18 @@
 [keys]
 session = %s
 peer = %s
-`, v.Name, v.Domain, v.Callers, at(f.Net+".0.11", platformPort), v.listen, v.Peers, strings.Join(seeds, ", "), v.Status,
+`, v.Name, v.Domain, v.Callers, at(f.Net+".0.11", platformPort), v.listen, v.Peers, strings.Join(seeds, ", "), f.beat(), v.Status,
 		f.platformAddr(), f.keys[0], f.keys[1])
 }
 
+// beat is the time between heartbeats in milliseconds.
+func (f *Fleet) beat() int {
+	if f.Beat == 0 {
+		return 250
+	}
+	return f.Beat
+}
+
 // paths returns the relay's paths. The group of a path is the failure domain of its target.
 func (f *Fleet) paths() string {
 	var ps []string
--- a/internal/scale/scale.go
+++ b/internal/scale/scale.go
@@ -83,7 +83,7 @@
 // fleet lays out n entry VMs over up to ten failure domains, at least three in each.
 func (s *Scale) fleet(n int) *procs.Fleet {
 	domains := min(10, max(3, n/3))
-	f := &procs.Fleet{Bin: s.Bin, Net: s.Net, Dir: s.Dir, Seed: 1, Entries: n / domains, Engines: 2,
+	f := &procs.Fleet{Bin: s.Bin, Net: s.Net, Dir: s.Dir, Seed: 1, Entries: n / domains, Engines: 2, Beat: 1000,
 		PlatformFlags: []string{"-reads", "2000", "-writes", "400"}}
 	if domains != len(procs.Domains) {
 		for i := range domains {
