servers: a silent connection to the platform costs one short read of the list

A read of the list on a connection that had gone silent waited for the 2 s timeout and then backed off. Ruled out: load reports and marks, which come over other connections. Change: a read of the list ends after 0.8 s, and the first failed read is repeated after 0.1 s. Figures: go test ./internal/servers: the third read comes within 1.5 s; before it did not. Conclusion: two reads and the lag of the list fit into the 3 s.

--- a/internal/servers/poller.go
+++ b/internal/servers/poller.go
@@ -23,6 +23,15 @@
 	budget = 8000
 )
 
+const (
+	// pollTimeout bounds a read of the list, so that one read on a silent connection and one more on a new connection
+	// fit into the 3 s after which a leaving server gets nothing new.
+	pollTimeout  = 800 * clock.Millisecond
+	rowsPerMilli = 4
+	// retryFirst is the wait after the first failed read; only further ones back off.
+	retryFirst = 100 * clock.Millisecond
+)
+
 // Poller reads the platform's list of VMs. Set the exported fields before Run.
 type Poller struct {
 	Registry *Registry
@@ -39,12 +48,17 @@
 	if every == 0 {
 		every = clock.Second
 	}
-	back := every
+	back, failed := every, false
 	for ctx.Err() == nil {
 		err := p.Poll(ctx)
 		p.Registry.Expire()
 		listed, _ := p.Registry.Listed()
-		back = next(back, interval(every, len(listed)), err)
+		if err != nil && !failed {
+			back = retryFirst // a connection that went silent costs one read: the next one opens another
+		} else {
+			back = next(back, interval(every, len(listed)), err)
+		}
+		failed = err != nil
 		t := time.NewTimer((back/2 + clock.Span(rand.Int64N(int64(back)+1))).Std())
 		select {
 		case <-ctx.Done():
@@ -56,6 +70,9 @@
 
 // Poll reads the list once.
 func (p *Poller) Poll(ctx context.Context) error {
+	listed, _ := p.Registry.Listed()
+	ctx, cancel := context.WithTimeout(ctx, (pollTimeout + clock.Span(len(listed))/rowsPerMilli).Std())
+	defer cancel()
 	at := p.Registry.Clock.Now()
 	list, err := p.Client.VMs(ctx)
 	if err != nil {
--- a/internal/servers/servers_test.go
+++ b/internal/servers/servers_test.go
@@ -2,11 +2,15 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
+	"time"
 
+	"github.com/valyala/fasthttp"
 	"gotest.tools/v3/assert"
 
 	"shallotrun/core/clock"
@@ -168,3 +172,34 @@
 	assert.Equal(t, interval(clock.Second, 30), clock.Second)
 	assert.Equal(t, interval(clock.Second, 4140), 82_800*clock.Millisecond) // 340 entry VMs and 3,800 replicas
 }
+
+// Guards against a leaving server that gets new work for more than 3 s, because a read of the list waits for the end of a
+// long timeout on a connection that went silent and then backs off.
+func TestSilentConnectionCostsOneRead(t *testing.T) {
+	const bound = 1500 * time.Millisecond // half of the 3 s: the list itself lags too
+	var n atomic.Int64
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	silent := make(chan struct{})
+	s := &fasthttp.Server{Handler: func(ctx *fasthttp.RequestCtx) {
+		if n.Add(1) == 2 {
+			<-silent
+		}
+		ctx.SetBodyString(`[{"name":"e","kind":"engine","pool":"p","state":"live"}]`)
+	}}
+	go func() { _ = s.Serve(l) }()
+	ctx, cancel := context.WithCancel(context.Background())
+	p := &Poller{
+		Registry: &Registry{}, Client: &platform.Client{Addr: l.Addr().String()}, Every: 200 * clock.Millisecond,
+	}
+	done := make(chan struct{})
+	go func() { defer close(done); p.Run(ctx) }()
+	for end := time.Now().Add(bound); n.Load() < 3 && time.Now().Before(end); {
+		time.Sleep(10 * time.Millisecond)
+	}
+	assert.Assert(t, n.Load() >= 3, "reads: %d", n.Load())
+	cancel()
+	close(silent)
+	<-done
+	_ = s.Shutdown()
+}
