--- a/internal/procs/fleet.go
+++ b/internal/procs/fleet.go
@@ -35,6 +35,8 @@
 
 	Beat int // milliseconds between heartbeats, 0 means 250
 
+	Env []string // added to the environment of all processes, as NAME=VALUE
+
 	// Flags added to those of the stand-ins.
 	EngineFlags, PlatformFlags []string
 
@@ -314,7 +316,7 @@
 }
 
 func (f *Fleet) run(name, program string, args ...string) (*Proc, error) {
-	p, err := start(f.Dir, name, filepath.Join(f.Bin, program), args...)
+	p, err := start(f.Dir, name, filepath.Join(f.Bin, program), f.Env, args...)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/procs/proc.go
+++ b/internal/procs/proc.go
@@ -20,8 +20,8 @@
 	code int
 }
 
-// start runs a program with its output in dir. The process is killed if the runner ends.
-func start(dir, name, program string, args ...string) (*Proc, error) {
+// start runs a program with its output in dir and with env added to its environment. The process is killed if the runner ends.
+func start(dir, name, program string, env []string, args ...string) (*Proc, error) {
 	p := &Proc{Name: name, Log: filepath.Join(dir, name+".log"), done: make(chan struct{})}
 	f, err := os.OpenFile(p.Log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
@@ -30,6 +30,7 @@
 	defer f.Close()
 	p.cmd = exec.Command(program, args...)
 	p.cmd.Stdout, p.cmd.Stderr = f, f
+	p.cmd.Env = append(os.Environ(), env...)
 	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := p.cmd.Start(); err != nil {
 		return nil, oops.Wrapf(err, "%s", name)
--- a/internal/scale/main.go
+++ b/internal/scale/main.go
@@ -18,7 +18,7 @@
 	sizes := fs.String("sizes", "9,30,90,270", "numbers of entry VMs, separated by commas")
 	network := fs.String("net", "127.9", "first two numbers of the loopback addresses")
 	window := fs.Duration("window", 10*time.Second, "length of one measurement")
-	warmup := fs.Duration("warmup", 6*time.Second, "time between the start and the measurement")
+	warmup := fs.Duration("warmup", 20*time.Second, "time between the start and the measurement")
 	if err := fs.Parse(args); err != nil {
 		return 2
 	}
--- a/internal/scale/scale.go
+++ b/internal/scale/scale.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -22,6 +23,10 @@
 	goalReads   = 2000 // platform calls per second, all VMs
 )
 
+// cores is the size of an entry VM. With all cores of the machine the Go scheduler of an idle process spends time on
+// looking for work at each of them.
+const cores = 2
+
 // changes is the number of configuration changes whose spread is measured, one every changeEvery.
 const (
 	changes     = 8
@@ -84,6 +89,7 @@
 func (s *Scale) fleet(n int) *procs.Fleet {
 	domains := min(10, max(3, n/3))
 	f := &procs.Fleet{Bin: s.Bin, Net: s.Net, Dir: s.Dir, Seed: 1, Entries: n / domains, Engines: 2, Beat: 1000,
+		Env:           []string{"GOMAXPROCS=" + strconv.Itoa(cores)},
 		PlatformFlags: []string{"-reads", "2000", "-writes", "400"}}
 	if domains != len(procs.Domains) {
 		for i := range domains {
@@ -127,11 +133,11 @@
 // idle measures the cost of control without requests and changes.
 func (s *Scale) idle(f *procs.Fleet) (row, error) {
 	r := row{VMs: len(f.VMs)}
+	calls := s.calls(f) // before the totals, which would count the reading of the metrics
 	before, err := s.total(f)
 	if err != nil {
 		return r, err
 	}
-	calls := s.calls(f)
 	start := time.Now()
 	time.Sleep(s.Window)
 	took := time.Since(start).Seconds()
