settings, daemon: the fleet's key can change without downtime; the limit of open requests is used

Cause: the transport accepts two keys and the settings had one; callers.streams was read and not used. Change: key former; the daemon passes callers.streams to the request path.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -104,7 +104,7 @@
 	d.servers = &servers.Registry{Clock: d.Clock, Log: d.Log}
 	d.fleet = &fleet.Fleet{
 		Name: s.VM.Name, Domain: s.VM.Domain, Addr: s.Peers.Addr, Announce: s.Peers.Announce, Source: source,
-		Seeds: s.Peers.Seeds, Keys: [][]byte{s.Keys.Peer}, Beat: s.Peers.Heartbeat, Clock: d.Clock, Log: d.Log,
+		Seeds: s.Peers.Seeds, Keys: peerKeys(s.Keys), Beat: s.Peers.Heartbeat, Clock: d.Clock, Log: d.Log,
 		Registry: d.registry, Store: d.store, Servers: d.servers, Objects: d.client, Watch: d.watcher.Enable,
 	}
 	d.control = &control.Controller{
@@ -127,7 +127,7 @@
 		Keys:  append([][]byte{s.Keys.Session}, s.Keys.Old...),
 		Clock: d.Clock, Log: d.Log,
 		Documents: d.store, Servers: d.servers, Bills: d.fleet, Claims: d.fleet, Rating: s.Callers.Rating, Evidence: d.fleet,
-		Registry: d.registry, Tracer: tracer,
+		Registry: d.registry, Tracer: tracer, Streams: s.Callers.Streams,
 	}
 	return stop, nil
 }
@@ -155,6 +155,15 @@
 	return host
 }
 
+// peerKeys returns the present key of the fleet and the former one. A key is changed without downtime by giving every VM
+// the new key as former first, then as peer with the old one as former, and then dropping the old one.
+func peerKeys(k settings.Keys) [][]byte {
+	if k.Former == nil {
+		return [][]byte{k.Peer}
+	}
+	return [][]byte{k.Peer, k.Former}
+}
+
 // decideEvery is the interval at which the pooled evidence is looked at.
 const decideEvery = 250 * time.Millisecond
 
--- a/internal/settings/keys.go
+++ b/internal/settings/keys.go
@@ -69,6 +69,8 @@
 		func(s *Settings, v string) error { return secrets(&s.Keys.Old, v) }},
 	{"keys", "peer", true, "", "64 hex digits, authenticate entry VMs to each other",
 		func(s *Settings, v string) error { return secret(&s.Keys.Peer, v) }},
+	{"keys", "former", false, "", "64 hex digits, the previous key of the entry VMs, accepted while the fleet changes to a new one",
+		func(s *Settings, v string) error { return secret(&s.Keys.Former, v) }},
 
 	{"trace", "url", false, "", "OTLP endpoint over HTTP; without it no trace is exported",
 		func(s *Settings, v string) error { return httpURL(&s.Trace.URL, v) }},
--- a/internal/settings/types.go
+++ b/internal/settings/types.go
@@ -67,6 +67,7 @@
 	Session []byte   // signs session and resume tokens
 	Old     [][]byte // accepted for tokens, not used for new ones
 	Peer    []byte   // authenticates peers
+	Former  []byte   // the previous Peer, still accepted; nil for none
 }
 
 // Trace is the export of traces.
