--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"fmt"
 	"net"
 	"testing"
 	"time"
@@ -82,7 +81,7 @@
 	req.Request.Header.SetMethod("POST")
 	req.Request.SetBody(body)
 	p.Control(&req)
-	assert.Equal(t, req.Response.StatusCode(), 200, fmt.Sprintf("%s", req.Response.Body()))
+	assert.Equal(t, req.Response.StatusCode(), 200, string(req.Response.Body()))
 	ready(200, "ready")
 
 	stop()
