entry: a new VM asks engines for their load before it sends them work

A VM that had just been restarted knew only the platform's list, which lags, and had neither the engine's load report nor a peer's mark. Ruled out: readiness, which already waits for a list; the peers' marks, which come with the next change. Change: an engine that was not asked for its load yet gets nothing for up to 1 s; the engines of a new pool are asked at once.

--- a/internal/entry/background.go
+++ b/internal/entry/background.go
@@ -75,6 +75,7 @@
 }
 
 func (d *Daemon) fetch(p *pool, v work.VM) {
+	defer p.meet(v)
 	l, err := d.engines.Load(v.Addr)
 	if err != nil {
 		d.Log.Debug().Err(err).Str("server", v.Name).Msg("place: no load report")
@@ -86,6 +87,20 @@
 	}
 }
 
+// greet asks the engines of a new pool for their load, so that the request that opened the pool need not wait for the
+// next poll.
+func (d *Daemon) greet(p *pool) {
+	servers := d.Servers.Servers(p.name)
+	for _, v := range servers[:min(len(servers), maxGreet)] {
+		if v.Kind == work.KindEngine && v.State == work.StateLive {
+			go d.fetch(p, v)
+		}
+	}
+}
+
+// maxGreet bounds the load reports that are asked for at once.
+const maxGreet = 32
+
 func (d *Daemon) all() []*pool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/entry/cascade.go
+++ b/internal/entry/cascade.go
@@ -22,7 +22,10 @@
 	x.rule.Unrated = d.ratings.down()
 	x.base = min(max(d.cascades.begin(x.rule), 0), len(stages)-1)
 	x.sampled = d.cascades.sample()
-	d.metrics.starts.WithLabelValues(x.cascade.Name, strconv.Itoa(x.base)).Inc()
+	if !x.counted { // a request whose document changed while it waited begins twice
+		x.counted = true
+		d.metrics.starts.WithLabelValues(x.cascade.Name, strconv.Itoa(x.base)).Inc()
+	}
 }
 
 // rate decides whether a held answer is given to the caller.
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -41,6 +41,7 @@
 	cascade   *document.Cascade
 	rule      cascade.Ask // about the cascade
 	base      int         // index of the flow's first stage in the cascade
+	counted   bool        // the start of the cascade is in the metrics
 	sampled   bool        // an answer of the last stage is rated in the background
 	moved     atomic.Bool // another exchange of this VM took the request over
 	resumed   *token.Resume
--- a/internal/entry/pool.go
+++ b/internal/entry/pool.go
@@ -32,7 +32,8 @@
 	parked  []*ticket // popped, waiting for a server that fits
 	own     map[string]int
 	loads   map[string]report
-	cands   []place.Candidate // reused
+	met     map[string]clock.Time // engines by name and address: when first seen, 0 once asked for a load report
+	cands   []place.Candidate     // reused
 }
 
 // ticket is a request that waits for a server or runs at one.
@@ -73,9 +74,11 @@
 			placer:  place.Placer{Domain: d.Domain, Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))},
 			tickets: make(map[string]*ticket),
 			own:     make(map[string]int),
+			met:     make(map[string]clock.Time),
 			loads:   make(map[string]report),
 		}
 		d.pools[name] = p
+		d.greet(p)
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -332,6 +335,10 @@
 		if v.State == work.StateLeaving || l.Leaving {
 			continue
 		}
+		if p.unmet(now, v) {
+			live++
+			continue
+		}
 		c := place.Candidate{Name: v.Name, Domain: v.Domain, Slots: p.share(v.Name), Own: p.own[v.Name]}
 		if known && now.Sub(l.at) < loadAge {
 			c.Load, c.Known = l.Load, true
@@ -350,6 +357,38 @@
 	return min(free, math.MaxInt32), live
 }
 
+// meetWait bounds the time for which an engine gets nothing because it was not asked for a load report yet.
+const meetWait = clock.Second
+
+// unmet reports whether a new engine has still to be asked for its load. A VM that has just started knows only the
+// platform's list, which lags: it would send work to an engine that has been leaving for longer than the 3 s.
+func (p *pool) unmet(now clock.Time, v work.VM) bool {
+	if v.Kind != work.KindEngine {
+		return false
+	}
+	key := v.Name + " " + v.Addr
+	t, ok := p.met[key]
+	if !ok {
+		if len(p.met) > maxMet {
+			clear(p.met) // names of replaced engines; the present ones are asked again
+		}
+		t = now
+		p.met[key] = t
+	}
+	return t != 0 && now.Sub(t) < meetWait
+}
+
+// maxMet bounds the engines that are remembered as asked.
+const maxMet = 8192
+
+// meet records that an engine was asked, whatever it answered.
+func (p *pool) meet(v work.VM) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.met[v.Name+" "+v.Addr] = 0
+	p.pump(p.d.Clock.Now())
+}
+
 // share returns how many requests this VM may have at a server.
 func (p *pool) share(server string) int {
 	if p.d.Slots == nil {
--- a/internal/entry/session_test.go
+++ b/internal/entry/session_test.go
@@ -13,6 +13,7 @@
 	"gotest.tools/v3/assert"
 
 	"shallotrun/core/document"
+	"shallotrun/core/work"
 )
 
 // Guards against a session that changes its version, and against work on withdrawn or draining versions.
@@ -209,3 +210,29 @@
 		assert.Check(t, rest.done && rest.text == c.text, "%+v", rest)
 	}
 }
+
+// Guards against a VM that has just started and sends work to an engine that is leaving, because it knows only the lagging
+// list of VMs.
+func TestNewVMAsksEnginesFirst(t *testing.T) {
+	going := fake(t, func(n int, c net.Conn, r *http.Request, body map[string]any) {
+		if r.URL.Path == "/v1/load" {
+			reply(c, 200, `{"slots":4,"leaving":true}`)
+			return
+		}
+		five(n, c, r, body)
+	})
+	stays := fake(t, five)
+	f := &fakes{}
+	d := start(t, f, []string{going.addr, stays.addr}, nil, func(*Daemon) {
+		for i := range f.servers["engines"] {
+			f.servers["engines"][i].Kind = work.KindEngine
+		}
+	})
+	for range 20 {
+		resp := post(t, d, chatBody("m", false))
+		assert.Equal(t, resp.StatusCode, 200)
+		_ = resp.Body.Close()
+	}
+	assert.Equal(t, going.count("POST /v1/generate"), 0)
+	assert.Equal(t, stays.count("POST /v1/generate"), 20)
+}
