--- a/core/member/types.go
+++ b/core/member/types.go
@@ -10,7 +10,7 @@
 	Joining State = iota // has no document yet
 	Serving
 	Leaving // finishes its requests and takes no new ones
-	Gone    // said good-bye, was replaced, or was silent for too long
+	Gone    // announced its end, was replaced, or was silent for too long
 	Suspect // silent; only a local observation
 )
 
@@ -85,7 +85,7 @@
 // Linked says that a connection to or from a peer is new. Its process may be new too.
 type Linked struct{ Name string }
 
-// Left is the good-bye of a peer's incarnation.
+// Left is the leave message of a peer's incarnation.
 type Left struct {
 	Name string
 	Inc  uint64
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -124,7 +124,7 @@
 	f.carry(cs)
 }
 
-// Stop brings the bills of this VM into the platform or to another VM, says good-bye and ends.
+// Stop brings the bills of this VM into the platform or to another VM, announces the end and ends.
 func (f *Fleet) Stop() {
 	f.Leave()
 	f.settle(stopLimit)
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -168,7 +168,7 @@
 		assert.Assert(t, h != "")
 		assert.NilError(t, f.File(t.Context(), b, h))
 	}
-	fs[1].end() // dies: no good-bye, nothing handed over
+	fs[1].end() // dies: no leave message, nothing is transferred
 	fs[1].end = nil
 	_ = fs[1].listener.Close()
 	time.Sleep(500 * time.Millisecond)
