peer: a stop closes every incoming connection

A goroutine dump after 9 s showed the stop waiting for one incoming connection: a peer may have two, one from its seed and one by name, and only the latest of each peer was closed. Ruled out: bills that cannot be settled and requests that do not end (neither is in the dump). Change: the transport keeps the set of all incoming connections and closes them all. Conclusion: the planned stop does not depend on the peers.

--- a/io/peer/peer_test.go
+++ b/io/peer/peer_test.go
@@ -260,3 +260,29 @@
 	assert.NilError(t, decode(<-c.beats, &e))
 	assert.Equal(t, e.Seq, uint64(10-beatLen+1))
 }
+
+// Guards against a planned stop that waits for a second connection of the same peer, which nothing closed: a VM did not
+// end within 15 s in a partition.
+func TestStopClosesEveryConnection(t *testing.T) {
+	a, _ := vm(t, "a", "k")
+	h := &echo{}
+	b := &Transport{Name: "b", Inc: 1, Beat: 100 * clock.Millisecond, Handler: h, Log: zerolog.Nop(), Keys: [][]byte{[]byte("k")}}
+	ctx, stop := context.WithCancel(context.Background())
+	b.Run(ctx)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	s := &fasthttp.Server{Handler: b.Serve}
+	go func() { _ = s.Serve(l) }()
+	a.Seed(l.Addr().String())
+	a.Connect("b", l.Addr().String())
+	until(t, "two connections", func() bool { return h.count() == 2 })
+	stop()
+	_ = l.Close()
+	ended := make(chan struct{})
+	go func() { b.Wait(); close(ended) }()
+	select {
+	case <-ended:
+	case <-time.After(5 * time.Second):
+		t.Fatal("a connection is still open")
+	}
+}
--- a/io/peer/transport.go
+++ b/io/peer/transport.go
@@ -51,7 +51,8 @@
 	wg       sync.WaitGroup
 	mu       sync.Mutex
 	links    map[string]*link
-	incoming map[string]*channel
+	incoming map[string]*channel // the latest of each VM
+	open     map[*channel]bool   // all incoming ones; a VM may have two, one from its seed and one by name
 	accepted int
 	closed   bool
 
@@ -71,6 +72,7 @@
 // Run prepares the transport. It serves until ctx ends; Wait returns when all connections are closed.
 func (t *Transport) Run(ctx context.Context) {
 	t.ctx, t.links, t.incoming = ctx, map[string]*link{}, map[string]*channel{}
+	t.open = map[*channel]bool{}
 	t.wg.Add(1)
 	go func() {
 		defer t.wg.Done()
@@ -78,7 +80,7 @@
 		t.mu.Lock()
 		defer t.mu.Unlock()
 		t.closed = true
-		for _, c := range t.incoming {
+		for c := range t.open {
 			c.close()
 		}
 		for _, l := range t.links {
@@ -199,13 +201,14 @@
 	t.wg.Add(1)
 	t.mu.Unlock()
 	defer t.wg.Done()
-	c, err := t.open(ws, t.accept)
+	c, err := t.shake(ws, t.accept)
 	if err == nil {
 		t.mu.Lock()
 		if t.closed {
 			c.close()
 		}
 		t.incoming[c.peer.Name] = c
+		t.open[c] = true
 		t.mu.Unlock()
 		t.Handler.Up(c.peer.Name, c.peer.Inc)
 		err = c.run()
@@ -213,6 +216,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.accepted--
+	delete(t.open, c)
 	if c != nil && t.incoming[c.peer.Name] == c {
 		delete(t.incoming, c.peer.Name)
 	}
@@ -221,13 +225,13 @@
 	}
 }
 
-// open runs a handshake under its limits.
-func (t *Transport) open(ws *websocket.Conn, shake func(*websocket.Conn) (party, error)) (*channel, error) {
+// shake runs a handshake under its limits.
+func (t *Transport) shake(ws *websocket.Conn, hello func(*websocket.Conn) (party, error)) (*channel, error) {
 	ws.SetReadLimit(maxHello)
 	end := time.Now().Add(handshakeTime)
 	_ = ws.SetReadDeadline(end)
 	_ = ws.SetWriteDeadline(end)
-	p, err := shake(ws)
+	p, err := hello(ws)
 	if err != nil {
 		_ = ws.Close()
 		return nil, err
@@ -269,7 +273,7 @@
 	if res.Body != nil {
 		_ = res.Body.Close()
 	}
-	c, err := t.open(socket, t.greet)
+	c, err := t.shake(socket, t.greet)
 	if err != nil {
 		return err
 	}
