bill, fleet: a stopping VM waits for the platform before copies count

Cause: make demo: 9 requests answered and not billed; all entry VMs stopped together and each relied on copies at the others. Change: a stop waits up to 8 s until the bills are in the platform; only then a copy is enough.

--- a/core/bill/bill_test.go
+++ b/core/bill/bill_test.go
@@ -341,3 +341,21 @@
 	assert.Assert(t, created)
 	assert.Assert(t, d.Settled())
 }
+
+// Guards against a fleet that stops at once and loses the bills whose copies are at VMs that stop too.
+func TestCopyIsNotStored(t *testing.T) {
+	d := &Desk{
+		Self: "o", Inc: 1, Seal: 1000, Max: 10, Bound: 10,
+		Lost: func(string, uint64) bool { return false }, Pick: func() Holder { return Holder{} },
+	}
+	cs := d.File(10, work.Bill{Request: "r"}, Holder{Name: "h", Inc: 1, At: 10})
+	d.Copied(11, cs[0].(SendCopy).Copy, "h", Held)
+	d.Stop(20)
+	assert.Assert(t, d.Settled() && !d.Stored())
+	for _, x := range d.Tick(4020) {
+		if x, ok := x.(Create); ok {
+			d.Created(4020, x.Name, Made)
+		}
+	}
+	assert.Assert(t, d.Stored())
+}
--- a/core/bill/desk.go
+++ b/core/bill/desk.go
@@ -182,6 +182,21 @@
 	}
 }
 
+// Stored reports that every bill of this VM is in the platform.
+func (d *Desk) Stored() bool {
+	for _, p := range d.batches {
+		if p.owner == d.self() && len(p.bills) > 0 {
+			return false
+		}
+	}
+	for _, s := range d.alone {
+		if s.owner == d.self() {
+			return false
+		}
+	}
+	return true
+}
+
 // Settled reports that every bill of this VM is in the platform, or at least at another VM.
 func (d *Desk) Settled() bool {
 	for _, p := range d.batches {
--- a/internal/fleet/bills.go
+++ b/internal/fleet/bills.go
@@ -361,9 +361,11 @@
 		b.desk.Stop(now)
 		return nil
 	})
+	// Copies count only once the platform had time: the other VMs may be stopping too.
+	copies := time.Now().Add(storeLimit)
 	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(tick) {
 		b.mu.Lock()
-		ok := b.desk.Settled()
+		ok := b.desk.Stored() || time.Now().After(copies) && b.desk.Settled()
 		b.mu.Unlock()
 		if ok {
 			return
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -23,8 +23,9 @@
 )
 
 const (
-	tick      = 100 * time.Millisecond
-	stopLimit = 20 * time.Second // for bills and copies at a planned stop
+	tick       = 100 * time.Millisecond
+	stopLimit  = 20 * time.Second // for bills and copies at a planned stop
+	storeLimit = 8 * time.Second  // of it, for the platform alone
 	// defaultWindow is the lifetime of a key.
 	defaultWindow = 10 * clock.Minute
 	billBound     = 50000
