standin/engine: the test of priorities waits for the engine, not for time

Cause: TestPriority spaced its requests by 3 ms of real time. Beside load a request can reach the engine after the next one (r1 before r0), or the first can end before the last waits; both give another order without a fault of the engine. Seen once, as r1, r0, r2.

Change: each request is sent once the engine holds the one before it, and the first one keeps its slot until all wait. The asserted order is unchanged.

Ruled out: the engine admits the lowest priority number first under its lock.

60 runs of the old test beside 8 busy processes with -race did not fail again, so the cause is by reading, not by a second failure.

--- a/internal/standin/engine/engine_test.go
+++ b/internal/standin/engine/engine_test.go
@@ -123,16 +123,20 @@
 	assert.Equal(t, es[len(es)-1].Outcome, "crashed")
 }
 
-// Guards against an engine that admits in order of arrival whatever the priority.
+// Guards against an engine that admits in order of arrival whatever the priority. Each request is sent only after the
+// engine holds the one before it, and the first keeps its slot until all wait, so that the order of arrival does not
+// depend on how fast the connections are served.
 func TestPriority(t *testing.T) {
 	e := &Engine{Slots: 1, Token: time.Millisecond}
 	addr := start(t, e)
+	assert.NilError(t, e.Ledger.Faults.Set(ledger.Fault{Fault: "slow", Value: 200.0}))
 	bodies := make([]*bufio.Reader, 0, 3)
 	for i, p := range []int{0, 2, 0} {
 		_, r := post(t, addr, fmt.Sprintf(`{"request":"r%d","model":"m","version":"1","prompt":"p%d","priority":%d}`, i, i, p))
 		bodies = append(bodies, r)
-		time.Sleep(3 * time.Millisecond)
+		waitHeld(t, e, i+1)
 	}
+	assert.NilError(t, e.Ledger.Faults.Set(ledger.Fault{Fault: "slow", For: -1}))
 	for _, r := range bodies {
 		_, _, err := read(t, r)
 		assert.NilError(t, err)
@@ -146,6 +150,20 @@
 	assert.DeepEqual(t, order, []string{"r0", "r2", "r1"})
 }
 
+// waitHeld waits until one generation runs and the others of n wait.
+func waitHeld(t *testing.T, e *Engine, n int) {
+	t.Helper()
+	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		e.mu.Lock()
+		held := len(e.running) == 1 && len(e.waiting) == n-1
+		e.mu.Unlock()
+		if held {
+			return
+		}
+	}
+	t.Fatalf("the engine does not hold %d generations", n)
+}
+
 // Guards against an engine that follows an order of a holder whose lease has passed on.
 func TestFence(t *testing.T) {
 	for _, fenced := range []bool{true, false} {
