gateway, feed, front, platform: the request path on the users' platform

Cause: internal/entry is bound to one dialect, the shape of our own callers and engines, so the platform's requests had no path.

Change: internal/gateway takes typed requests and gives typed answers behind ports for callers, servers and the store; internal/feed follows the store; internal/front is the daemon; platform/ translates. Settings are an INI that the platform fills in from deploy/gateway.ini. No VM leads and the VMs do not talk to each other: the platform's store is enough on these deployments.

--- a/core/clock/clock.go
+++ b/core/clock/clock.go
@@ -3,6 +3,8 @@
 import (
 	"sync/atomic"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // Units of [Span].
@@ -69,6 +71,19 @@
 	return Time(time.Now().Round(0).UnixMilli())
 }
 
+// Boot returns a reading that is not stepped and that also counts the time for which the VM was suspended, which Now does
+// not on some systems.
+func (c Clock) Boot() Time {
+	if c.Manual != nil {
+		return Time(c.Manual.Load())
+	}
+	var ts unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
+		return c.Wall() // a kernel without this clock: a step is the lesser fault than lost time
+	}
+	return Time(ts.Nano() / int64(time.Millisecond))
+}
+
 // Advance moves a manual clock by s. It panics on the real clock.
 func (c Clock) Advance(s Span) {
 	c.Manual.Add(int64(s))
--- /dev/null
+++ b/internal/feed/board.go
@@ -0,0 +1,165 @@
+package feed
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync"
+
+	"shallotrun/core/backend"
+	"shallotrun/core/canary"
+	"shallotrun/core/clock"
+)
+
+// Board holds the orders that change the version of a service. The zero value holds none. All methods may be called
+// from several goroutines.
+type Board struct {
+	mu  sync.Mutex
+	all map[string]*canary.Rollout // by object name
+}
+
+// Choose returns those of a service's servers that may get the next request.
+func (b *Board) Choose(now clock.Time, service string, all []backend.Server) []backend.Server {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	r := b.find(service)
+	if r == nil {
+		return oldest(all)
+	}
+	target := split(all, r.Order.Target, true)
+	old := split(all, r.Order.Target, false)
+	switch {
+	case r.Order.State == canary.Done:
+		return target
+	case r.Order.State == canary.RolledBack || len(target) == 0:
+		return old
+	case r.Admit(now, rand.Float64()):
+		return target
+	}
+	return old
+}
+
+// Report takes the result of a request for the order of its service.
+func (b *Board) Report(service string, v canary.Result) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if r := b.find(service); r != nil {
+		r.Report(v)
+	}
+}
+
+func (b *Board) find(service string) *canary.Rollout {
+	for _, r := range b.all {
+		if r.Order.Service == service {
+			return r
+		}
+	}
+	return nil
+}
+
+// put takes an order as the store has it, and reports whether anything changed.
+func (b *Board) put(now, wall clock.Time, o canary.Order) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.all == nil {
+		b.all = make(map[string]*canary.Rollout)
+	}
+	r := b.all[o.Service]
+	if r == nil || r.Order.Target != o.Target || r.Order.Made != o.Made {
+		seen := now
+		if age := wall.Sub(o.Started); o.Started != 0 && age > 0 && age < o.Duration {
+			seen = now.Add(-age)
+		}
+		b.all[o.Service] = &canary.Rollout{Order: o, Seen: seen}
+		return true
+	}
+	changed := r.Order.State != o.State
+	r.Order = o
+	return changed
+}
+
+func (b *Board) remove(name string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	delete(b.all, name)
+}
+
+// keep drops the orders that are not among the objects.
+func (b *Board) keep(objects []Object) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	listed := make(map[string]bool)
+	for _, o := range objects {
+		listed[o.Name] = true
+	}
+	for name := range b.all {
+		if !listed[name] {
+			delete(b.all, name)
+		}
+	}
+}
+
+// due returns the orders whose state should change, with the state that they should have.
+func (b *Board) due(now, wall clock.Time) (out []canary.Order, reasons []string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, r := range b.all {
+		state, reason := r.Decide(now)
+		if state == r.Order.State {
+			continue
+		}
+		o := r.Order
+		o.State = state
+		if o.Started == 0 {
+			o.Started = wall
+		}
+		out, reasons = append(out, o), append(reasons, reason)
+	}
+	return out, reasons
+}
+
+// decideEvery is the interval at which the orders are looked at. Each VM takes a random part of it, so that the others
+// mostly see the first one's write before they try their own.
+const decideEvery = 300 * clock.Millisecond
+
+// decide writes the state of the orders as far as this VM's results decide it.
+func (f *Feed) decide(ctx context.Context) {
+	for ctx.Err() == nil {
+		pause(ctx, clock.Span(float64(decideEvery)*(0.5+rand.Float64())))
+		orders, reasons := f.Orders.due(f.Clock.Now(), f.Clock.Wall())
+		for i, o := range orders {
+			err := f.Store.SetOrder(ctx, o)
+			l := f.Log.Info()
+			if err != nil && !errors.Is(err, ErrConflict) {
+				l = f.Log.Warn()
+			}
+			l.Err(err).Str("service", o.Service).Str("version", o.Target).Stringer("state", o.State).Str("reason", reasons[i]).
+				Uint64("revision", o.Rev).Msg("feed: order decided")
+		}
+	}
+}
+
+// split returns the servers of a version, or those of every other one.
+func split(all []backend.Server, version string, same bool) (out []backend.Server) {
+	for _, v := range all {
+		if (v.Version == version) == same {
+			out = append(out, v)
+		}
+	}
+	return out
+}
+
+// oldest returns the servers of the version that registered first. Servers of a further version may register before
+// the order that lets them have requests is seen.
+func oldest(all []backend.Server) []backend.Server {
+	if len(all) == 0 {
+		return nil
+	}
+	first := all[0]
+	for _, v := range all {
+		if v.Made < first.Made {
+			first = v
+		}
+	}
+	return split(all, first.Version, true)
+}
--- /dev/null
+++ b/internal/front/state.go
@@ -0,0 +1,25 @@
+package front
+
+import (
+	"shallotrun/core/backend"
+	"shallotrun/core/canary"
+	"shallotrun/core/catalog"
+	"shallotrun/core/clock"
+	"shallotrun/internal/feed"
+)
+
+// state gives the request path what the feed knows.
+type state struct{ *feed.Feed }
+
+func (s *state) Table() *catalog.Table {
+	if !s.Synchronised() {
+		return nil
+	}
+	return s.Config.Table()
+}
+
+func (s *state) Choose(now clock.Time, service string, all []backend.Server) []backend.Server {
+	return s.Orders.Choose(now, service, all)
+}
+
+func (s *state) Report(service string, v canary.Result) { s.Orders.Report(service, v) }
--- /dev/null
+++ b/internal/gateway/exchange.go
@@ -0,0 +1,344 @@
+package gateway
+
+import (
+	"errors"
+	"io"
+	"sync"
+
+	"github.com/cespare/xxhash/v2"
+
+	"shallotrun/core/backend"
+	"shallotrun/core/canary"
+	"shallotrun/core/catalog"
+	"shallotrun/core/clock"
+	"shallotrun/core/place"
+	"shallotrun/core/work"
+	"shallotrun/io/conn"
+)
+
+// exchange is one request on its way. It runs on the goroutine of the caller's connection; the fields under mu are also
+// read by the goroutine that watches all open requests.
+type exchange struct {
+	g       *Gateway
+	request *Request
+	route   *catalog.Route
+	space   *catalog.Workspace // nil for none
+	service string
+	spec    *catalog.Service // nil if the configuration does not describe the service
+	rank    int
+	model   string
+	arrived clock.Time
+	end     clock.Time // when the final answer is due
+
+	pool     *pool
+	server   backend.Server // of the attempt under way
+	started  bool           // the attempt has its first answer
+	begun    clock.Time     // of the attempt
+	first    clock.Span     // of the attempt
+	events   int            // of the attempt
+	tries    int            // attempts, whatever became of them
+	sent     int            // attempts that count against the route's bound
+	tried    []string
+	unsure   bool   // an attempt may have run
+	fallback *Whole // a failure of a server that is passed on if no further attempt does better
+	last     int64  // identifier of the last event that the caller has
+	abort    conn.Abort
+
+	mu      sync.Mutex
+	waiting waiting
+	cause   cause
+}
+
+// waiting says what the exchange waits for, for the goroutine that watches it.
+type waiting struct {
+	on    bool // for bytes of a backend server
+	begun bool // a stream of which events have arrived
+	since clock.Time
+	limit clock.Time // when the attempt is given up, 0 for never
+	pool  *pool
+	name  string // server
+}
+
+// Reasons for which an attempt was ended from outside.
+const (
+	causeNone cause = iota
+	causeGone
+	causeEnd
+	causeSlow
+	causeSilent
+)
+
+type cause uint8
+
+const (
+	// maxTries bounds the attempts of a request, with those that never reached a server.
+	maxTries = 6
+	// leastLeft is the time below which no attempt is started: its answer could hardly arrive.
+	leastLeft = 15 * clock.Millisecond
+	// maxWhole is the size limit of an answer that is no stream, in bytes.
+	maxWhole = 16 << 20
+)
+
+// serve sends the request until there is an answer.
+func (x *exchange) serve() Answer {
+	x.pool = x.g.pool(x.service)
+	x.chooseModel()
+	for {
+		reply, refusal := x.next()
+		if refusal != nil {
+			return x.give(refusal)
+		}
+		a, fault := x.take(reply)
+		if fault == nil {
+			return a
+		}
+		if refusal := x.failed(fault); refusal != nil {
+			return x.give(refusal)
+		}
+	}
+}
+
+// give ends the request with an earlier failure of a server if there is one, which says more than a refusal, or with
+// the refusal.
+func (x *exchange) give(refusal *work.Refusal) Answer {
+	if x.fallback != nil && x.ended() != causeGone {
+		x.close(nil)
+		return *x.fallback
+	}
+	x.close(refusal)
+	return Refused{*refusal}
+}
+
+// next sends the request to a server and returns the head of its answer.
+func (x *exchange) next() (*Reply, *work.Refusal) {
+	for {
+		if refusal := x.dispatch(); refusal != nil {
+			return nil, refusal
+		}
+		reply, err := x.g.Backend.Send(x.attempt())
+		if err == nil {
+			return reply, nil
+		}
+		var f *Fault
+		if !errors.As(err, &f) {
+			f = &Fault{How: Unknown, Err: err}
+		}
+		if refusal := x.failed(f); refusal != nil {
+			return nil, refusal
+		}
+	}
+}
+
+// dispatch checks that the request may still be sent, and selects a server.
+func (x *exchange) dispatch() *work.Refusal {
+	now := x.g.Clock.Now()
+	if x.end.Sub(now) < leastLeft {
+		return x.over(work.CodeDeadline, "the time is over")
+	}
+	if x.space != nil {
+		if !x.g.State.Fresh() {
+			return x.over(work.CodeStale, "whether the key is still valid cannot be proved now")
+		}
+		if x.g.State.Table().Workspace(x.request.Key) == nil {
+			return x.over(work.CodeStale, "the key was taken away")
+		}
+	}
+	server, ok := x.pool.pick(now, x.ask(), x.spec)
+	if !ok {
+		return x.over(work.CodeNoServer, "no backend server can take the request")
+	}
+	if x.tries == 0 {
+		x.pool.first(now)
+	}
+	x.tries++
+	x.server, x.begun, x.started, x.first, x.events = server, now, false, 0, 0
+	x.wait(x.limit(now))
+	return nil
+}
+
+func (x *exchange) ask() place.Ask {
+	ask := place.Ask{Model: "", Exclude: x.tried}
+	if !x.route.Affine || len(x.request.Parts) < 2 {
+		return ask
+	}
+	shared := x.request.Parts[:len(x.request.Parts)-1]
+	ask.Prefix = xxhash.Sum64String(shared[len(shared)-1].ID)
+	for _, p := range shared {
+		ask.Tokens += p.Tokens
+	}
+	return ask
+}
+
+func (x *exchange) attempt() *Attempt {
+	a := &Attempt{
+		Request: x.request, Server: x.server, Model: x.model, Urgency: x.rank, Left: x.end.Sub(x.g.Clock.Now()),
+		After: x.last, Stream: x.route.Kind == catalog.Streaming, Abort: &x.abort,
+	}
+	if x.space != nil {
+		a.Workspace = x.space.Name
+	}
+	return a
+}
+
+// limit returns when an attempt of an idempotent request is given up for another one, 0 for never.
+func (x *exchange) limit(now clock.Time) clock.Time {
+	if x.route.Kind != catalog.Safe || x.route.Objective == 0 || x.sent+1 >= x.route.Attempts {
+		return 0
+	}
+	return now.Add(min(2*x.route.Objective, x.end.Sub(now)/2))
+}
+
+// take reads the answer of which the head was read: the whole body, or a stream up to its first event.
+func (x *exchange) take(reply *Reply) (Answer, *Fault) {
+	if reply.Events != nil {
+		return x.begin(reply)
+	}
+	w := &Whole{Status: reply.Status, Fields: reply.Fields}
+	if reply.Body != nil {
+		b, err := io.ReadAll(io.LimitReader(reply.Body, maxWhole+1))
+		if err == nil && len(b) > maxWhole {
+			err = errTooLarge
+		}
+		if err != nil {
+			reply.Close(false)
+			return nil, &Fault{How: Unknown, Err: err}
+		}
+		w.Body = b
+	}
+	reply.Close(true)
+	x.answered()
+	x.result(work.Result{Failed: reply.Status >= 500}, reply.Status >= 500)
+	if reply.Status >= 500 && x.repeats() {
+		x.fallback = w
+		x.sent++
+		x.unsure = true
+		x.tried = append(x.tried, x.server.ID)
+		if x.more() {
+			reply, refusal := x.next()
+			if refusal != nil {
+				return x.give(refusal), nil
+			}
+			return x.take(reply)
+		}
+	}
+	x.close(nil)
+	return *w, nil
+}
+
+var errTooLarge = errors.New("the answer is too large")
+
+// repeats reports whether a request that may have run may be sent again.
+func (x *exchange) repeats() bool { return x.route.Repeats() }
+
+// more reports whether a further attempt is allowed, and takes it from the retry budget.
+func (x *exchange) more() bool {
+	now := x.g.Clock.Now()
+	return x.sent < x.route.Attempts && x.tries < maxTries && x.end.Sub(now) > leastLeft && x.pool.spend(now)
+}
+
+// failed takes the failure of an attempt. It returns nil if the request is to be sent again, otherwise the refusal.
+func (x *exchange) failed(f *Fault) *work.Refusal {
+	why := x.ended()
+	x.idle()
+	x.result(work.Result{Failed: f.How != Refuse, Refused: f.How == Refuse}, false)
+	x.tried = append(x.tried, x.server.ID)
+	x.log(f, why)
+	switch f.How {
+	case Unsent, Moved:
+	case Refuse:
+		x.sent++
+	default:
+		x.sent++
+		x.unsure = true
+	}
+	switch {
+	case why == causeGone:
+		return &work.Refusal{Code: codeGone, Status: 504, Ran: work.Unknown, Detail: "the caller went away"}
+	case why == causeEnd:
+		return x.over(work.CodeDeadline, "no answer came in time")
+	case f.How == Unsent && x.tries < maxTries:
+		return nil
+	case f.How == Unknown && !x.repeats():
+		return x.over(work.CodeBackendFailed, "no answer came from the backend server")
+	case x.more():
+		x.g.metrics.retries.Inc()
+		return nil
+	}
+	if f.How == Refuse {
+		return x.over(work.CodeOverloaded, "the backend servers refused the request")
+	}
+	return x.over(work.CodeBackendFailed, "no answer came from the backend servers")
+}
+
+// codeGone marks requests whose caller went away, in log lines and metrics.
+const codeGone = "caller-gone"
+
+// retryAfter is when a refused caller may try again. Callers that were refused together should not return together.
+const retryAfter = 400 * clock.Millisecond
+
+// over refuses a request that is given up: truly not run, or unknown if an attempt may have run.
+func (x *exchange) over(code, detail string) *work.Refusal {
+	if !x.unsure {
+		return refuse(code, 503, retryAfter+spread(retryAfter), detail)
+	}
+	status := 502
+	if code == work.CodeDeadline {
+		status = 504
+	}
+	return &work.Refusal{Code: code, Status: status, Ran: work.Unknown, Detail: detail}
+}
+
+// wait tells the watching goroutine that bytes of a backend server are due.
+func (x *exchange) wait(limit clock.Time) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.waiting = waiting{
+		on: true, begun: x.events > 0, since: x.g.Clock.Now(), limit: limit, pool: x.pool, name: x.server.ID,
+	}
+	if x.cause == causeSlow || x.cause == causeSilent {
+		x.cause = causeNone // of an earlier attempt
+	}
+}
+
+func (x *exchange) idle() {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.waiting.on = false
+}
+
+// ended returns why an attempt was ended from outside.
+func (x *exchange) ended() cause {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.cause
+}
+
+// answered records the first answer of an attempt.
+func (x *exchange) answered() {
+	x.idle()
+	if x.started {
+		return
+	}
+	now := x.g.Clock.Now()
+	x.started, x.first = true, max(now.Sub(x.begun), 1)
+	x.pool.started(x.server.ID)
+	x.pool.heard(x.server.ID, now)
+}
+
+// result reports the end of an attempt.
+func (x *exchange) result(r work.Result, bad bool) {
+	now := x.g.Clock.Now()
+	r.Server, r.First, r.Total, r.Tokens = x.server.ID, x.first, now.Sub(x.begun), x.events
+	x.pool.ended(x.server.ID, x.started, r)
+	if r.Refused || r.Failed && !bad {
+		return
+	}
+	v := canary.Result{Route: x.route.Name, Version: x.server.Version, Failed: bad, First: x.first}
+	if x.events > paceLeast {
+		v.Pace = float64(r.Total-r.First) / float64(x.events-1)
+	}
+	x.g.State.Report(x.service, v)
+}
+
+// paceLeast is the number of events after which the time between them says something.
+const paceLeast = 3
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,194 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"sync/atomic"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
+
+	"shallotrun/core/backend"
+	"shallotrun/core/canary"
+	"shallotrun/core/catalog"
+	"shallotrun/core/clock"
+	"shallotrun/core/work"
+)
+
+// State is what the request path reads of the platform's store.
+type State interface {
+	Table() *catalog.Table // nil before the configuration is known
+	Fresh() bool           // the configuration is new enough for work that needs a key
+	Servers(now clock.Time, service string) []backend.Server
+	Choose(now clock.Time, service string, all []backend.Server) []backend.Server
+	Report(service string, v canary.Result)
+}
+
+// Gateway serves requests. The exported fields are set before Run.
+type Gateway struct {
+	Domain   string // failure domain of this VM
+	State    State
+	Backend  Backend
+	Clock    clock.Clock
+	Log      zerolog.Logger
+	Registry prometheus.Registerer
+	Retries  float64    // extra attempts for each request of a service
+	Grace    clock.Span // time between the start of a planned stop and the end of the process
+
+	metrics *metrics
+	stop    atomic.Int64 // when the planned stop began, 0 before
+
+	mu    sync.Mutex
+	pools map[string]*pool
+	open  map[*exchange]struct{}
+}
+
+// Init prepares the gateway. It is called once, before Serve.
+func (g *Gateway) Init() {
+	g.pools, g.open = make(map[string]*pool), make(map[*exchange]struct{})
+	g.metrics = newMetrics(g.Registry)
+}
+
+// Run watches the open requests until ctx ends.
+func (g *Gateway) Run(ctx context.Context) { g.watch(ctx) }
+
+// Stop starts a planned stop: what cannot end within the grace is refused from now on.
+func (g *Gateway) Stop() { g.stop.CompareAndSwap(0, int64(g.Clock.Now())) }
+
+// Stopping reports whether a planned stop has begun.
+func (g *Gateway) Stopping() bool { return g.stop.Load() != 0 }
+
+// Open returns the number of open requests.
+func (g *Gateway) Open() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return len(g.open)
+}
+
+// Serve answers a request. A *Stream has to be closed.
+func (g *Gateway) Serve(r *Request) Answer {
+	x := &exchange{g: g, request: r, arrived: g.Clock.Now(), last: r.After}
+	if refusal := x.admit(); refusal != nil {
+		x.close(refusal)
+		return Refused{*refusal}
+	}
+	g.enter(x)
+	a := x.serve()
+	if _, ok := a.(*Stream); !ok {
+		g.leave(x)
+	}
+	return a
+}
+
+func (g *Gateway) enter(x *exchange) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.open[x] = struct{}{}
+	g.metrics.open.Set(float64(len(g.open)))
+}
+
+func (g *Gateway) leave(x *exchange) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	delete(g.open, x)
+	g.metrics.open.Set(float64(len(g.open)))
+}
+
+// pool returns the pool of a service.
+func (g *Gateway) pool(service string) *pool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	p := g.pools[service]
+	if p == nil {
+		p = newPool(g, service)
+		g.pools[service] = p
+	}
+	return p
+}
+
+// admit finds route, workspace and service of a request, or refuses it. Nothing is answered with a final refusal
+// from a configuration that may be out of date.
+func (x *exchange) admit() *work.Refusal {
+	g, r := x.g, x.request
+	x.end = x.arrived.Add(defaultWait)
+	t := g.State.Table()
+	if t == nil {
+		return refuse(work.CodeNoDocument, 503, clock.Second, "the configuration is not known yet")
+	}
+	fresh := g.State.Fresh()
+	path, _, _ := strings.Cut(r.URI, "?")
+	if x.route = t.Route(r.Host, path); x.route == nil {
+		return final(fresh, work.CodeNotAllowed, 404, "no route has this host and path")
+	}
+	if x.route.Timeout > 0 {
+		x.end = x.arrived.Add(x.route.Timeout)
+	}
+	if r.Wait > 0 {
+		x.end = min(x.end, x.arrived.Add(r.Wait))
+	}
+	x.rank = x.route.Rank
+	if refusal := x.identify(t, fresh); refusal != nil {
+		return refusal
+	}
+	service, ok := x.route.Choose(rand.Float64())
+	if !ok {
+		return refuse(work.CodeNoServer, 503, clock.Second, "the route leads to no service")
+	}
+	x.service, x.spec = service, t.Service(service)
+	if g.Stopping() && !x.fits() {
+		return refuse(work.CodeStopping, 503, 0, "this VM is stopping")
+	}
+	return nil
+}
+
+// identify finds the workspace of the key.
+func (x *exchange) identify(t *catalog.Table, fresh bool) *work.Refusal {
+	if !t.Keyed() {
+		return nil
+	}
+	w := t.Workspace(x.request.Key)
+	switch {
+	case w == nil && x.route.Public:
+		return nil
+	case w == nil:
+		return final(fresh, work.CodeKeyUnknown, 401, "the key is not known")
+	case !fresh && !x.route.Public:
+		return refuse(work.CodeStale, 503, clock.Second, "whether the key is still valid cannot be proved now")
+	case !fresh:
+		return nil // without a key the route is public
+	}
+	x.space = w
+	if w.Rank != catalog.NoRank {
+		x.rank = w.Rank
+	}
+	return nil
+}
+
+// fits reports whether a request that arrives during a planned stop can probably end before the process does.
+func (x *exchange) fits() bool {
+	left := x.g.Grace - x.g.Clock.Now().Sub(clock.Time(x.g.stop.Load()))
+	if x.route.Kind == catalog.Streaming {
+		return left > x.g.Grace/2
+	}
+	return left > stopMargin
+}
+
+// stopMargin is the time before the end of a planned stop from which no request is started.
+const stopMargin = clock.Second
+
+// defaultWait bounds a request for which neither the caller nor the route names a time.
+const defaultWait = 30 * clock.Second
+
+func refuse(code string, status int, retry clock.Span, detail string) *work.Refusal {
+	return &work.Refusal{Code: code, Status: status, Ran: work.NotRun, Retry: retry, Detail: detail}
+}
+
+// final refuses for good, or for now if the configuration may be out of date.
+func final(fresh bool, code string, status int, detail string) *work.Refusal {
+	if fresh {
+		return refuse(code, status, 0, detail)
+	}
+	return refuse(work.CodeStale, 503, clock.Second, detail+", but the configuration may be out of date")
+}
--- /dev/null
+++ b/internal/settings/front.go
@@ -0,0 +1,112 @@
+package settings
+
+import (
+	"os"
+	"strconv"
+	"strings"
+
+	"github.com/samber/oops"
+	"gopkg.in/ini.v1"
+
+	"shallotrun/core/clock"
+)
+
+// Front are the settings of the gateway daemon.
+type Front struct {
+	Name    string
+	Domain  string // failure domain
+	Memory  int    // MB that the process may use, 0 for no limit
+	Cores   int
+	Callers string     // IP:port for callers
+	Ready   string     // IP:port for the balancer's question
+	Metrics string     // IP:port for metrics, "" for none
+	Store   string     // IP:port of the platform's store
+	Revoke  clock.Span // within which a revoked key must be refused, 0 for no bound
+	Grace   clock.Span // between the order to stop and the end
+	Retries float64    // extra attempts for each request that the fleet may make
+	Level   string     // of log lines
+}
+
+// frontKey is one key of the gateway daemon's settings.
+type frontKey struct {
+	section, name string
+	required      bool
+	set           func(f *Front, v string) error
+}
+
+// frontKeys are all keys of the gateway daemon's settings.
+var frontKeys = []frontKey{
+	{"vm", "name", true, func(f *Front, v string) error { return name(&f.Name, v) }},
+	{"vm", "domain", true, func(f *Front, v string) error { return name(&f.Domain, v) }},
+	{"vm", "memory", false, func(f *Front, v string) error { return whole(&f.Memory, v, 16, 1<<20) }},
+	{"vm", "cores", false, func(f *Front, v string) error { return whole(&f.Cores, v, 1, 1024) }},
+	{"listen", "callers", true, func(f *Front, v string) error { return addr(&f.Callers, v) }},
+	{"listen", "ready", true, func(f *Front, v string) error { return addr(&f.Ready, v) }},
+	{"listen", "metrics", false, func(f *Front, v string) error { return addr(&f.Metrics, v) }},
+	{"store", "addr", true, func(f *Front, v string) error { return addr(&f.Store, v) }},
+	{"bounds", "revoke", false, func(f *Front, v string) error { return span(&f.Revoke, v, 0, 3600_000) }},
+	{"bounds", "grace", true, func(f *Front, v string) error { return seconds(&f.Grace, v) }},
+	{"bounds", "retries", true, func(f *Front, v string) error { return ratio(&f.Retries, v) }},
+	{"log", "level", false, func(f *Front, v string) error { return choice(&f.Level, v, "debug", "info", "warn", "error") }},
+}
+
+// LoadFront reads the settings file of the gateway daemon. The error is of type [Faults].
+func LoadFront(file string) (*Front, error) {
+	raw, err := os.ReadFile(file)
+	if err != nil {
+		return nil, Faults{{File: file, Text: err.Error()}}
+	}
+	return ParseFront(file, raw)
+}
+
+// ParseFront reads the gateway daemon's settings from raw. file is named in the faults.
+func ParseFront(file string, raw []byte) (*Front, error) {
+	f, err := ini.LoadSources(ini.LoadOptions{AllowShadows: true, AllowDuplicateShadowValues: true, IgnoreInlineComment: true}, raw)
+	if err != nil {
+		return nil, Faults{{File: file, Text: err.Error()}}
+	}
+	known := make(map[string]map[string]bool)
+	for _, k := range frontKeys {
+		if known[k.section] == nil {
+			known[k.section] = make(map[string]bool)
+		}
+		known[k.section][k.name] = true
+	}
+	r := &reader{file: file, ini: f}
+	r.unknown(known)
+	out := &Front{Level: "info", Cores: 1}
+	for _, k := range frontKeys {
+		v := strings.TrimSpace(f.Section(k.section).Key(k.name).Value())
+		switch {
+		case v == "" && k.required:
+			r.fault(k.section, k.name, "missing")
+		case v == "":
+		default:
+			if err := k.set(out, v); err != nil {
+				r.fault(k.section, k.name, "%v", err)
+			}
+		}
+	}
+	if len(r.faults) > 0 {
+		return nil, r.faults
+	}
+	return out, nil
+}
+
+func seconds(to *clock.Span, v string) error {
+	n, err := strconv.ParseFloat(v, 64)
+	if err != nil || n <= 0 || n > 3600 {
+		return oops.Errorf("%q, want seconds from 0 to 3600", v)
+	}
+	*to = clock.Span(n * float64(clock.Second))
+	return nil
+}
+
+func ratio(to *float64, v string) error {
+	n, err := strconv.ParseFloat(v, 64)
+	if err != nil || n < 0 || n > 100 {
+		return oops.Errorf("%q, want a number from 0 to 100", v)
+	}
+	*to = n
+	return nil
+}
--- /dev/null
+++ b/internal/settings/front_test.go
@@ -0,0 +1,47 @@
+package settings
+
+import (
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"shallotrun/core/clock"
+)
+
+const goodFront = `
+[vm]
+name = a-1
+domain = a
+memory = 134
+[listen]
+callers = 127.0.0.1:8000
+ready = 127.0.0.1:8001
+[store]
+addr = 127.0.0.1:8002
+[bounds]
+revoke = 5000
+grace = 8
+retries = 0.9
+`
+
+// Guards against settings that are misread or half read without a word.
+func TestFront(t *testing.T) {
+	f, err := ParseFront("x.ini", []byte(goodFront))
+	assert.NilError(t, err)
+	assert.DeepEqual(t, *f, Front{
+		Name: "a-1", Domain: "a", Memory: 134, Cores: 1, Callers: "127.0.0.1:8000", Ready: "127.0.0.1:8001",
+		Store: "127.0.0.1:8002", Revoke: 5000, Grace: 8 * clock.Second, Retries: 0.9, Level: "info",
+	})
+	for _, c := range []struct{ old, new, want string }{
+		{"name = a-1", "", "x.ini: [vm] name: missing"},
+		{"name = a-1", "nam = a-1", "x.ini: [vm] nam: unknown key"},
+		{"addr = 127.0.0.1:8002", "addr = store:1", "x.ini: [store] addr:"},
+		{"grace = 8", "grace = soon", "x.ini: [bounds] grace:"},
+		{"[store]", "[sore]", "x.ini: [sore]: unknown section"},
+		{"retries = 0.9", "retries = 0.9\nretries = 1", "x.ini: [bounds] retries: the key occurs twice"},
+	} {
+		_, err := ParseFront("x.ini", []byte(strings.Replace(goodFront, c.old, c.new, 1)))
+		assert.ErrorContains(t, err, c.want)
+	}
+}
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -31,7 +31,14 @@
 		return nil, Faults{{File: file, Text: err.Error()}}
 	}
 	r := &reader{file: file, lookup: lookup, ini: f}
-	r.unknown()
+	known := map[string]map[string]bool{}
+	for _, k := range Reference {
+		if known[k.Section] == nil {
+			known[k.Section] = map[string]bool{}
+		}
+		known[k.Section][k.Name] = true
+	}
+	r.unknown(known)
 	s := new(Settings)
 	for _, k := range Reference {
 		r.read(s, k)
@@ -60,14 +67,7 @@
 
 // unknown reports sections and keys that nothing reads: a misspelt key would otherwise leave a default in
 // force.
-func (r *reader) unknown() {
-	known := map[string]map[string]bool{}
-	for _, k := range Reference {
-		if known[k.Section] == nil {
-			known[k.Section] = map[string]bool{}
-		}
-		known[k.Section][k.Name] = true
-	}
+func (r *reader) unknown(known map[string]map[string]bool) {
 	for _, s := range r.ini.Sections() {
 		keys := known[s.Name()]
 		if keys == nil && s.Name() != ini.DefaultSection {
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -33,7 +33,12 @@
 	Arrive   clock.Span // time in which a request must arrive whole, 0 means 30 s
 	Idle     clock.Span // time that a connection may stay idle, 0 means 60 s
 	Linger   clock.Span // time in which new connections are still answered after the end of the context, 0 means 200 ms
-	Log      zerolog.Logger
+	Grace    clock.Span // time after the end of the context in which open responses may end, 0 means any
+	Body     int        // largest body in bytes, 0 means BodyLimit
+	Header   int        // largest request line and headers in bytes, 0 means HeaderLimit
+	// Failed answers a request that could not be read, nil means problem details.
+	Failed func(*fasthttp.RequestCtx, *work.Refusal)
+	Log    zerolog.Logger
 }
 
 // Run serves until the context ends, then shuts down gracefully: it accepts no new connections, closes idle
@@ -43,8 +48,8 @@
 	srv := &fasthttp.Server{
 		Handler:               s.Handler,
 		ErrorHandler:          s.failed,
-		MaxRequestBodySize:    BodyLimit,
-		ReadBufferSize:        HeaderLimit,
+		MaxRequestBodySize:    whole(s.Body, BodyLimit),
+		ReadBufferSize:        whole(s.Header, HeaderLimit),
 		Concurrency:           ParallelLimit,
 		ReadTimeout:           or(s.Arrive, 30*clock.Second).Std(),
 		IdleTimeout:           or(s.Idle, 60*clock.Second).Std(),
@@ -63,7 +68,12 @@
 	case <-ctx.Done():
 	}
 	time.Sleep(or(s.Linger, 200*clock.Millisecond).Std())
-	if err := srv.ShutdownWithContext(context.Background()); err != nil {
+	end, cancel := context.WithCancel(context.Background())
+	if s.Grace > 0 {
+		end, cancel = context.WithTimeout(context.Background(), s.Grace.Std())
+	}
+	defer cancel()
+	if err := srv.ShutdownWithContext(end); err != nil {
 		return oops.Wrapf(err, "caller server shutdown")
 	}
 	return oops.Wrapf(<-done, "caller server")
@@ -76,13 +86,17 @@
 	var timeout interface{ Timeout() bool }
 	switch {
 	case errors.As(err, &small):
-		r.Code, r.Status, r.Detail = work.CodeTooLarge, fasthttp.StatusRequestHeaderFieldsTooLarge, "the headers exceed 16 KiB"
+		r.Code, r.Status, r.Detail = work.CodeTooLarge, fasthttp.StatusRequestHeaderFieldsTooLarge, "the headers are too large"
 	case errors.Is(err, fasthttp.ErrBodyTooLarge):
-		r.Code, r.Status, r.Detail = work.CodeTooLarge, fasthttp.StatusRequestEntityTooLarge, "the body exceeds 1 MiB"
+		r.Code, r.Status, r.Detail = work.CodeTooLarge, fasthttp.StatusRequestEntityTooLarge, "the body is too large"
 	case errors.As(err, &timeout) && timeout.Timeout():
 		r.Status, r.Detail = fasthttp.StatusRequestTimeout, "the request did not arrive in time"
 	}
-	Problem(ctx, r, "")
+	if s.Failed != nil {
+		s.Failed(ctx, r)
+	} else {
+		Problem(ctx, r, "")
+	}
 	ctx.SetConnectionClose()
 	if c, ok := ctx.Conn().(*progressConn); ok {
 		c.linger = true
@@ -153,6 +167,13 @@
 
 func (q quiet) Printf(format string, args ...any) { q.log.Debug().Msgf("caller: "+format, args...) }
 
+func whole(n, def int) int {
+	if n == 0 {
+		return def
+	}
+	return n
+}
+
 func or(s, def clock.Span) clock.Span {
 	if s == 0 {
 		return def
