gateway: a silent server is asked for a report before its streams are taken up elsewhere; canary by session and time

Change: silence leads to a report on a new connection; only a server that does not answer, or that says that nothing waits while a request does, loses the stream. The new version gets nothing in the first half, then sessions move by their hash, the same on every VM.

Ruled out: remembering sessions per VM; of 1094 requests that followed another of their session within 5 s, 1063 came to another VM.

--- a/core/canary/rollout.go
+++ b/core/canary/rollout.go
@@ -21,8 +21,10 @@
 	riseOdds   = 9
 	riseFactor = 3
 	riseLeast  = 0.3
-	// Requests that the new version may have beyond its share, so that a VM with little traffic sends any.
-	allowance = 1
+	// Before the last stage the new version gets at most this part of all requests since the order, and a few, even
+	// if a session with much of the traffic falls to it.
+	exposureCap = 0.12
+	allowance   = 4
 )
 
 // Rollout carries out one order on one VM.
@@ -72,10 +74,10 @@
 	return float64(now.Sub(r.Seen)) / float64(max(r.Order.Duration, 1))
 }
 
-// Admit decides whether the next request goes to the new version, and counts it. The random number is in [0, 1). The
-// new version never gets more than its share of all requests so far and a small allowance, even if sessions or repeated
-// attempts ask for it.
-func (r *Rollout) Admit(now clock.Time, random float64) bool {
+// Admit decides whether the next request goes to the new version, and counts it. The position is in [0, 1): that of its
+// session, so that all VMs decide alike about a session and a session never goes back, or a random one for a request
+// without a session.
+func (r *Rollout) Admit(now clock.Time, position float64) bool {
 	switch {
 	case r.Order.State == Done:
 		return true
@@ -83,8 +85,8 @@
 		return false
 	}
 	r.total++
-	s := share(r.part(now), r.good)
-	if s < 1 && (random >= s || r.exposed >= s*r.total+allowance) {
+	s := share(r.part(now))
+	if position >= s || s < 1 && r.exposed >= exposureCap*r.total+allowance {
 		return false
 	}
 	r.exposed++
--- a/core/canary/stage.go
+++ b/core/canary/stage.go
@@ -4,25 +4,25 @@
 type stage struct {
 	from  float64 // part of the order's duration that is over
 	share float64 // of the requests
-	good  int     // good answers of the new version that this VM must have seen before
 }
 
-// stages leave the new version a few percent for the first half, in which sessions keep their version and a bad version
-// is usually found out. A version that turns bad later still reaches few requests in the step between.
-var stages = [...]stage{{0, 0.07, 0}, {0.5, 0.25, 2}, {0.58, 1, 6}}
+// stages give the new version nothing in the first half, in which a session that any VM serves has to keep its version: no
+// VM knows which sessions the others serve. Then it gets a few requests, by which a bad version is usually found out,
+// and more. The stages depend on the time alone, so that all VMs send a session to the same version.
+var stages = [...]stage{{0, 0}, {0.51, 0.1}, {0.62, 0.3}, {0.72, 1}}
 
 // finishAt is the part of the order's duration after which it is finished. The time since the last stage lets most
 // streams on the old replicas end.
-const finishAt = 0.88
+const finishAt = 0.92
 
 // finishGood is the number of good answers of the new version that a VM has seen before it says that the order is done.
-const finishGood = 12
+const finishGood = 8
 
 // share returns the part of the requests for the new version.
-func share(over float64, good int) float64 {
+func share(over float64) float64 {
 	out := 0.0
 	for _, s := range stages {
-		if over >= s.from && good >= s.good {
+		if over >= s.from {
 			out = s.share
 		}
 	}
--- a/internal/feed/board.go
+++ b/internal/feed/board.go
@@ -6,6 +6,8 @@
 	"math/rand/v2"
 	"sync"
 
+	"github.com/cespare/xxhash/v2"
+
 	"shallotrun/core/backend"
 	"shallotrun/core/canary"
 	"shallotrun/core/clock"
@@ -18,8 +20,8 @@
 	all map[string]*canary.Rollout // by object name
 }
 
-// Choose returns those of a service's servers that may get the next request.
-func (b *Board) Choose(now clock.Time, service string, all []backend.Server) []backend.Server {
+// Choose returns those of a service's servers that may get the next request, of a session or of none.
+func (b *Board) Choose(now clock.Time, service, session string, all []backend.Server) []backend.Server {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	r := b.find(service)
@@ -33,7 +35,7 @@
 		return target
 	case r.Order.State == canary.RolledBack || len(target) == 0:
 		return old
-	case r.Admit(now, rand.Float64()):
+	case r.Admit(now, position(session, r.Order.Target)):
 		return target
 	}
 	return old
@@ -139,6 +141,15 @@
 	}
 }
 
+// position returns where a session stands in the sequence in which sessions move to a version, a random one for
+// requests without a session.
+func position(session, version string) float64 {
+	if session == "" {
+		return rand.Float64()
+	}
+	return float64(xxhash.Sum64String(session+" "+version)>>11) / (1 << 53)
+}
+
 // split returns the servers of a version, or those of every other one.
 func split(all []backend.Server, version string, same bool) (out []backend.Server) {
 	for _, v := range all {
--- a/internal/front/state.go
+++ b/internal/front/state.go
@@ -18,8 +18,8 @@
 	return s.Config.Table()
 }
 
-func (s *state) Choose(now clock.Time, service string, all []backend.Server) []backend.Server {
-	return s.Orders.Choose(now, service, all)
+func (s *state) Choose(now clock.Time, service, session string, all []backend.Server) []backend.Server {
+	return s.Orders.Choose(now, service, session, all)
 }
 
 func (s *state) Report(service string, v canary.Result) { s.Orders.Report(service, v) }
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -51,12 +51,12 @@
 
 // waiting says what the exchange waits for, for the goroutine that watches it.
 type waiting struct {
-	on    bool // for bytes of a backend server
-	begun bool // a stream of which events have arrived
-	since clock.Time
-	limit clock.Time // when the attempt is given up, 0 for never
-	pool  *pool
-	name  string // server
+	on     bool // for bytes of a backend server
+	begun  bool // a stream of which events have arrived
+	since  clock.Time
+	limit  clock.Time // when the attempt is given up, 0 for never
+	pool   *pool
+	server backend.Server
 }
 
 // Reasons for which an attempt was ended from outside.
@@ -143,7 +143,7 @@
 			return x.over(work.CodeStale, "the key was taken away")
 		}
 	}
-	server, ok := x.pool.pick(now, x.ask(), x.spec)
+	server, ok := x.pool.pick(now, x.request.Session, x.ask(), x.spec)
 	if !ok {
 		return x.over(work.CodeNoServer, "no backend server can take the request")
 	}
@@ -293,7 +293,7 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	x.waiting = waiting{
-		on: true, begun: x.events > 0, since: x.g.Clock.Now(), limit: limit, pool: x.pool, name: x.server.ID,
+		on: true, begun: x.events > 0, since: x.g.Clock.Now(), limit: limit, pool: x.pool, server: x.server,
 	}
 	if x.cause == causeSlow || x.cause == causeSilent {
 		x.cause = causeNone // of an earlier attempt
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -22,7 +22,7 @@
 	Table() *catalog.Table // nil before the configuration is known
 	Fresh() bool           // the configuration is new enough for work that needs a key
 	Servers(now clock.Time, service string) []backend.Server
-	Choose(now clock.Time, service string, all []backend.Server) []backend.Server
+	Choose(now clock.Time, service, session string, all []backend.Server) []backend.Server
 	Report(service string, v canary.Result)
 }
 
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -16,6 +16,7 @@
 	resumes  prometheus.Counter
 	open     prometheus.Gauge
 	attempts prometheus.Counter
+	reports  prometheus.Counter
 }
 
 func newMetrics(reg prometheus.Registerer) *metrics {
@@ -33,9 +34,10 @@
 		resumes:  prometheus.NewCounter(prometheus.CounterOpts{Name: "shallot_gateway_resumes_total", Help: "Streams that went on at another server."}),
 		open:     prometheus.NewGauge(prometheus.GaugeOpts{Name: "shallot_gateway_open", Help: "Open requests."}),
 		attempts: prometheus.NewCounter(prometheus.CounterOpts{Name: "shallot_gateway_attempts_total", Help: "Requests sent to backend servers."}),
+		reports:  prometheus.NewCounter(prometheus.CounterOpts{Name: "shallot_gateway_reports_total", Help: "Reports asked of suspected servers."}),
 	}
 	if reg != nil {
-		reg.MustRegister(m.answers, m.faults, m.seconds, m.first, m.retries, m.resumes, m.open, m.attempts)
+		reg.MustRegister(m.answers, m.faults, m.seconds, m.first, m.retries, m.resumes, m.open, m.attempts, m.reports)
 	}
 	return m
 }
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -30,6 +30,10 @@
 	own      int        // requests
 	starting int        // of them without an answer yet
 	heard    clock.Time // when the last byte came from the server
+	asking   bool       // a report was asked for
+	asked    clock.Time // when the last report was asked for
+	dead     bool       // it was not answered
+	load     work.Load  // the last report
 }
 
 // connPart is the part of a server's connections that one VM may use, as a divisor. The server resets what is over its
@@ -45,8 +49,8 @@
 }
 
 // pick selects a server among those of the allowed versions, false if there is none with room.
-func (p *pool) pick(now clock.Time, ask place.Ask, spec *catalog.Service) (backend.Server, bool) {
-	all := p.g.State.Choose(now, p.service, p.g.State.Servers(now, p.service))
+func (p *pool) pick(now clock.Time, session string, ask place.Ask, spec *catalog.Service) (backend.Server, bool) {
+	all := p.g.State.Choose(now, p.service, session, p.g.State.Servers(now, p.service))
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.cands = p.cands[:0]
@@ -106,18 +110,45 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if u := p.use[server]; u != nil {
-		u.heard = now
+		u.heard, u.dead = now, false
 	}
 }
 
-// silent returns how long nothing came from a server.
-func (p *pool) silent(server string, now clock.Time) clock.Span {
+// look returns what is known about a server at which a request has waited for that long: how long nothing at all came
+// from it, whether it is dead, and its report if it is younger than the wait. If the server is silent or the wait is
+// suspicious, a report is asked for.
+func (p *pool) look(v backend.Server, now clock.Time, waited, limit clock.Span) (silent clock.Span, dead bool, load *work.Load) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if u := p.use[server]; u != nil {
-		return now.Sub(u.heard)
+	u := p.use[v.ID]
+	if u == nil {
+		return 0, false, nil
+	}
+	if waited >= limit && !u.asking && now.Sub(u.asked) >= limit {
+		u.asking, u.asked = true, now
+		go p.ask(v)
+	}
+	if !u.asking && u.asked != 0 && now.Sub(u.asked) < limit {
+		load = &u.load
+	}
+	return now.Sub(u.heard), u.dead, load
+}
+
+// ask asks a server for a report. A report also shows that the server lives.
+func (p *pool) ask(v backend.Server) {
+	load, err := p.g.Backend.Report(v)
+	p.g.metrics.reports.Inc()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	u := p.use[v.ID]
+	if u == nil {
+		return
+	}
+	u.asking, u.dead, u.load = false, err != nil, load
+	if err == nil {
+		u.heard = p.g.Clock.Now()
 	}
-	return 0
+	p.g.Log.Info().Err(err).Str("server", v.ID).Int("running", load.Running).Int("waiting", load.Waiting).Msg("gateway: report of a suspected server")
 }
 
 // first records a first attempt for the retry budget.
--- a/internal/gateway/types.go
+++ b/internal/gateway/types.go
@@ -101,6 +101,8 @@
 // Backend sends attempts. Its errors are of type *Fault.
 type Backend interface {
 	Send(a *Attempt) (*Reply, error)
+	// Report asks a server that runs models for its load, on a connection of its own.
+	Report(v backend.Server) (work.Load, error)
 }
 
 // What is known about a failed attempt.
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -13,14 +13,17 @@
 	watchEvery = 100 * time.Millisecond
 	// goneEvery is the number of intervals between two looks at a caller's connection.
 	goneEvery = 2
-	// A stream without an event for silentPart of the route's longest pause is taken up elsewhere while that still
-	// can hide the pause, if the server sends nothing else either.
-	silentPart  = 0.5
-	silentLeast = 400 * clock.Millisecond
-	// A server that sends nothing at all for startPart of the route's objective while a request waits for its first
-	// event is taken for dead.
+	// A server is asked for a report when it sent nothing for this part of the route's longest pause between events,
+	// or of the objective while the first event is due.
+	pausePart  = 0.5
+	pauseLeast = 400 * clock.Millisecond
 	startPart  = 0.4
 	startLeast = 800 * clock.Millisecond
+	// A request that waits this many times as long at a server that lives is lost there, if the server says that no
+	// request waits in its queue.
+	lostFactor = 2
+	// A stream that stands still this many times as long is taken up elsewhere even if requests wait at the server.
+	stallFactor = 4
 )
 
 // watch ends attempts whose caller went away, whose time is over or whose server is silent.
@@ -69,13 +72,25 @@
 	}
 }
 
-// dead reports whether the server of a resumable stream seems to be gone.
+// dead reports whether the server of a resumable stream is gone or has lost the request. A server that only works on
+// long prompts sends nothing either, so it is asked first.
 func (x *exchange) dead(now clock.Time, w waiting) bool {
 	limit := max(clock.Span(startPart*float64(x.route.Objective)), startLeast)
 	if w.begun {
-		limit = max(clock.Span(silentPart*float64(x.route.Gap)), silentLeast)
+		limit = max(clock.Span(pausePart*float64(x.route.Gap)), pauseLeast)
 	}
-	return now.Sub(w.since) >= limit && w.pool.silent(w.name, now) >= limit
+	waited := now.Sub(w.since)
+	if waited < limit {
+		return false
+	}
+	silent, dead, load := w.pool.look(w.server, now, waited, limit)
+	switch {
+	case silent >= limit && dead:
+		return true
+	case load != nil && load.Waiting == 0 && waited >= lostFactor*limit:
+		return true
+	}
+	return w.begun && waited >= stallFactor*limit
 }
 
 // fail ends the attempt that is under way, and with some causes the request.
