models: choose the model by cost, worth and confidence

Change: core/models starts a request with the model of the least expected total and drops an answer that the model is not sure of while the caller has none of it. What a right answer is worth grows with its size.

--- /dev/null
+++ b/core/models/chooser.go
@@ -0,0 +1,139 @@
+package models
+
+// Model is a model with its cost for each 1,000 generated tokens.
+type Model struct {
+	Name string
+	Cost float64
+}
+
+// Size is the size of a request in tokens.
+type Size struct {
+	Prompt int
+	Output int // expected
+}
+
+const (
+	// promptPart is the cost of a read token in generated ones.
+	promptPart = 0.25
+	// Before a model has answered on a route, half of its answers are taken to be sure enough, and those that are
+	// kept to be wrong this often.
+	firstKept  = 0.5
+	firstWrong = 0.15
+	// firstWeight is the number of answers that these figures weigh.
+	firstWeight = 8
+	// memory is the number of answers that count.
+	memory = 200
+)
+
+// Chooser learns from the confidence of the models on each route. Worth is set before the first call.
+type Chooser struct {
+	// Worth is what a right answer of the usual size is worth, in units of the models' cost.
+	Worth float64
+
+	seen  map[key]*record
+	usual map[string]float64 // weight of the usual request, by route
+}
+
+type key struct{ route, model string }
+
+// record is what is known of a model on a route: how many of its answers were kept, and how often those are wrong.
+type record struct{ all, kept, wrong float64 }
+
+// Start returns the index of the model that a request starts with. Models are ordered by size, smallest first.
+func (c *Chooser) Start(route string, models []Model, s Size) int {
+	c.observe(route, s)
+	best := len(models) - 1
+	last := models[best].price(s)
+	worth := c.worth(route, s)
+	least := last + worth*c.wrong(key{route, models[best].Name}, 0)
+	for i, m := range models[:len(models)-1] {
+		k := key{route, m.Name}
+		total := m.price(s) + (1-c.kept(k))*last + c.kept(k)*worth*c.wrong(k, firstWrong)
+		if total < least {
+			best, least = i, total
+		}
+	}
+	return best
+}
+
+// Keep decides whether an answer is passed on, or dropped and asked of the largest model, and learns from it. The
+// confidence is in [0, 1].
+func (c *Chooser) Keep(route string, models []Model, i int, confidence float64, s Size) bool {
+	keep := i == len(models)-1 || c.worth(route, s)*(1-confidence) <= models[len(models)-1].price(s)
+	if c.seen == nil {
+		c.seen = make(map[key]*record)
+	}
+	k := key{route, models[i].Name}
+	r := c.seen[k]
+	if r == nil {
+		r = &record{}
+		c.seen[k] = r
+	}
+	r.all++
+	if keep {
+		r.kept++
+		r.wrong += 1 - confidence
+	}
+	if r.all > memory {
+		f := memory / r.all
+		r.all, r.kept, r.wrong = r.all*f, r.kept*f, r.wrong*f
+	}
+	return keep
+}
+
+// outputWeight is the weight of a generated token, in read ones, in the worth of an answer.
+const outputWeight = 10
+
+// Part of an answer's worth that does not depend on its size, and the most that a large one is worth against a usual one.
+const (
+	fixedPart = 0.3
+	mostWorth = 4
+)
+
+// worth returns what a right answer of a size is worth: a long text that was read in vain costs its caller more.
+func (c *Chooser) worth(route string, s Size) float64 {
+	weight := float64(s.Prompt + outputWeight*s.Output)
+	usual, ok := c.usual[route]
+	if !ok {
+		usual = weight
+	}
+	return c.Worth * min(fixedPart+(1-fixedPart)*weight/max(usual, 1), mostWorth)
+}
+
+// observe moves the weight of the usual request of a route.
+func (c *Chooser) observe(route string, s Size) {
+	weight := float64(s.Prompt + outputWeight*s.Output)
+	if c.usual == nil {
+		c.usual = make(map[string]float64)
+	}
+	if usual, ok := c.usual[route]; ok {
+		weight = usual + (weight-usual)/usualMemory
+	}
+	c.usual[route] = weight
+}
+
+// usualMemory is the number of requests that the usual weight follows.
+const usualMemory = 30
+
+// kept returns the part of a model's answers that are kept.
+func (c *Chooser) kept(k key) float64 {
+	r := c.seen[k]
+	if r == nil {
+		return firstKept
+	}
+	return (r.kept + firstKept*firstWeight) / (r.all + firstWeight)
+}
+
+// wrong returns how often a kept answer of a model is wrong, by its own opinion.
+func (c *Chooser) wrong(k key, first float64) float64 {
+	r := c.seen[k]
+	if r == nil {
+		return first
+	}
+	return (r.wrong + first*firstWeight) / (r.kept + firstWeight)
+}
+
+// price returns the cost of one run.
+func (m Model) price(s Size) float64 {
+	return m.Cost * (float64(s.Output) + promptPart*float64(s.Prompt)) / 1000
+}
--- /dev/null
+++ b/core/models/chooser_test.go
@@ -0,0 +1,70 @@
+package models
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+var three = []Model{{"small", 0.02}, {"middle", 0.15}, {"large", 0.3}}
+
+// answer plays a model: whether its answer is right, and its rough opinion of that.
+func answer(r *rand.Rand, quality float64) (right bool, confidence float64) {
+	hard := r.Float64()
+	return hard < quality, min(max(0.5+(quality-hard)+(r.Float64()-0.5)*0.6, 0), 1)
+}
+
+// Guards against a choice that pays the largest model for every long prompt, or saves on short ones and gives wrong
+// answers. The load is 400 requests of one size; each rule is compared with always taking one model.
+func TestTotals(t *testing.T) {
+	qualities := []float64{0.58, 0.67, 1}
+	for _, c := range []struct {
+		name string
+		size Size
+	}{{"long prompt", Size{12000, 380}}, {"short prompt", Size{800, 290}}, {"short answer", Size{2300, 24}}} {
+		play := func(start func(ch *Chooser) int, escalate bool) float64 {
+			r := rand.New(rand.NewPCG(7, 7))
+			ch := &Chooser{Worth: 2}
+			total := 0.0
+			for range 400 {
+				i := start(ch)
+				right, sure := answer(r, qualities[i])
+				total += three[i].price(c.size)
+				if !ch.Keep("r", three, i, sure, c.size) && escalate {
+					total += three[2].price(c.size)
+					right = true
+				}
+				if !right {
+					total += 2
+				}
+			}
+			return total
+		}
+		got := play(func(ch *Chooser) int { return ch.Start("r", three, c.size) }, true)
+		for i := range three {
+			base := play(func(*Chooser) int { return i }, false)
+			assert.Check(t, got <= 1.05*base, "%s: %.0f, always %s %.0f", c.name, got, three[i].Name, base)
+		}
+	}
+}
+
+// Guards against large requests that always get the smallest model because the largest is dear for them: their answers are
+// worth more too.
+func TestLargeRequests(t *testing.T) {
+	c := &Chooser{Worth: 2}
+	for range 100 {
+		c.Start("r", three, Size{12000, 380})
+	}
+	assert.Check(t, !c.Keep("r", three, 0, 0.2, Size{12000, 380}))
+	assert.Check(t, !c.Keep("r", three, 0, 0.2, Size{36000, 1100}))
+	assert.Check(t, c.Keep("r", three, 0, 0.9, Size{36000, 1100}))
+}
+
+// Guards against an answer of the largest model that is dropped although no other can do better.
+func TestLargestIsKept(t *testing.T) {
+	c := &Chooser{Worth: 100}
+	assert.Check(t, c.Keep("r", three, 2, 0, Size{100, 100}))
+	assert.Check(t, !c.Keep("r", three, 0, 0.5, Size{100, 100}))
+	assert.Check(t, c.Keep("r", three, 0, 1, Size{100, 100}))
+}
--- a/internal/front/daemon.go
+++ b/internal/front/daemon.go
@@ -77,7 +77,7 @@
 	d.feed.Proof.Bound = s.Revoke
 	d.gateway = &gateway.Gateway{
 		Domain: s.Domain, State: &state{d.feed}, Backend: d.Backend, Clock: d.clock, Log: d.Log, Registry: registry,
-		Retries: retryPart * s.Retries, Grace: s.Grace - stopReserve,
+		Retries: retryPart * s.Retries, Grace: s.Grace - stopReserve, Worth: s.Worth,
 	}
 	d.gateway.Init()
 	d.Log.Info().Str("vm", s.Name).Str("domain", s.Domain).Str("callers", s.Callers).Str("store", s.Store).
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -11,6 +11,7 @@
 	"shallotrun/core/canary"
 	"shallotrun/core/catalog"
 	"shallotrun/core/clock"
+	"shallotrun/core/models"
 	"shallotrun/core/place"
 	"shallotrun/core/work"
 	"shallotrun/io/conn"
@@ -26,6 +27,9 @@
 	service string
 	spec    *catalog.Service // nil if the configuration does not describe the service
 	rank    int
+	models  []models.Model // that the router chooses from, smallest first
+	choice  int            // index of the model
+	size    models.Size
 	model   string
 	arrived clock.Time
 	end     clock.Time // when the final answer is due
@@ -88,6 +92,10 @@
 		if refusal != nil {
 			return x.give(refusal)
 		}
+		if x.unsureAnswer(reply) {
+			x.drop(reply)
+			continue
+		}
 		a, fault := x.take(reply)
 		if fault == nil {
 			return a
@@ -227,6 +235,18 @@
 
 var errTooLarge = errors.New("the answer is too large")
 
+// drop ends an attempt whose answer is not passed on because the model is not sure of it.
+func (x *exchange) drop(reply *Reply) {
+	x.answered()
+	reply.Close(false)
+	x.g.metrics.dropped.Inc()
+	x.g.Log.Info().Str("request", x.request.ID).Str("server", x.server.ID).Int("confidence", reply.Confidence).
+		Str("next", x.model).Int64("ms", int64(x.first)).Msg("gateway: answer dropped, the model is not sure of it")
+	x.sent++
+	x.unsure = true
+	x.result(work.Result{}, false)
+}
+
 // repeats reports whether a request that may have run may be sent again.
 func (x *exchange) repeats() bool { return x.route.Repeats() }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -35,6 +35,7 @@
 	Log      zerolog.Logger
 	Registry prometheus.Registerer
 	Retries  float64    // extra attempts for each request of a service
+	Worth    float64    // of a right answer, in units of the models' cost
 	Grace    clock.Span // time between the start of a planned stop and the end of the process
 
 	metrics *metrics
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -17,6 +17,7 @@
 	open     prometheus.Gauge
 	attempts prometheus.Counter
 	reports  prometheus.Counter
+	dropped  prometheus.Counter
 }
 
 func newMetrics(reg prometheus.Registerer) *metrics {
@@ -35,9 +36,10 @@
 		open:     prometheus.NewGauge(prometheus.GaugeOpts{Name: "shallot_gateway_open", Help: "Open requests."}),
 		attempts: prometheus.NewCounter(prometheus.CounterOpts{Name: "shallot_gateway_attempts_total", Help: "Requests sent to backend servers."}),
 		reports:  prometheus.NewCounter(prometheus.CounterOpts{Name: "shallot_gateway_reports_total", Help: "Reports asked of suspected servers."}),
+		dropped:  prometheus.NewCounter(prometheus.CounterOpts{Name: "shallot_gateway_dropped_total", Help: "Answers dropped because the model was not sure."}),
 	}
 	if reg != nil {
-		reg.MustRegister(m.answers, m.faults, m.seconds, m.first, m.retries, m.resumes, m.open, m.attempts, m.reports)
+		reg.MustRegister(m.answers, m.faults, m.seconds, m.first, m.retries, m.resumes, m.open, m.attempts, m.reports, m.dropped)
 	}
 	return m
 }
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -1,8 +1,64 @@
 package gateway
 
+import (
+	"shallotrun/core/catalog"
+	"shallotrun/core/models"
+)
+
+// outputPart is the part of the most tokens that an answer is expected to have if the caller gives no estimate.
+const outputPart = 0.3
+
 // chooseModel names the model on a route that leaves the choice to the router.
 func (x *exchange) chooseModel() {
-	if n := len(x.route.Models); n > 0 {
-		x.model = x.route.Models[n-1]
+	x.models = x.choices()
+	if len(x.models) == 0 {
+		return
+	}
+	x.size = models.Size{Prompt: x.request.Prompt, Output: x.request.Expected}
+	if x.size.Output == 0 {
+		x.size.Output = int(outputPart * float64(x.request.Output))
+	}
+	x.pool.mu.Lock()
+	defer x.pool.mu.Unlock()
+	x.choice = x.pool.chooser.Start(x.route.Name, x.models, x.size)
+	x.model = x.models[x.choice].Name
+}
+
+// choices returns the models of the route with their costs.
+func (x *exchange) choices() []models.Model {
+	out := make([]models.Model, 0, len(x.route.Models))
+	for _, name := range x.route.Models {
+		out = append(out, models.Model{Name: name, Cost: cost(x.spec, name)})
+	}
+	return out
+}
+
+// cost returns the cost of a model, 0 if the configuration does not say.
+func cost(spec *catalog.Service, name string) float64 {
+	if spec == nil || spec.Engine == nil {
+		return 0
+	}
+	for _, m := range spec.Engine.Models {
+		if m.Name == name {
+			return m.Cost
+		}
+	}
+	return 0
+}
+
+// unsureAnswer reports whether an answer, of which the caller has nothing yet, is to be dropped for one of the largest
+// model.
+func (x *exchange) unsureAnswer(reply *Reply) bool {
+	if len(x.models) == 0 || reply.Confidence == NoConfidence {
+		return false
+	}
+	x.pool.mu.Lock()
+	keep := x.pool.chooser.Keep(x.route.Name, x.models, x.choice, float64(reply.Confidence)/100, x.size)
+	x.pool.mu.Unlock()
+	if keep || x.sent+2 > x.route.Attempts || !x.more() {
+		return false
 	}
+	x.choice = len(x.models) - 1
+	x.model = x.models[x.choice].Name
+	return true
 }
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -8,6 +8,7 @@
 	"shallotrun/core/backend"
 	"shallotrun/core/catalog"
 	"shallotrun/core/clock"
+	"shallotrun/core/models"
 	"shallotrun/core/place"
 	"shallotrun/core/retry"
 	"shallotrun/core/work"
@@ -18,11 +19,12 @@
 	g       *Gateway
 	service string
 
-	mu     sync.Mutex
-	placer place.Placer
-	budget retry.Budget
-	use    map[string]*use // by server
-	cands  []place.Candidate
+	mu      sync.Mutex
+	placer  place.Placer
+	budget  retry.Budget
+	chooser models.Chooser
+	use     map[string]*use // by server
+	cands   []place.Candidate
 }
 
 // use is what this VM has at one server.
@@ -44,7 +46,7 @@
 	return &pool{
 		g: g, service: service, use: make(map[string]*use),
 		placer: place.Placer{Domain: g.Domain, Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))},
-		budget: retry.Budget{Ratio: g.Retries},
+		budget: retry.Budget{Ratio: g.Retries}, chooser: models.Chooser{Worth: g.Worth},
 	}
 }
 
--- a/internal/gateway/types.go
+++ b/internal/gateway/types.go
@@ -20,21 +20,22 @@
 
 // Request is one request of a caller. It is not changed once it is given to Serve.
 type Request struct {
-	ID      string
-	Method  string
-	URI     string // path and query as the caller sent them
-	Host    string
-	Fields  []Field
-	Body    []byte
-	Key     string     // "" for none
-	Wait    clock.Span // how long the caller waits, 0 if it does not say
-	Model   string     // "" for none
-	Prompt  int        // tokens
-	Output  int        // most tokens of the answer
-	Parts   []Part     // of the prompt, in order; the last one is the request's or its session's own
-	Session string     // "" for none
-	After   int64      // identifier of the last event that the caller has, NoEvent for none
-	Gone    func() bool
+	ID       string
+	Method   string
+	URI      string // path and query as the caller sent them
+	Host     string
+	Fields   []Field
+	Body     []byte
+	Key      string     // "" for none
+	Wait     clock.Span // how long the caller waits, 0 if it does not say
+	Model    string     // "" for none
+	Prompt   int        // tokens
+	Output   int        // most tokens of the answer
+	Expected int        // tokens of the answer by the caller's estimate, 0 for none
+	Parts    []Part     // of the prompt, in order; the last one is the request's or its session's own
+	Session  string     // "" for none
+	After    int64      // identifier of the last event that the caller has, NoEvent for none
+	Gone     func() bool
 }
 
 // NoEvent is the identifier before the first event.
--- a/internal/settings/front.go
+++ b/internal/settings/front.go
@@ -24,6 +24,7 @@
 	Revoke  clock.Span // within which a revoked key must be refused, 0 for no bound
 	Grace   clock.Span // between the order to stop and the end
 	Retries float64    // extra attempts for each request that the fleet may make
+	Worth   float64    // of a right answer, in units of the models' cost
 	Level   string     // of log lines
 }
 
@@ -47,9 +48,13 @@
 	{"bounds", "revoke", false, func(f *Front, v string) error { return span(&f.Revoke, v, 0, 3600_000) }},
 	{"bounds", "grace", true, func(f *Front, v string) error { return seconds(&f.Grace, v) }},
 	{"bounds", "retries", true, func(f *Front, v string) error { return ratio(&f.Retries, v) }},
+	{"models", "worth", false, func(f *Front, v string) error { return ratio(&f.Worth, v) }},
 	{"log", "level", false, func(f *Front, v string) error { return choice(&f.Level, v, "debug", "info", "warn", "error") }},
 }
 
+// defaultWorth is what a right answer is worth in units of the models' cost, which are those of 1,000 generated tokens.
+const defaultWorth = 2
+
 // LoadFront reads the settings file of the gateway daemon. The error is of type [Faults].
 func LoadFront(file string) (*Front, error) {
 	raw, err := os.ReadFile(file)
@@ -74,7 +79,7 @@
 	}
 	r := &reader{file: file, ini: f}
 	r.unknown(known)
-	out := &Front{Level: "info", Cores: 1}
+	out := &Front{Level: "info", Cores: 1, Worth: defaultWorth}
 	for _, k := range frontKeys {
 		v := strings.TrimSpace(f.Section(k.section).Key(k.name).Value())
 		switch {
