gateway: an attempt is ended only when another can follow

The caller got half an answer.

Change: a silent or slow attempt is ended only after the further attempt was taken from the budget; dropped answers leave a fifth of it to failures.

Ruled out: the server's death, it had seven requests running and seven waiting.

--- a/core/retry/budget.go
+++ b/core/retry/budget.go
@@ -62,6 +62,14 @@
 	b.tokens = min(b.tokens+1, b.limit())
 }
 
+// Full returns the part of the budget that is left, in [0, 1].
+func (b *Budget) Full() float64 {
+	if !b.started {
+		return 1
+	}
+	return b.tokens / b.limit()
+}
+
 func (b *Budget) advance(now clock.Time) {
 	if !b.started {
 		b.started, b.last, b.tokens = true, now, firstRetries
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -51,11 +51,13 @@
 	mu      sync.Mutex
 	waiting waiting
 	cause   cause
+	paid    bool // a further attempt was taken from the retry budget when the last one was ended
 }
 
 // waiting says what the exchange waits for, for the goroutine that watches it.
 type waiting struct {
 	on     bool // for bytes of a backend server
+	again  bool // a further attempt is within the route's bound
 	begun  bool // a stream of which events have arrived
 	since  clock.Time
 	limit  clock.Time // when the attempt is given up, 0 for never
@@ -253,7 +255,11 @@
 // more reports whether a further attempt is allowed, and takes it from the retry budget.
 func (x *exchange) more() bool {
 	now := x.g.Clock.Now()
-	return x.sent < x.route.Attempts && x.tries < maxTries && x.end.Sub(now) > leastLeft && x.pool.spend(now)
+	x.mu.Lock()
+	paid := x.paid
+	x.paid = false
+	x.mu.Unlock()
+	return x.sent < x.route.Attempts && x.tries < maxTries && x.end.Sub(now) > leastLeft && (paid || x.pool.spend(now))
 }
 
 // failed takes the failure of an attempt. It returns nil if the request is to be sent again, otherwise the refusal.
@@ -313,7 +319,7 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	x.waiting = waiting{
-		on: true, begun: x.events > 0, since: x.g.Clock.Now(), limit: limit, pool: x.pool, server: x.server,
+		on: true, again: x.sent+1 < x.route.Attempts && x.tries < maxTries, begun: x.events > 0, since: x.g.Clock.Now(), limit: limit, pool: x.pool, server: x.server,
 	}
 	if x.cause == causeSlow || x.cause == causeSilent {
 		x.cause = causeNone // of an earlier attempt
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -55,10 +55,17 @@
 	x.pool.mu.Lock()
 	keep := x.pool.chooser.Keep(x.route.Name, x.models, x.choice, float64(reply.Confidence)/100, x.size)
 	x.pool.mu.Unlock()
-	if keep || x.sent+2 > x.route.Attempts || !x.more() {
+	if keep || x.sent+2 > x.route.Attempts || !x.spare() {
 		return false
 	}
 	x.choice = len(x.models) - 1
 	x.model = x.models[x.choice].Name
 	return true
 }
+
+// spare reports whether a further attempt can be afforded that is no answer to a failure, and takes it from the retry
+// budget.
+func (x *exchange) spare() bool {
+	now := x.g.Clock.Now()
+	return x.tries < maxTries && x.end.Sub(now) > leastLeft && x.pool.spare(now)
+}
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -166,3 +166,13 @@
 	defer p.mu.Unlock()
 	return p.budget.Retry(now)
 }
+
+// spareLeast is the part of the retry budget that is kept for failures.
+const spareLeast = 0.2
+
+// spare takes a further attempt from the retry budget only while enough of it is left for failures.
+func (p *pool) spare(now clock.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.budget.Full() >= spareLeast && p.budget.Retry(now)
+}
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -64,14 +64,26 @@
 	w := x.waiting
 	x.mu.Unlock()
 	switch {
-	case !w.on:
+	case !w.on || !w.again:
 	case w.limit != 0 && now >= w.limit:
-		x.fail(causeSlow)
+		x.retry(now, w, causeSlow)
 	case x.route.Resumable && x.dead(now, w):
-		x.fail(causeSilent)
+		x.retry(now, w, causeSilent)
 	}
 }
 
+// retry ends the attempt that is under way if another one can follow. Otherwise it goes on: a late answer is better than
+// none.
+func (x *exchange) retry(now clock.Time, w waiting, c cause) {
+	if !w.again || x.end.Sub(now) <= leastLeft || !w.pool.spend(now) {
+		return
+	}
+	x.mu.Lock()
+	x.paid = true
+	x.mu.Unlock()
+	x.fail(c)
+}
+
 // dead reports whether the server of a resumable stream is gone or has lost the request. A server that only works on
 // long prompts sends nothing either, so it is asked first.
 func (x *exchange) dead(now clock.Time, w waiting) bool {
