gateway, feed, place: new connections after a failure, servers that are down, proof from watches with changes

Change: a watch that returns with changes proves the time at which it was sent; every further attempt uses a new connection; a server that cannot be reached is ejected at once. The price of a run grows when first events come late.

--- a/core/fresh/proof.go
+++ b/core/fresh/proof.go
@@ -24,8 +24,8 @@
 // Read records a linearizable read that was sent at a time.
 func (p *Proof) Read(sent clock.Time) { p.raise(sent) }
 
-// Watched records a watch that returned without changes: sent and received at these times, and held by the store for
-// the span that was asked for.
+// Watched records a watch that was sent and received at these times and whose changes, if any, are in force: held by the
+// store for the span that was asked for, or for 0 if it returned with changes.
 func (p *Proof) Watched(sent, received clock.Time, held clock.Span) {
 	p.raise(min(received, sent.Add(held)).Add(-hidden))
 }
--- a/core/models/chooser.go
+++ b/core/models/chooser.go
@@ -39,16 +39,19 @@
 // record is what is known of a model on a route: how many of its answers were kept, and how often those are wrong.
 type record struct{ all, kept, wrong float64 }
 
-// Start returns the index of the model that a request starts with. Models are ordered by size, smallest first.
-func (c *Chooser) Start(route string, models []Model, s Size) int {
+// Start returns the index of the model that a request starts with. Models are ordered by size, smallest first. Load is how
+// late the servers answer now, as a part of the objective: when they are late, each run takes time from other requests,
+// and a large model takes most.
+func (c *Chooser) Start(route string, models []Model, s Size, load float64) int {
 	c.observe(route, s)
 	best := len(models) - 1
-	last := models[best].price(s)
+	dear := dearness(load)
+	last := dear * models[best].price(s)
 	worth := c.worth(route, s)
 	least := last + worth*c.wrong(key{route, models[best].Name}, 0)
 	for i, m := range models[:len(models)-1] {
 		k := key{route, m.Name}
-		total := m.price(s) + (1-c.kept(k))*last + c.kept(k)*worth*c.wrong(k, firstWrong)
+		total := dear*m.price(s) + (1-c.kept(k))*last + c.kept(k)*worth*c.wrong(k, firstWrong)
 		if total < least {
 			best, least = i, total
 		}
@@ -58,8 +61,8 @@
 
 // Keep decides whether an answer is passed on, or dropped and asked of the largest model, and learns from it. The
 // confidence is in [0, 1].
-func (c *Chooser) Keep(route string, models []Model, i int, confidence float64, s Size) bool {
-	keep := i == len(models)-1 || c.worth(route, s)*(1-confidence) <= models[len(models)-1].price(s)
+func (c *Chooser) Keep(route string, models []Model, i int, confidence float64, s Size, load float64) bool {
+	keep := i == len(models)-1 || c.worth(route, s)*(1-confidence) <= dearness(load)*models[len(models)-1].price(s)
 	if c.seen == nil {
 		c.seen = make(map[key]*record)
 	}
@@ -133,6 +136,15 @@
 	return (r.wrong + first*firstWeight) / (r.kept + firstWeight)
 }
 
+// Load up to which the price of a run is only its cost, and the factor that it grows by for each unit beyond.
+const (
+	loadFree = 0.25
+	loadGain = 4
+)
+
+// dearness returns by how much a load raises the price of every run.
+func dearness(load float64) float64 { return 1 + loadGain*max(load-loadFree, 0) }
+
 // price returns the cost of one run.
 func (m Model) price(s Size) float64 {
 	return m.Cost * (float64(s.Output) + promptPart*float64(s.Prompt)) / 1000
--- a/core/models/chooser_test.go
+++ b/core/models/chooser_test.go
@@ -31,7 +31,7 @@
 				i := start(ch)
 				right, sure := answer(r, qualities[i])
 				total += three[i].price(c.size)
-				if !ch.Keep("r", three, i, sure, c.size) && escalate {
+				if !ch.Keep("r", three, i, sure, c.size, 0) && escalate {
 					total += three[2].price(c.size)
 					right = true
 				}
@@ -41,7 +41,7 @@
 			}
 			return total
 		}
-		got := play(func(ch *Chooser) int { return ch.Start("r", three, c.size) }, true)
+		got := play(func(ch *Chooser) int { return ch.Start("r", three, c.size, 0) }, true)
 		for i := range three {
 			base := play(func(*Chooser) int { return i }, false)
 			assert.Check(t, got <= 1.05*base, "%s: %.0f, always %s %.0f", c.name, got, three[i].Name, base)
@@ -54,17 +54,28 @@
 func TestLargeRequests(t *testing.T) {
 	c := &Chooser{Worth: 2}
 	for range 100 {
-		c.Start("r", three, Size{12000, 380})
+		c.Start("r", three, Size{12000, 380}, 0)
 	}
-	assert.Check(t, !c.Keep("r", three, 0, 0.2, Size{12000, 380}))
-	assert.Check(t, !c.Keep("r", three, 0, 0.2, Size{36000, 1100}))
-	assert.Check(t, c.Keep("r", three, 0, 0.9, Size{36000, 1100}))
+	assert.Check(t, !c.Keep("r", three, 0, 0.2, Size{12000, 380}, 0))
+	assert.Check(t, !c.Keep("r", three, 0, 0.2, Size{36000, 1100}, 0))
+	assert.Check(t, c.Keep("r", three, 0, 0.9, Size{36000, 1100}, 0))
+}
+
+// Guards against an overload that the largest model keeps up: when first events come late, short requests start small too,
+// and fewer answers are asked again.
+func TestLoad(t *testing.T) {
+	c := &Chooser{Worth: 2}
+	s := Size{800, 290}
+	assert.Equal(t, c.Start("r", three, s, 0), 2)
+	assert.Equal(t, c.Start("r", three, s, 1.5), 0)
+	assert.Check(t, !c.Keep("r", three, 0, 0.9, s, 0))
+	assert.Check(t, c.Keep("r", three, 0, 0.9, s, 1.5))
 }
 
 // Guards against an answer of the largest model that is dropped although no other can do better.
 func TestLargestIsKept(t *testing.T) {
 	c := &Chooser{Worth: 100}
-	assert.Check(t, c.Keep("r", three, 2, 0, Size{100, 100}))
-	assert.Check(t, !c.Keep("r", three, 0, 0.5, Size{100, 100}))
-	assert.Check(t, c.Keep("r", three, 0, 1, Size{100, 100}))
+	assert.Check(t, c.Keep("r", three, 2, 0, Size{100, 100}, 0))
+	assert.Check(t, !c.Keep("r", three, 0, 0.5, Size{100, 100}, 0))
+	assert.Check(t, c.Keep("r", three, 0, 1, Size{100, 100}, 0))
 }
--- a/core/place/server.go
+++ b/core/place/server.go
@@ -6,7 +6,7 @@
 )
 
 const (
-	// A server is ejected after this many failures in a row, first for ejectBase and twice as long each time
+	// A server is ejected when it cannot be reached, or after this many failures in a row, first for ejectBase and twice as long each time
 	// until a success. One failure may be the request's own, three in a row hardly are. The longest one leaves
 	// room in the 5 s within which a pool has to recover.
 	ejectRow  = 3
@@ -92,7 +92,7 @@
 	switch {
 	case r.Failed:
 		s.row++
-		if s.row >= ejectRow && now >= s.ejected {
+		if (r.Down || s.row >= ejectRow) && now >= s.ejected {
 			s.eject = min(max(2*s.eject, ejectBase), ejectMost)
 			s.ejected = now.Add(s.eject)
 		}
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -118,8 +118,12 @@
 		return 0, err
 	}
 	f.changes(k, b)
-	if k == Configs && len(b.Objects) == 0 {
-		f.Proof.Watched(sent, f.Clock.Boot(), watchWait[k])
+	if k == Configs {
+		held := watchWait[k]
+		if len(b.Objects) > 0 {
+			held = 0 // it returned as soon as there was a change
+		}
+		f.Proof.Watched(sent, f.Clock.Boot(), held)
 	}
 	return max(b.Rev, rev), nil
 }
--- /dev/null
+++ b/internal/feed/feed_test.go
@@ -0,0 +1,155 @@
+package feed
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"shallotrun/core/backend"
+	"shallotrun/core/canary"
+	"shallotrun/core/catalog"
+	"shallotrun/core/clock"
+)
+
+// script is a store whose answers are given by the test, one for each call.
+type script struct {
+	lists   map[Kind]Batch
+	watches chan answer // of configurations; the other kinds wait
+	orders  chan canary.Order
+	listed  chan Kind
+}
+
+type answer struct {
+	batch Batch
+	err   error
+}
+
+func (s *script) List(_ context.Context, k Kind) (Batch, error) {
+	if s.listed != nil {
+		s.listed <- k
+	}
+	return s.lists[k], nil
+}
+
+func (s *script) Watch(ctx context.Context, k Kind, _ uint64, _ clock.Span) (Batch, error) {
+	if k == Configs {
+		select {
+		case a := <-s.watches:
+			return a.batch, a.err
+		case <-ctx.Done():
+		}
+	}
+	<-ctx.Done()
+	return Batch{}, ctx.Err()
+}
+
+func (s *script) SetOrder(_ context.Context, o canary.Order) error {
+	select {
+	case s.orders <- o:
+	default:
+	}
+	return ErrConflict
+}
+
+func config(version uint64) Batch {
+	return Batch{Rev: version, Objects: []Object{{Name: "main", Config: &catalog.Config{Version: version}}}}
+}
+
+func run(t *testing.T, s *script) (*Feed, clock.Clock) {
+	c := clock.NewManual(100_000)
+	f := &Feed{Store: s, Clock: c}
+	f.Proof.Bound = 5000
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { f.Run(ctx); close(done) }()
+	t.Cleanup(func() { cancel(); <-done })
+	waitFor(t, f.Synchronised)
+	return f, c
+}
+
+func waitFor(t *testing.T, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(10 * time.Second); !ok(); time.Sleep(time.Millisecond) {
+		assert.Assert(t, time.Now().Before(end), "the condition never holds")
+	}
+}
+
+// Guards against a VM that refuses all work that needs a key while the operator changes the configuration every second:
+// no watch then ends without a change.
+func TestProofDuringChanges(t *testing.T) {
+	s := &script{lists: map[Kind]Batch{Configs: config(1)}, watches: make(chan answer)}
+	f, c := run(t, s)
+	for v := uint64(2); v < 12; v++ {
+		c.Advance(1000)
+		s.watches <- answer{batch: config(v)}
+		waitFor(t, func() bool { return f.Config.Table().Config.Version == v })
+		assert.Check(t, f.Fresh(), "version %d", v)
+	}
+}
+
+// Guards against a VM that goes on serving keys when the store has not answered for the bound.
+func TestProofEnds(t *testing.T) {
+	s := &script{lists: map[Kind]Batch{Configs: config(1)}, watches: make(chan answer)}
+	f, c := run(t, s)
+	s.watches <- answer{err: errors.New("cut off")}
+	assert.Check(t, f.Fresh())
+	c.Advance(5000)
+	assert.Check(t, !f.Fresh())
+	assert.Check(t, f.Synchronised(), "what was read stays in force for work that needs no key")
+}
+
+// Guards against changes that are missed when the store drops its history.
+func TestHistoryGone(t *testing.T) {
+	s := &script{lists: map[Kind]Batch{Configs: config(3)}, watches: make(chan answer), listed: make(chan Kind, 100)}
+	f, _ := run(t, s)
+	for range kinds {
+		<-s.listed
+	}
+	s.watches <- answer{err: ErrHistory}
+	assert.Equal(t, <-s.listed, Configs)
+	assert.Equal(t, f.Config.Table().Config.Version, uint64(3))
+}
+
+// Guards against a VM that acts on a version's order before it says so in the store, and against a verdict without the
+// revision that was read.
+func TestOrderIsTaken(t *testing.T) {
+	s := &script{watches: make(chan answer), orders: make(chan canary.Order, 1), lists: map[Kind]Batch{
+		Configs: config(1),
+		Orders:  {Rev: 9, Objects: []Object{{Name: "s", Order: &canary.Order{Service: "s", Target: "v2", Duration: 20000, Rev: 8}}}},
+	}}
+	run(t, s)
+	o := <-s.orders
+	assert.Equal(t, o.State, canary.Running)
+	assert.Equal(t, o.Rev, uint64(8))
+	assert.Check(t, o.Started != 0)
+}
+
+// Guards against work for a version that no order names, and for either version after the verdict.
+func TestChoose(t *testing.T) {
+	old, target := backend.Server{ID: "a", Version: "v1", Made: 3}, backend.Server{ID: "b", Version: "v2", Made: 9}
+	all := []backend.Server{target, old}
+	for _, c := range []struct {
+		name  string
+		state canary.State
+		order bool
+		want  string
+	}{
+		{"no order", canary.New, false, "a"},
+		{"running, first half", canary.Running, true, "a"},
+		{"done", canary.Done, true, "b"},
+		{"rolled back", canary.RolledBack, true, "a"},
+	} {
+		b := &Board{}
+		if c.order {
+			b.put(0, 0, canary.Order{Service: "s", Target: "v2", Duration: 20000, State: c.state})
+		}
+		for _, session := range []string{"", "x", "y"} {
+			got := b.Choose(1000, "s", session, all)
+			assert.Equal(t, len(got), 1, c.name)
+			assert.Equal(t, got[0].ID, c.want, c.name)
+		}
+	}
+}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -153,7 +153,7 @@
 			return x.over(work.CodeStale, "the key was taken away")
 		}
 	}
-	server, ok := x.pool.pick(now, x.request.Session, x.ask(), x.spec)
+	server, ok := x.pool.pick(now, x)
 	if !ok {
 		return x.over(work.CodeNoServer, "no backend server can take the request")
 	}
@@ -182,7 +182,7 @@
 func (x *exchange) attempt() *Attempt {
 	a := &Attempt{
 		Request: x.request, Server: x.server, Model: x.model, Urgency: x.rank, Left: x.end.Sub(x.g.Clock.Now()),
-		After: x.last, Stream: x.route.Kind == catalog.Streaming, Abort: &x.abort,
+		After: x.last, Fresh: x.tries > 1, Stream: x.route.Kind == catalog.Streaming, Abort: &x.abort,
 	}
 	if x.space != nil {
 		a.Workspace = x.space.Name
@@ -266,7 +266,7 @@
 func (x *exchange) failed(f *Fault) *work.Refusal {
 	why := x.ended()
 	x.idle()
-	x.result(work.Result{Failed: f.How != Refuse, Refused: f.How == Refuse}, false)
+	x.result(work.Result{Failed: f.How != Refuse, Refused: f.How == Refuse, Down: f.How == Unsent || f.How == Moved}, false)
 	x.tried = append(x.tried, x.server.ID)
 	x.log(f, why)
 	switch f.How {
@@ -349,6 +349,9 @@
 	x.started, x.first = true, max(now.Sub(x.begun), 1)
 	x.pool.started(x.server.ID)
 	x.pool.heard(x.server.ID, now)
+	if len(x.models) > 0 && x.route.Objective > 0 {
+		x.pool.late(float64(x.first) / float64(x.route.Objective))
+	}
 }
 
 // result reports the end of an attempt.
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -6,7 +6,6 @@
 	"sync"
 
 	"shallotrun/core/backend"
-	"shallotrun/core/catalog"
 	"shallotrun/core/clock"
 	"shallotrun/core/models"
 	"shallotrun/core/place"
@@ -23,6 +22,7 @@
 	placer  place.Placer
 	budget  retry.Budget
 	chooser models.Chooser
+	load    float64         // how late first events come, as a part of the objective
 	use     map[string]*use // by server
 	cands   []place.Candidate
 }
@@ -51,22 +51,22 @@
 }
 
 // pick selects a server among those of the allowed versions, false if there is none with room.
-func (p *pool) pick(now clock.Time, session string, ask place.Ask, spec *catalog.Service) (backend.Server, bool) {
-	all := p.g.State.Choose(now, p.service, session, p.g.State.Servers(now, p.service))
+func (p *pool) pick(now clock.Time, x *exchange) (backend.Server, bool) {
+	all := p.g.State.Choose(now, p.service, x.request.Session, p.g.State.Servers(now, p.service))
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.cands = p.cands[:0]
 	for _, v := range all {
 		c := place.Candidate{Name: v.ID, Domain: v.Domain, Load: work.Load{Slots: v.Slots}}
-		if spec != nil && spec.Conns > 0 {
-			c.Slots = max(spec.Conns/connPart, 1)
+		if x.spec != nil && x.spec.Conns > 0 {
+			c.Slots = max(x.spec.Conns/connPart, 1)
 		}
 		if u := p.use[v.ID]; u != nil {
 			c.Own, c.Starting = u.own, u.starting
 		}
 		p.cands = append(p.cands, c)
 	}
-	name, ok := p.placer.Pick(now, ask, p.cands)
+	name, ok := p.placer.Pick(now, x.ask(), p.cands)
 	if !ok {
 		return backend.Server{}, false
 	}
@@ -107,6 +107,19 @@
 	}
 }
 
+// loadMemory is the number of first events that the load of a service follows.
+const loadMemory = 12
+
+// late records how late a first event came, as a part of the objective.
+func (p *pool) late(part float64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.load += (min(part, loadMost) - p.load) / loadMemory
+}
+
+// loadMost bounds what one first event says about the load.
+const loadMost = 3
+
 // heard records bytes from a server.
 func (p *pool) heard(server string, now clock.Time) {
 	p.mu.Lock()
--- a/internal/gateway/types.go
+++ b/internal/gateway/types.go
@@ -67,6 +67,7 @@
 	Urgency   int        // rank for the server's own queue, 0 first
 	Left      clock.Span // time until the end
 	After     int64      // event after which the server is to go on, NoEvent for the start
+	Fresh     bool       // on a new connection: an open one may lead to a server that is gone
 	Stream    bool       // the answer is expected to be a series of events
 	Abort     *conn.Abort
 }
