--- a/internal/front/daemon.go
+++ b/internal/front/daemon.go
@@ -55,6 +55,8 @@
 	balancerLag = 3 * clock.Second
 	// stopReserve is kept of the grace for the end of the process.
 	stopReserve = 600 * clock.Millisecond
+	// leastGrace is what open requests get of a short grace.
+	leastGrace = 100 * clock.Millisecond
 	// bodyLimit is the size limit of a request's body, in bytes.
 	bodyLimit = 4 << 20
 	// headerLimit is the size limit of a request's line and headers, in bytes.
@@ -127,7 +129,7 @@
 		Listener: ln, Handler: dialect.Handle, Failed: dialect.Unreadable, Body: bodyLimit, Header: headerLimit,
 		Linger: min(balancerLag, d.Settings.Grace/2), Log: d.Log,
 	}
-	srv.Grace = d.Settings.Grace - srv.Linger - stopReserve
+	srv.Grace = max(d.Settings.Grace-srv.Linger-stopReserve, leastGrace)
 	return srv.Run(ctx)
 }
 
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -42,10 +42,11 @@
 	events   int            // of the attempt
 	tries    int            // attempts, whatever became of them
 	sent     int            // attempts that count against the route's bound
-	tried    []string
-	unsure   bool   // an attempt may have run
-	fallback *Whole // a failure of a server that is passed on if no further attempt does better
-	last     int64  // identifier of the last event that the caller has
+	tried    []string       // servers that failed the request
+	shut     []string       // of them those that did not take it
+	unsure   bool           // an attempt may have run
+	fallback *Whole         // a failure of a server that is passed on if no further attempt does better
+	last     int64          // identifier of the last event that the caller has
 	abort    conn.Abort
 
 	mu      sync.Mutex
@@ -269,6 +270,9 @@
 	x.result(work.Result{Failed: f.How != Refuse, Refused: f.How == Refuse, Down: f.How == Unsent || f.How == Moved}, false)
 	x.tried = append(x.tried, x.server.ID)
 	x.log(f, why)
+	if f.How != Unknown {
+		x.shut = append(x.shut, x.server.ID)
+	}
 	switch f.How {
 	case Unsent, Moved:
 	case Refuse:
--- /dev/null
+++ b/internal/gateway/fake_test.go
@@ -0,0 +1,192 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"shallotrun/core/backend"
+	"shallotrun/core/canary"
+	"shallotrun/core/catalog"
+	"shallotrun/core/clock"
+	"shallotrun/core/work"
+)
+
+// fakeState is the platform's store as the request path sees it.
+type fakeState struct {
+	table   atomic.Pointer[catalog.Table]
+	stale   atomic.Bool
+	servers []backend.Server
+	mu      sync.Mutex
+	results []canary.Result
+}
+
+func (s *fakeState) Table() *catalog.Table { return s.table.Load() }
+func (s *fakeState) Fresh() bool           { return !s.stale.Load() }
+func (s *fakeState) Servers(_ clock.Time, service string) (out []backend.Server) {
+	for _, v := range s.servers {
+		if v.Service == service {
+			out = append(out, v)
+		}
+	}
+	return out
+}
+
+func (s *fakeState) Choose(_ clock.Time, _, _ string, all []backend.Server) []backend.Server {
+	return all
+}
+
+func (s *fakeState) Report(_ string, v canary.Result) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.results = append(s.results, v)
+}
+
+// step is what a backend server does with one attempt.
+type step struct {
+	how        How   // with fail
+	fail       bool  // the attempt fails with how
+	status     int   // 0 means 200
+	events     int64 // of a stream, up to this identifier
+	cut        bool  // the stream breaks after its events
+	hang       bool  // nothing comes until the attempt is ended
+	confidence int
+}
+
+// fakeBackend answers attempts by a script; the last step goes for all later ones.
+type fakeBackend struct {
+	script []step
+
+	mu       sync.Mutex
+	attempts []Attempt
+	reports  int
+	dead     bool // reports fail
+}
+
+func (b *fakeBackend) Report(backend.Server) (work.Load, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.reports++
+	if b.dead {
+		return work.Load{}, errors.New("no answer")
+	}
+	return work.Load{Running: 1, Waiting: 1}, nil
+}
+
+func (b *fakeBackend) Send(a *Attempt) (*Reply, error) {
+	b.mu.Lock()
+	b.attempts = append(b.attempts, *a) //nolint:govet // the abort is not used through the copy
+	s := b.script[min(len(b.attempts), len(b.script))-1]
+	b.mu.Unlock()
+	if s.fail {
+		return nil, &Fault{How: s.how, Err: errors.New("scripted")}
+	}
+	r := &Reply{Status: s.status, Confidence: s.confidence, Close: func(bool) {}}
+	if r.Status == 0 {
+		r.Status = 200
+	}
+	if !a.Stream || r.Status != 200 {
+		r.Body = strings.NewReader(fmt.Sprint("body of ", a.Server.ID))
+		return r, nil
+	}
+	r.Events = &fakeEvents{next: a.After + 1, last: s.events, cut: s.cut, hang: s.hang, ended: func() bool { return a.Abort.Ended() }}
+	return r, nil
+}
+
+func (b *fakeBackend) sent() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.attempts)
+}
+
+type fakeEvents struct {
+	next, last int64
+	cut, hang  bool
+	ended      func() bool
+}
+
+func (e *fakeEvents) Buffered() bool { return false }
+
+func (e *fakeEvents) Next(ev *Event) error {
+	if e.next <= e.last {
+		ev.ID, ev.Raw = e.next, fmt.Appendf(nil, "id: %d\ndata: x\n\n", e.next)
+		e.next++
+		return nil
+	}
+	for e.hang {
+		time.Sleep(time.Millisecond)
+		if e.ended() {
+			return errors.New("ended")
+		}
+	}
+	if e.cut {
+		return io.ErrUnexpectedEOF
+	}
+	return io.EOF
+}
+
+const testHost = "x.example"
+
+func testTable(version uint64, keys ...string) *catalog.Table {
+	route := func(name string, k catalog.Kind, attempts int) catalog.Route {
+		return catalog.Route{
+			Name: name, Host: testHost, Prefix: "/" + name + "/", Kind: k, Timeout: 5 * clock.Second, Objective: clock.Second,
+			Gap: clock.Second, Attempts: attempts, Splits: []catalog.Split{{Service: "s", Weight: 1}},
+		}
+	}
+	resumable := route("resumable", catalog.Streaming, 3)
+	resumable.Resumable = true
+	sized := resumable
+	sized.Name, sized.Prefix, sized.Models = "sized", "/sized/", []string{"small", "large"}
+	return catalog.NewTable(catalog.Config{
+		Version: version, Workspaces: []catalog.Workspace{{Name: "w", Keys: keys, Rank: catalog.NoRank}},
+		Routes: []catalog.Route{
+			route("safe", catalog.Safe, 2), route("unsafe", catalog.Unsafe, 3), route("stream", catalog.Streaming, 3), resumable, sized,
+		},
+		Services: []catalog.Service{{Name: "s", Engine: &catalog.Engine{Models: []catalog.Model{{Name: "small", Cost: 0.1}, {Name: "large", Cost: 9}}}}},
+	})
+}
+
+func start(t *testing.T, b *fakeBackend) (*Gateway, *fakeState) {
+	s := &fakeState{}
+	s.table.Store(testTable(7, "k"))
+	for i := range 4 {
+		s.servers = append(s.servers, backend.Server{ID: fmt.Sprint("s", i), Service: "s", Version: "v1", Slots: 8})
+	}
+	g := &Gateway{State: s, Backend: b, Retries: 0.5, Worth: 2, Grace: 4 * clock.Second}
+	g.Init()
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { g.Run(ctx); close(done) }()
+	t.Cleanup(func() { cancel(); <-done })
+	return g, s
+}
+
+func ask(path string) *Request {
+	return &Request{ID: "r1", Method: "POST", URI: path, Host: testHost, Key: "k", After: NoEvent, Prompt: 100, Output: 100}
+}
+
+// read reads a stream to its end.
+func read(t *testing.T, a Answer) (string, error) {
+	s, ok := a.(*Stream)
+	assert.Assert(t, ok, "%+v", a)
+	b, err := io.ReadAll(s)
+	assert.NilError(t, s.Close())
+	return string(b), err
+}
+
+func events(from, to int64) string {
+	var b strings.Builder
+	for n := from; n <= to; n++ {
+		fmt.Fprintf(&b, "id: %d\ndata: x\n\n", n)
+	}
+	return b.String()
+}
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -66,7 +66,13 @@
 		}
 		p.cands = append(p.cands, c)
 	}
-	name, ok := p.placer.Pick(now, x.ask(), p.cands)
+	ask := x.ask()
+	name, ok := p.placer.Pick(now, ask, p.cands)
+	if !ok && len(x.shut) < len(x.tried) {
+		// Every server failed this request: those that took it may be tried again.
+		ask.Exclude = x.shut
+		name, ok = p.placer.Pick(now, ask, p.cands)
+	}
 	if !ok {
 		return backend.Server{}, false
 	}
--- a/io/conn/abort.go
+++ b/io/conn/abort.go
@@ -8,9 +8,10 @@
 // Abort ends a call from another goroutine by closing its connection. The zero value is ready; one Abort serves
 // the calls of one request, one after the other. Methods of a nil Abort do nothing.
 type Abort struct {
-	mu   sync.Mutex
-	conn net.Conn
-	done bool
+	mu     sync.Mutex
+	conn   net.Conn
+	done   bool // no later call is started
+	broken bool // the last call was ended
 }
 
 // Abort ends the call that is under way and every later one.
@@ -28,6 +29,7 @@
 func (a *Abort) Break() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.broken = true
 	if a.conn != nil {
 		_ = a.conn.Close()
 		a.conn = nil
@@ -44,7 +46,7 @@
 	if a.done {
 		return false
 	}
-	a.conn = c
+	a.conn, a.broken = c, false
 	return true
 }
 
@@ -59,3 +61,10 @@
 	a.conn = nil
 	return open
 }
+
+// Ended reports whether the call that was bound last was ended.
+func (a *Abort) Ended() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.done || a.broken
+}
