follow: one VM of a failure domain asks the store, the others follow it

Change: the VMs of a domain ask the first of them in a hash order what changed, a few times a second, over the existing authenticated peer transport; the age of the proof of the configuration counts from the moment of the question. A VM without a good answer asks the store itself. The secret and the list of VMs lie in the store.

Ruled out: handing on whole configurations (a few hundred routes to each VM of a domain over its own link); pushing changes without a question, which proves nothing about age.

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -18,7 +18,7 @@
 
 // Longest time that a watch waits in the store. A watch whose connection went silent is found when it should have
 // returned, so the time bounds how late a change is learnt then.
-var watchWait = [kinds]clock.Span{Configs: 1500, Servers: 1800, Orders: 4000}
+var watchWait = [kinds]clock.Span{Configs: 1200, Servers: 1800, Orders: 4000, Members: 15000}
 
 // Delays after a failed call.
 const (
@@ -33,13 +33,21 @@
 	Log   zerolog.Logger
 	Proof fresh.Proof // Bound is set before Run
 
+	// Covered, if set, waits while another VM hands on what the store says, and returns when this VM has to ask the
+	// store itself.
+	Covered func(ctx context.Context)
+
 	Config catalog.Current
 	Orders Board
 
+	applying [kinds]sync.Mutex // held while changes of a kind are taken
+
 	mu      sync.Mutex
 	servers backend.Set
 	listed  [kinds]bool
 	failing [kinds]bool
+	past    [kinds]history
+	members map[string]Member
 }
 
 // Run follows the store until ctx ends.
@@ -76,13 +84,15 @@
 
 // follow lists and watches one kind.
 func (f *Feed) follow(ctx context.Context, k Kind) {
-	var rev uint64
 	known := false
 	delay := retryFirst
 	for ctx.Err() == nil {
-		next, err := f.step(ctx, k, rev, known)
+		if known && f.Covered != nil {
+			f.Covered(ctx)
+		}
+		err := f.step(ctx, k, known)
 		if err == nil {
-			rev, known, delay = next, true, retryFirst
+			known, delay = true, retryFirst
 			f.answered(k)
 			continue
 		}
@@ -100,24 +110,16 @@
 }
 
 // step makes one call and takes what it returns.
-func (f *Feed) step(ctx context.Context, k Kind, rev uint64, known bool) (uint64, error) {
+func (f *Feed) step(ctx context.Context, k Kind, known bool) error {
 	sent := f.Clock.Boot()
 	if !known {
-		b, err := f.Store.List(ctx, k)
-		if err != nil {
-			return 0, err
-		}
-		f.list(k, b)
-		if k == Configs {
-			f.Proof.Read(sent)
-		}
-		return b.Rev, nil
+		return f.Relist(ctx, k)
 	}
-	b, err := f.Store.Watch(ctx, k, rev, watchWait[k])
+	b, err := f.Store.Watch(ctx, k, f.Revisions()[k], watchWait[k])
 	if err != nil {
-		return 0, err
+		return err
 	}
-	f.changes(k, b)
+	f.apply(k, b)
 	if k == Configs {
 		held := watchWait[k]
 		if len(b.Objects) > 0 {
@@ -125,7 +127,67 @@
 		}
 		f.Proof.Watched(sent, f.Clock.Boot(), held)
 	}
-	return max(b.Rev, rev), nil
+	return nil
+}
+
+// Relist reads all objects of a kind from the store.
+func (f *Feed) Relist(ctx context.Context, k Kind) error {
+	sent := f.Clock.Boot()
+	b, err := f.Store.List(ctx, k)
+	if err != nil {
+		return err
+	}
+	f.applying[k].Lock()
+	if b.Rev >= f.Revisions()[k] {
+		f.list(k, b)
+		f.mu.Lock()
+		f.past[k].restart(b.Rev)
+		f.mu.Unlock()
+	}
+	f.applying[k].Unlock()
+	if k == Configs {
+		f.Proof.Read(sent)
+	}
+	return nil
+}
+
+// apply takes changes, from the store or from another VM, unless what is known already is newer: an answer of the one
+// may arrive after a later answer of the other.
+func (f *Feed) apply(k Kind, b Batch) {
+	f.applying[k].Lock()
+	defer f.applying[k].Unlock()
+	if b.Rev < f.Revisions()[k] {
+		return
+	}
+	f.changes(k, b)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.past[k].add(b)
+}
+
+// Resync reads from the store what a delta says is missing here.
+func (f *Feed) Resync(ctx context.Context, d Delta) error {
+	for k := range kinds {
+		t := f.Config.Table()
+		behind := k == Configs && (t == nil || t.Config.Version < d.Config)
+		if !behind && !d.Kinds[k].Gap {
+			continue
+		}
+		if err := f.Relist(ctx, k); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Members returns the VMs of the fleet.
+func (f *Feed) Members() (out []Member) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, m := range f.members {
+		out = append(out, m)
+	}
+	return out
 }
 
 // list takes all objects of a kind.
@@ -147,6 +209,11 @@
 	case Orders:
 		f.Orders.keep(b.Objects)
 		f.changes(k, b)
+	default:
+		f.mu.Lock()
+		f.members = make(map[string]Member)
+		f.mu.Unlock()
+		f.changes(k, b)
 	}
 	f.mu.Lock()
 	f.listed[k] = true
@@ -163,6 +230,8 @@
 			f.configured(o.Config, b.Rev)
 		case k == Servers:
 			f.server(now, o, b.Rev)
+		case k == Members:
+			f.member(o)
 		case k == Orders && o.Removed:
 			f.Orders.remove(o.Name)
 		case o.Order != nil:
@@ -200,6 +269,19 @@
 		Bool("leaving", o.Server.Leaving).Msg("feed: backend server")
 }
 
+func (f *Feed) member(o Object) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.members == nil {
+		f.members = make(map[string]Member)
+	}
+	if o.Removed || o.Member == nil {
+		delete(f.members, o.Name)
+		return
+	}
+	f.members[o.Name] = *o.Member
+}
+
 func (f *Feed) answered(k Kind) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -54,6 +54,10 @@
 	return ErrConflict
 }
 
+func (s *script) Join(context.Context, Member) error                 { return nil }
+func (s *script) Leave(context.Context, string) error                { return nil }
+func (s *script) Secret(_ context.Context, p []byte) ([]byte, error) { return p, nil }
+
 func config(version uint64) Batch {
 	return Batch{Rev: version, Objects: []Object{{Name: "main", Config: &catalog.Config{Version: version}}}}
 }
--- /dev/null
+++ b/internal/feed/hand.go
@@ -0,0 +1,112 @@
+package feed
+
+import (
+	"shallotrun/core/clock"
+)
+
+// handMost is the number of changes of a kind that are kept for other VMs.
+const handMost = 256
+
+// Delta is what one VM hands on to another about the kinds of objects.
+type Delta struct {
+	Age    clock.Span // of the proof that the configuration is the newest one
+	Config uint64     // version in force
+	Kinds  [kinds]Changes
+}
+
+// Changes are the changes of a kind after a revision.
+type Changes struct {
+	Gap     bool // they are not all kept: the kind has to be listed
+	Objects []Object
+	Rev     uint64
+}
+
+// Revisions says up to where a VM knows each kind.
+type Revisions [kinds]uint64
+
+// history keeps the changes of one kind, in order.
+type history struct {
+	from    uint64 // changes up to here are not kept
+	rev     uint64
+	batches []Batch
+}
+
+func (h *history) restart(rev uint64) { *h = history{from: rev, rev: rev} }
+
+func (h *history) add(b Batch) {
+	h.rev = max(h.rev, b.Rev)
+	if len(b.Objects) == 0 {
+		return
+	}
+	h.batches = append(h.batches, b)
+	if n := len(h.batches); n > handMost {
+		h.from = h.batches[n-handMost-1].Rev
+		h.batches = append([]Batch(nil), h.batches[n-handMost:]...)
+	}
+}
+
+// since returns the changes after a revision.
+func (h *history) since(rev uint64) Changes {
+	c := Changes{Rev: h.rev}
+	if rev < h.from {
+		c.Gap = true
+		return c
+	}
+	for _, b := range h.batches {
+		if b.Rev > rev {
+			c.Objects = append(c.Objects, b.Objects...)
+		}
+	}
+	return c
+}
+
+// Revisions returns up to where this VM knows each kind.
+func (f *Feed) Revisions() (out Revisions) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for k := range out {
+		out[k] = f.past[k].rev
+	}
+	return out
+}
+
+// Since returns what this VM knows beyond the revisions of another one. A changed configuration is not handed on, since
+// it may be large: the other VM reads it from the store.
+func (f *Feed) Since(revs Revisions) Delta {
+	d := Delta{Age: f.Proof.Age(f.Clock.Boot())}
+	if t := f.Config.Table(); t != nil {
+		d.Config = t.Config.Version
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for k := range kinds {
+		if k == Configs {
+			d.Kinds[k].Rev = f.past[k].rev
+			continue
+		}
+		d.Kinds[k] = f.past[k].since(revs[k])
+	}
+	return d
+}
+
+// Take applies what another VM handed on in answer to a question that was sent at a time. It returns false if something
+// has to be read from the store instead.
+func (f *Feed) Take(sent clock.Time, d Delta) bool {
+	t := f.Config.Table()
+	if t == nil || t.Config.Version < d.Config {
+		return false
+	}
+	for k := range kinds {
+		if d.Kinds[k].Gap {
+			return false
+		}
+	}
+	for k := range kinds {
+		if k != Configs {
+			f.apply(k, Batch{Objects: d.Kinds[k].Objects, Rev: d.Kinds[k].Rev})
+		}
+	}
+	// The other VM took the age after the question was sent, so the proof is not older than that.
+	f.Proof.Read(sent.Add(-d.Age))
+	return true
+}
--- a/internal/feed/store.go
+++ b/internal/feed/store.go
@@ -15,6 +15,7 @@
 	Configs Kind = iota
 	Servers
 	Orders
+	Members
 	kinds
 )
 
@@ -36,6 +37,15 @@
 	Config  *catalog.Config
 	Server  *backend.Server
 	Order   *canary.Order
+	Member  *Member
+}
+
+// Member is a VM of this fleet.
+type Member struct {
+	Name   string
+	Domain string // failure domain
+	Addr   string // IP:port for its peers
+	Inc    uint64 // incarnation
 }
 
 // Batch is a list of objects, or of changes, as of a revision.
@@ -52,6 +62,11 @@
 	Watch(ctx context.Context, k Kind, rev uint64, wait clock.Span) (Batch, error)
 	// SetOrder writes the state of an order that was read, and the time of its start. It fails with ErrConflict.
 	SetOrder(ctx context.Context, o canary.Order) error
+	// Join writes the entry of a VM, Leave removes it.
+	Join(ctx context.Context, m Member) error
+	Leave(ctx context.Context, name string) error
+	// Secret returns the fleet's secret. The first VM that asks creates it from the proposal.
+	Secret(ctx context.Context, proposal []byte) ([]byte, error)
 }
 
 // String returns the name of the kind for log lines.
@@ -61,7 +76,9 @@
 		return "configuration"
 	case Servers:
 		return "backend servers"
-	default:
+	case Orders:
 		return "orders"
+	default:
+		return "members"
 	}
 }
--- /dev/null
+++ b/internal/follow/follow_test.go
@@ -0,0 +1,300 @@
+package follow
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"shallotrun/core/backend"
+	"shallotrun/core/canary"
+	"shallotrun/core/catalog"
+	"shallotrun/core/clock"
+	"shallotrun/internal/feed"
+)
+
+// store is the platform's store for several VMs. Each VM has its own view of it, which can be cut.
+type store struct {
+	mu      sync.Mutex
+	rev     uint64
+	config  uint64
+	servers map[string]backend.Server
+	members map[string]feed.Member
+	changes []change
+	secret  []byte
+}
+
+type change struct {
+	kind feed.Kind
+	rev  uint64
+	o    feed.Object
+}
+
+type view struct {
+	*store
+	mu    sync.Mutex
+	cut   bool
+	calls int
+}
+
+var errCut = errors.New("cut off")
+
+func (v *view) count() error {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.calls++
+	if v.cut {
+		return errCut
+	}
+	return nil
+}
+
+func (v *view) set(cut bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.cut, v.calls = cut, 0
+}
+
+func (v *view) made() int {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.calls
+}
+
+func (s *store) add(k feed.Kind, o feed.Object) {
+	s.rev++
+	s.changes = append(s.changes, change{k, s.rev, o})
+}
+
+func (s *store) put(v backend.Server) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.servers[v.ID] = v
+	s.add(feed.Servers, feed.Object{Name: v.ID, Server: &v})
+}
+
+func (s *store) configure(version uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.config = version
+	s.add(feed.Configs, feed.Object{Name: "main", Config: &catalog.Config{Version: version}})
+}
+
+func (v *view) List(_ context.Context, k feed.Kind) (feed.Batch, error) {
+	if err := v.count(); err != nil {
+		return feed.Batch{}, err
+	}
+	v.store.mu.Lock()
+	defer v.store.mu.Unlock()
+	b := feed.Batch{Rev: v.rev}
+	switch k {
+	case feed.Configs:
+		b.Objects = []feed.Object{{Name: "main", Config: &catalog.Config{Version: v.config}}}
+	case feed.Servers:
+		for name, s := range v.servers {
+			b.Objects = append(b.Objects, feed.Object{Name: name, Server: &s})
+		}
+	case feed.Members:
+		for name, m := range v.members {
+			b.Objects = append(b.Objects, feed.Object{Name: name, Member: &m})
+		}
+	}
+	return b, nil
+}
+
+func (v *view) Watch(ctx context.Context, k feed.Kind, rev uint64, wait clock.Span) (feed.Batch, error) {
+	if err := v.count(); err != nil {
+		return feed.Batch{}, err
+	}
+	end := time.Now().Add(wait.Std())
+	for {
+		v.store.mu.Lock()
+		b := feed.Batch{Rev: v.rev}
+		for _, c := range v.changes {
+			if c.kind == k && c.rev > rev {
+				b.Objects = append(b.Objects, c.o)
+			}
+		}
+		v.store.mu.Unlock()
+		if len(b.Objects) > 0 || time.Now().After(end) || ctx.Err() != nil {
+			return b, ctx.Err()
+		}
+		time.Sleep(2 * time.Millisecond)
+	}
+}
+
+func (v *view) SetOrder(context.Context, canary.Order) error { return nil }
+
+func (v *view) Join(_ context.Context, m feed.Member) error {
+	v.store.mu.Lock()
+	defer v.store.mu.Unlock()
+	v.members[m.Name] = m
+	v.add(feed.Members, feed.Object{Name: m.Name, Member: &m})
+	return nil
+}
+
+func (v *view) Leave(_ context.Context, name string) error {
+	v.store.mu.Lock()
+	defer v.store.mu.Unlock()
+	delete(v.members, name)
+	v.add(feed.Members, feed.Object{Name: name, Removed: true})
+	return nil
+}
+
+func (v *view) Secret(_ context.Context, p []byte) ([]byte, error) {
+	v.store.mu.Lock()
+	defer v.store.mu.Unlock()
+	if v.secret == nil {
+		v.secret = p
+	}
+	return v.secret, nil
+}
+
+// vm is one VM of the test.
+type vm struct {
+	name     string
+	view     *view
+	feed     *feed.Feed
+	follower *Follower
+	stop     func()
+}
+
+func (m *vm) following() string {
+	m.follower.mu.Lock()
+	defer m.follower.mu.Unlock()
+	return m.follower.leading
+}
+
+func fleet(t *testing.T, s *store, names ...string) (out []*vm) {
+	for _, name := range names {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NilError(t, err)
+		assert.NilError(t, ln.Close())
+		v := &view{store: s}
+		f := &feed.Feed{Store: v}
+		f.Proof.Bound = 5000
+		w := &Follower{Self: feed.Member{Name: name, Domain: "d", Addr: ln.Addr().String(), Inc: 1}, Feed: f}
+		w.Init()
+		ctx, cancel := context.WithCancel(context.Background())
+		var wg sync.WaitGroup
+		wg.Add(2)
+		go func() { defer wg.Done(); f.Run(ctx) }()
+		go func() { defer wg.Done(); w.Run(ctx) }()
+		var once sync.Once
+		m := &vm{name: name, view: v, feed: f, follower: w, stop: func() { once.Do(func() { cancel(); wg.Wait() }) }}
+		t.Cleanup(m.stop)
+		out = append(out, m)
+	}
+	return out
+}
+
+func waitFor(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(20 * time.Second); !ok(); time.Sleep(5 * time.Millisecond) {
+		assert.Assert(t, time.Now().Before(end), what)
+	}
+}
+
+func newStore() *store {
+	return &store{config: 1, rev: 1, servers: map[string]backend.Server{}, members: map[string]feed.Member{}}
+}
+
+// leader returns the VM that all others follow, nil while there is none.
+func leader(all []*vm) *vm {
+	var lead *vm
+	for _, m := range all {
+		if m.following() == "" {
+			if lead != nil {
+				return nil
+			}
+			lead = m
+		}
+	}
+	return lead
+}
+
+// Guards against a fleet in which every VM asks the store, against changes that do not reach the VMs that do not ask, and
+// against VMs that stay without news when the one that asked is gone or has lost its way to the store.
+func TestFollow(t *testing.T) {
+	s := newStore()
+	all := fleet(t, s, "a", "b", "c", "e")
+	waitFor(t, "one VM asks", func() bool { return leader(all) != nil })
+	lead := leader(all)
+	time.Sleep(1300 * time.Millisecond) // watches that were under way end
+	for _, m := range all {
+		m.view.set(false)
+	}
+	s.put(backend.Server{ID: "x", Service: "s"})
+	for _, m := range all {
+		waitFor(t, "the server is known", func() bool { return len(m.feed.Servers(m.follower.Clock.Now(), "s")) == 1 })
+	}
+	s.put(backend.Server{ID: "x", Service: "s", Leaving: true})
+	for _, m := range all {
+		waitFor(t, "the server leaves", func() bool { return len(m.feed.Servers(m.follower.Clock.Now(), "s")) == 0 })
+	}
+	for _, m := range all {
+		assert.Check(t, m == lead || m.view.made() == 0, "%s asked the store %d times", m.name, m.view.made())
+	}
+	s.configure(5)
+	for _, m := range all {
+		waitFor(t, "the configuration is in force", func() bool { return m.feed.Config.Table().Config.Version == 5 })
+		assert.Check(t, m.feed.Fresh())
+	}
+	lead.view.set(true)
+	waitFor(t, "another VM asks", func() bool {
+		n := 0
+		for _, m := range all {
+			if m != lead && m.following() != lead.name {
+				n++
+			}
+		}
+		return n == len(all)-1
+	})
+	s.configure(6)
+	for _, m := range all {
+		if m == lead {
+			continue
+		}
+		waitFor(t, "the next configuration is in force", func() bool { return m.feed.Config.Table().Config.Version == 6 })
+		assert.Check(t, m.feed.Fresh(), m.name)
+	}
+	waitFor(t, "the VM that is cut off has no proof", func() bool { return !lead.feed.Fresh() })
+	lead.stop()
+	s.put(backend.Server{ID: "y", Service: "s"})
+	for _, m := range all {
+		if m != lead {
+			waitFor(t, "the server is known", func() bool { return len(m.feed.Servers(m.follower.Clock.Now(), "s")) == 1 })
+		}
+	}
+}
+
+// Guards against VMs that follow each other in a circle: then no one would ask the store.
+func TestChooseHasNoCircle(t *testing.T) {
+	var all []feed.Member
+	for _, name := range []string{"a", "b", "c", "d", "e", "f"} {
+		all = append(all, feed.Member{Name: name, Domain: "d"})
+	}
+	all = append(all, feed.Member{Name: "far", Domain: "other"})
+	for mask := range 1 << 6 {
+		shunned := func(name string) bool { return mask>>(name[0]-'a')&1 == 1 }
+		follows := make(map[string]string)
+		for _, m := range all[:6] {
+			if to, ok := choose(m, all, shunned); ok {
+				assert.Check(t, to.Name != "far")
+				follows[m.Name] = to.Name
+			}
+		}
+		for _, m := range all[:6] {
+			at, steps := m.Name, 0
+			for follows[at] != "" {
+				at = follows[at]
+				steps++
+				assert.Assert(t, steps <= 6, "a circle at %s, passed over %b", m.Name, mask)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/follow/follower.go
@@ -0,0 +1,245 @@
+package follow
+
+import (
+	"context"
+	"crypto/rand"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/samber/oops"
+	"github.com/valyala/fasthttp"
+
+	"shallotrun/core/clock"
+	"shallotrun/internal/feed"
+	"shallotrun/io/peer"
+)
+
+const (
+	// askEvery is the interval at which a VM asks the one that it follows.
+	askEvery = 300 * clock.Millisecond
+	// askTime bounds the wait for an answer.
+	askTime = 500 * clock.Millisecond
+	// oldestProof is the age of a proof from which the VM that has it is no longer followed. It is above the age that a
+	// VM with a sound way to the store reaches between two watches.
+	oldestProof = 3900 * clock.Millisecond
+	// beat bounds the silence of a peer's connection to three times this.
+	beat = 500 * clock.Millisecond
+	// secretBytes is the length of the fleet's secret.
+	secretBytes = 32
+	// setupRetry is the delay before the entry in the store is tried again.
+	setupRetry = 500 * clock.Millisecond
+)
+
+// Follower follows another VM, and is followed. Set the exported fields before Run.
+type Follower struct {
+	Self  feed.Member
+	Feed  *feed.Feed
+	Clock clock.Clock
+	Log   zerolog.Logger
+
+	transport *peer.Transport
+
+	mu      sync.Mutex
+	shunned map[string]clock.Time // until when
+	leading string                // VM that is followed, "" for none
+	dialled string                // VM that is being connected to
+	since   clock.Time            // when that began
+	covered bool
+	changed chan struct{} // closed when covered changes
+}
+
+// Init prepares the follower. It is called once, before the feed runs.
+func (f *Follower) Init() {
+	f.shunned, f.changed = make(map[string]clock.Time), make(chan struct{})
+	f.Feed.Covered = f.wait
+}
+
+// Run follows until ctx ends, then removes this VM's entry.
+func (f *Follower) Run(ctx context.Context) {
+	ln, err := net.Listen("tcp", f.Self.Addr)
+	if err != nil {
+		f.Log.Error().Err(err).Msg("follow: no port for peers, this VM asks the store itself")
+		return
+	}
+	if !f.setup(ctx) {
+		_ = ln.Close()
+		return
+	}
+	srv := &fasthttp.Server{Handler: f.serve, NoDefaultServerHeader: true, Logger: silent{}}
+	go func() { _ = srv.Serve(ln) }()
+	t := time.NewTicker(askEvery.Std())
+	defer t.Stop()
+	for ctx.Err() == nil {
+		f.set(f.step(ctx))
+		select {
+		case <-ctx.Done():
+		case <-t.C:
+		}
+	}
+	f.set("")
+	_ = ln.Close()
+	end, cancel := context.WithTimeout(context.WithoutCancel(ctx), askTime.Std())
+	defer cancel()
+	if err := f.Feed.Store.Leave(end, f.Self.Name); err != nil {
+		f.Log.Warn().Err(err).Msg("follow: this VM's entry stays in the store")
+	}
+}
+
+// setup gets the fleet's secret and writes this VM's entry.
+func (f *Follower) setup(ctx context.Context) bool {
+	proposal := make([]byte, secretBytes)
+	if _, err := rand.Read(proposal); err != nil {
+		f.Log.Error().Err(err).Msg("follow: no random numbers, this VM asks the store itself")
+		return false
+	}
+	for ctx.Err() == nil {
+		secret, err := f.Feed.Store.Secret(ctx, proposal)
+		if err == nil {
+			f.transport = &peer.Transport{
+				Name: f.Self.Name, Inc: f.Self.Inc, Keys: [][]byte{secret}, Beat: beat, Handler: (*handler)(f), Log: zerolog.Nop(),
+			}
+			f.transport.Run(ctx)
+			err = f.Feed.Store.Join(ctx, f.Self)
+		}
+		if err == nil {
+			return true
+		}
+		f.Log.Warn().Err(err).Msg("follow: this VM cannot join yet")
+		select {
+		case <-ctx.Done():
+		case <-time.After(setupRetry.Std()):
+		}
+	}
+	return false
+}
+
+// step asks the VM that is to be followed, and returns its name if it answered well.
+func (f *Follower) step(ctx context.Context) string {
+	if !f.Feed.Synchronised() {
+		return ""
+	}
+	now := f.Clock.Now()
+	m, ok := choose(f.Self, f.Feed.Members(), func(name string) bool { return now < f.until(name) })
+	if f.leading != "" && (!ok || m.Name != f.leading) {
+		f.transport.Disconnect(f.leading)
+	}
+	if !ok {
+		return ""
+	}
+	f.transport.Connect(m.Name, m.Addr)
+	if !f.transport.Reachable(m.Name) && f.connecting(m.Name, now) {
+		return ""
+	}
+	if err := f.ask(ctx, m); err != nil {
+		f.shun(m.Name, now, err)
+		return ""
+	}
+	return m.Name
+}
+
+// ask makes one question and takes the answer.
+func (f *Follower) ask(ctx context.Context, m feed.Member) error {
+	asking, cancel := context.WithTimeout(ctx, askTime.Std())
+	defer cancel()
+	sent := f.Clock.Boot()
+	var d feed.Delta
+	if err := f.transport.Ask(asking, m.Name, peer.KindFeed, f.Feed.Revisions(), &d); err != nil {
+		return err
+	}
+	if d.Age > oldestProof {
+		return oops.Errorf("its proof is %d ms old", d.Age)
+	}
+	if f.Feed.Take(sent, d) {
+		return nil
+	}
+	return f.Feed.Resync(ctx, d)
+}
+
+// connectSpan is the time for the first connection to a VM.
+const connectSpan = 1500 * clock.Millisecond
+
+// connecting reports whether a connection to a VM may still come up.
+func (f *Follower) connecting(name string, now clock.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.dialled != name {
+		f.dialled, f.since = name, now
+	}
+	return now.Sub(f.since) < connectSpan
+}
+
+func (f *Follower) until(name string) clock.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.shunned[name]
+}
+
+func (f *Follower) shun(name string, now clock.Time, err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.shunned[name] = now.Add(shunSpan)
+	f.dialled = ""
+	f.Log.Info().Err(err).Str("vm", name).Msg("follow: no good answer, it is passed over")
+}
+
+// set records which VM is followed.
+func (f *Follower) set(name string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if name != f.leading {
+		f.Log.Info().Str("vm", name).Str("before", f.leading).Msg("follow: followed VM changes; without one this VM asks the store")
+		f.leading = name
+	}
+	if covered := name != ""; covered != f.covered {
+		f.covered = covered
+		close(f.changed)
+		f.changed = make(chan struct{})
+	}
+}
+
+// wait returns when this VM follows none, or ctx ends.
+func (f *Follower) wait(ctx context.Context) {
+	for ctx.Err() == nil {
+		f.mu.Lock()
+		covered, changed := f.covered, f.changed
+		f.mu.Unlock()
+		if !covered {
+			return
+		}
+		select {
+		case <-ctx.Done():
+		case <-changed:
+		}
+	}
+}
+
+func (f *Follower) serve(ctx *fasthttp.RequestCtx) {
+	if string(ctx.Path()) != peer.Path {
+		ctx.SetStatusCode(fasthttp.StatusNotFound)
+		return
+	}
+	f.transport.Serve(ctx)
+}
+
+// handler answers the VMs that follow this one.
+type handler Follower
+
+func (h *handler) Handle(e *peer.Envelope) (string, any, error) {
+	if e.Kind != peer.KindFeed {
+		return "", nil, oops.Errorf("unknown kind %q", e.Kind)
+	}
+	var revs feed.Revisions
+	if err := e.Decode(&revs); err != nil {
+		return "", nil, err
+	}
+	return peer.KindFeed, h.Feed.Since(revs), nil
+}
+
+func (h *handler) Up(string, uint64) {}
+
+// silent drops what fasthttp logs about broken connections.
+type silent struct{}
+
+func (silent) Printf(string, ...any) {}
--- a/internal/front/daemon.go
+++ b/internal/front/daemon.go
@@ -19,6 +19,7 @@
 	"shallotrun/core/clock"
 	"shallotrun/core/work"
 	"shallotrun/internal/feed"
+	"shallotrun/internal/follow"
 	"shallotrun/internal/gateway"
 	"shallotrun/internal/settings"
 	"shallotrun/io/caller"
@@ -117,6 +118,7 @@
 	if err != nil {
 		return oops.Wrapf(err, "listen on %s", d.Settings.Callers)
 	}
+	followed := d.follow(help)
 	go d.feed.Run(help)
 	go d.gateway.Run(help)
 	go d.reload(help)
@@ -129,10 +131,29 @@
 		Listener: ln, Handler: dialect.Handle, Failed: dialect.Unreadable, Body: bodyLimit, Header: headerLimit,
 		Linger: min(balancerLag, d.Settings.Grace/2), Log: d.Log,
 	}
+	defer followed()
 	srv.Grace = max(d.Settings.Grace-srv.Linger-stopReserve, leastGrace)
 	return srv.Run(ctx)
 }
 
+// follow starts to follow another VM. The function that it returns waits until this VM has left.
+func (d *Daemon) follow(ctx context.Context) func() {
+	if d.Settings.Peers == "" {
+		return func() {}
+	}
+	f := &follow.Follower{
+		Self: feed.Member{
+			Name: d.Settings.Name, Domain: d.Settings.Domain, Addr: d.Settings.Peers, Inc: uint64(d.clock.Wall()),
+		},
+		Feed: d.feed, Clock: d.clock, Log: d.Log,
+	}
+	f.Init()
+	ctx, stop := context.WithCancel(ctx)
+	done := make(chan struct{})
+	go func() { f.Run(ctx); close(done) }()
+	return func() { stop(); <-done }
+}
+
 // ready reports whether the balancer should send new connections.
 func (d *Daemon) ready() bool {
 	return !d.gateway.Stopping() && d.feed.Synchronised() && d.feed.Fresh()
--- a/internal/settings/front.go
+++ b/internal/settings/front.go
@@ -20,6 +20,7 @@
 	Callers string     // IP:port for callers
 	Ready   string     // IP:port for the balancer's question
 	Metrics string     // IP:port for metrics, "" for none
+	Peers   string     // IP:port for the other VMs, "" for none: this VM then asks the store itself
 	Store   string     // IP:port of the platform's store
 	Revoke  clock.Span // within which a revoked key must be refused, 0 for no bound
 	Grace   clock.Span // between the order to stop and the end
@@ -44,6 +45,7 @@
 	{"listen", "callers", true, func(f *Front, v string) error { return addr(&f.Callers, v) }},
 	{"listen", "ready", true, func(f *Front, v string) error { return addr(&f.Ready, v) }},
 	{"listen", "metrics", false, func(f *Front, v string) error { return addr(&f.Metrics, v) }},
+	{"listen", "peers", false, func(f *Front, v string) error { return addr(&f.Peers, v) }},
 	{"store", "addr", true, func(f *Front, v string) error { return addr(&f.Store, v) }},
 	{"bounds", "revoke", false, func(f *Front, v string) error { return span(&f.Revoke, v, 0, 3600_000) }},
 	{"bounds", "grace", true, func(f *Front, v string) error { return seconds(&f.Grace, v) }},
--- a/io/peer/envelope.go
+++ b/io/peer/envelope.go
@@ -38,6 +38,7 @@
 	KindAsk    = "ask"
 	KindGrant  = "grant"
 	KindBye    = "bye"
+	KindFeed   = "feed" // what the platform's store says, from a VM that asks it
 )
 
 // Envelope is one frame. From and Inc are sent in the hello only; the receiver fills them in on later
