--- a/core/canary/canary_test.go
+++ b/core/canary/canary_test.go
@@ -118,6 +118,23 @@
 	}
 }
 
+// Guards against a good version that is taken for slow because more of its answers come from a large model.
+func TestModelsDiffer(t *testing.T) {
+	r := &Rollout{Order: Order{Service: "s", Target: "v2", Duration: 10000}}
+	for i := range 400 {
+		model, pace := "small", 15.0
+		if i%10 == 0 {
+			model, pace = "large", 110
+		}
+		r.Report(Result{Route: "a", Model: model, Version: "v1", First: 50, Pace: pace})
+	}
+	for range 60 {
+		r.Report(Result{Route: "a", Model: "large", Version: "v2", First: 50, Pace: 120})
+	}
+	s, reason := r.Decide(5000)
+	assert.Equal(t, s, Running, reason)
+}
+
 // Guards against a verdict that a later result takes back, and against requests for a version that was withdrawn.
 func TestVerdictStands(t *testing.T) {
 	r := &Rollout{Order: Order{Service: "s", Target: "v2", Duration: 10000}}
--- a/core/canary/rollout.go
+++ b/core/canary/rollout.go
@@ -33,7 +33,7 @@
 	Seen  clock.Time // by this VM
 
 	evidence rollout.Evidence
-	usual    map[string]*usual // by route
+	usual    map[pair]*usual
 	old, new map[string]*tally // results of each version, by service and route
 	total    float64           // requests of the service since the order
 	exposed  float64           // of them to the new version
@@ -41,6 +41,9 @@
 	verdict  string            // why the new version is bad, "" if it is not
 }
 
+// pair is a route and a model, whose answers take alike long.
+type pair struct{ route, model string }
+
 // usual is the time that the old version takes on a route, as the mean of logarithms, which outliers move little.
 type usual struct {
 	first, pace float64
@@ -99,12 +102,12 @@
 		return
 	}
 	if r.usual == nil {
-		r.usual = make(map[string]*usual)
+		r.usual = make(map[pair]*usual)
 	}
-	u := r.usual[v.Route]
+	u := r.usual[pair{v.Route, v.Model}]
 	if u == nil {
 		u = &usual{}
-		r.usual[v.Route] = u
+		r.usual[pair{v.Route, v.Model}] = u
 	}
 	target := v.Version == r.Order.Target
 	bad := v.Failed || target && u.slow(v)
--- a/core/canary/types.go
+++ b/core/canary/types.go
@@ -27,6 +27,7 @@
 // Result is what one request to a backend server showed.
 type Result struct {
 	Route   string
+	Model   string // that answered, "" for none: models differ in speed
 	Version string
 	Failed  bool       // the server failed, not the caller and not the connection
 	First   clock.Span // time to the answer or the first event
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -366,7 +366,7 @@
 	if r.Refused || r.Failed && !bad {
 		return
 	}
-	v := canary.Result{Route: x.route.Name, Version: x.server.Version, Failed: bad, First: x.first}
+	v := canary.Result{Route: x.route.Name, Model: x.model, Version: x.server.Version, Failed: bad, First: x.first}
 	if x.events > paceLeast {
 		v.Pace = float64(r.Total-r.First) / float64(x.events-1)
 	}
