canary: answers of the old version count as slow by the same measure

Change: slow answers of the old version count against it by the same measure; the usual time follows 300 answers, and the old version's rate is taken 0.7 standard errors up.

--- a/core/canary/canary_test.go
+++ b/core/canary/canary_test.go
@@ -81,6 +81,13 @@
 			v.Failed = r.Float64() < 0.14
 			return v
 		}, Done},
+		{"good, under a load that makes one in four answers of both versions slow", func(_ clock.Time, r *rand.Rand, _ bool, _ string) Result {
+			v := ok(r)
+			if r.IntN(4) == 0 {
+				v.First *= 12
+			}
+			return v
+		}, Done},
 		{"errors", func(_ clock.Time, r *rand.Rand, target bool, _ string) Result {
 			v := ok(r)
 			v.Failed = target && r.Float64() < 0.4
--- a/core/canary/rollout.go
+++ b/core/canary/rollout.go
@@ -10,15 +10,18 @@
 
 const (
 	// An answer counts as slow, and so as bad, at this many times the usual time.
-	slowFactor = 4
+	slowFactor = 5
 	// What is below this time is not slow, whatever the usual time.
 	slowLeast = 60 * clock.Millisecond
 	// usualLeast is the number of answers after which the usual time is known well enough.
 	usualLeast = 10
+	// usualMost is the number of answers that the usual time follows. It is long, so that what counts as slow hardly
+	// moves while versions are compared.
+	usualMost = 300
 	// The new version is blamed only if the odds are this high, as a logarithm, that its answers fail riseFactor times
 	// as often as those of the old version in the same time: a fault of the network or of a dependency strikes both.
 	// Any of several VMs may blame it on any route, so the odds are higher than for one test.
-	riseOdds   = 9
+	riseOdds   = 8
 	riseFactor = 3
 	riseLeast  = 0.3
 	// Before the last stage the new version gets at most this part of all requests since the order, and a few, even
@@ -53,14 +56,19 @@
 // tally counts the results of a version.
 type tally struct{ bad, all float64 }
 
-// rate returns the part of bad results, a little above the observed one while there are few.
+// rate returns the part of bad results, a little above the observed one: a rate that is taken too low by chance would
+// blame the other version.
 func (t *tally) rate() float64 {
 	if t == nil {
 		return 0
 	}
-	return max((t.bad+1)/(t.all+10), leastRate)
+	p := (t.bad + 1) / (t.all + 10)
+	return max(p+rateMargin*math.Sqrt(p*(1-p)/(t.all+10)), leastRate)
 }
 
+// rateMargin is how far above the observed rate the rate is taken, in standard errors.
+const rateMargin = 0.7
+
 // leastRate is the rate of failures below which no version is taken to be.
 const leastRate = 0.02
 
@@ -110,11 +118,13 @@
 		r.usual[pair{v.Route, v.Model}] = u
 	}
 	target := v.Version == r.Order.Target
-	bad := v.Failed || target && u.slow(v)
+	// Answers of the old version count as slow by the same measure, so that load that slows both is not blamed on the
+	// new one.
+	bad := v.Failed || u.slow(v)
 	switch {
 	case target && !bad:
 		r.good++
-	case !target && !bad:
+	case !target && !v.Failed:
 		u.add(v)
 	}
 	for _, model := range []string{r.Order.Service, v.Route} {
@@ -181,7 +191,7 @@
 
 func (u *usual) add(v Result) {
 	u.count++
-	weight := 1 / float64(min(u.count, 50))
+	weight := 1 / float64(min(u.count, usualMost))
 	u.first += (math.Log(float64(max(v.First, 1))) - u.first) * weight
 	u.pace += (math.Log(max(v.Pace, 0.1)) - u.pace) * weight
 }
