--- a/internal/feed/board.go
+++ b/internal/feed/board.go
@@ -130,6 +130,9 @@
 		pause(ctx, clock.Span(float64(decideEvery)*(0.5+rand.Float64())))
 		orders, reasons := f.Orders.due(f.Clock.Now(), f.Clock.Wall())
 		for i, o := range orders {
+			if o.State == canary.Done && !f.settled() {
+				continue
+			}
 			err := f.Store.SetOrder(ctx, o)
 			l := f.Log.Info()
 			if err != nil && !errors.Is(err, ErrConflict) {
@@ -150,6 +153,23 @@
 	return float64(xxhash.Sum64String(session+" "+version)>>11) / (1 << 53)
 }
 
+// settleSpan is how long the store must have answered before an order is finished. A VM that found the new version bad
+// writes that as soon as the store answers, and must not come second to one that did not notice.
+const settleSpan = 3 * clock.Second
+
+func (f *Feed) settled() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.trouble == 0 || f.Clock.Now().Sub(f.trouble) >= settleSpan
+}
+
+// Trouble records that what the store says did not reach this VM.
+func (f *Feed) Trouble() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.trouble = f.Clock.Now()
+}
+
 // split returns the servers of a version, or those of every other one.
 func split(all []backend.Server, version string, same bool) (out []backend.Server) {
 	for _, v := range all {
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -18,7 +18,7 @@
 
 // Longest time that a watch waits in the store. A watch whose connection went silent is found when it should have
 // returned, so the time bounds how late a change is learnt then.
-var watchWait = [kinds]clock.Span{Configs: 1200, Servers: 1800, Orders: 4000, Members: 15000}
+var watchWait = [kinds]clock.Span{Configs: 1200, Servers: 1200, Orders: 4000, Members: 15000}
 
 // Delays after a failed call.
 const (
@@ -47,6 +47,8 @@
 	listed  [kinds]bool
 	failing [kinds]bool
 	past    [kinds]history
+	trouble clock.Time        // when the store last failed to answer this VM
+	heard   [kinds]clock.Time // by Clock.Boot: when the store last answered about a kind
 	members map[string]Member
 }
 
@@ -120,6 +122,7 @@
 		return err
 	}
 	f.apply(k, b)
+	f.hear(k)
 	if k == Configs {
 		held := watchWait[k]
 		if len(b.Objects) > 0 {
@@ -145,12 +148,19 @@
 		f.mu.Unlock()
 	}
 	f.applying[k].Unlock()
+	f.hear(k)
 	if k == Configs {
 		f.Proof.Read(sent)
 	}
 	return nil
 }
 
+func (f *Feed) hear(k Kind) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.heard[k] = f.Clock.Boot()
+}
+
 // apply takes changes, from the store or from another VM, unless what is known already is newer: an answer of the one
 // may arrive after a later answer of the other.
 func (f *Feed) apply(k Kind, b Batch) {
@@ -294,6 +304,9 @@
 func (f *Feed) failed(k Kind, err error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if !errors.Is(err, ErrHistory) {
+		f.trouble = f.Clock.Now()
+	}
 	if k == Servers && !errors.Is(err, ErrHistory) {
 		f.servers.Away()
 	}
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -131,6 +131,26 @@
 	assert.Check(t, o.Started != 0)
 }
 
+// Guards against a VM that finishes an order as soon as the store is back, before another one can say that the new version is
+// bad.
+func TestOrderIsFinishedOnlyWithASettledStore(t *testing.T) {
+	s := &script{watches: make(chan answer), orders: make(chan canary.Order, 1), lists: map[Kind]Batch{
+		Configs: config(1),
+		Orders:  {Rev: 9, Objects: []Object{{Name: "s", Order: &canary.Order{Service: "s", Target: "v2", Duration: 10000, State: canary.Running}}}},
+	}}
+	f, c := run(t, s)
+	for range 20 {
+		f.Orders.Report("s", canary.Result{Route: "r", Version: "v2", First: 10})
+	}
+	f.Trouble()
+	c.Advance(9500)
+	f.Trouble()
+	time.Sleep(600 * time.Millisecond) // the order is looked at meanwhile
+	assert.Equal(t, len(s.orders), 0)
+	c.Advance(settleSpan)
+	assert.Equal(t, (<-s.orders).State, canary.Done)
+}
+
 // Guards against work for a version that no order names, and for either version after the verdict.
 func TestChoose(t *testing.T) {
 	old, target := backend.Server{ID: "a", Version: "v1", Made: 3}, backend.Server{ID: "b", Version: "v2", Made: 9}
--- a/internal/feed/hand.go
+++ b/internal/feed/hand.go
@@ -10,6 +10,7 @@
 // Delta is what one VM hands on to another about the kinds of objects.
 type Delta struct {
 	Age    clock.Span // of the proof that the configuration is the newest one
+	Quiet  clock.Span // for which the store has not answered about the configuration or the servers
 	Config uint64     // version in force
 	Kinds  [kinds]Changes
 }
@@ -79,6 +80,7 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	d.Quiet = f.Clock.Boot().Sub(min(f.heard[Configs], f.heard[Servers]))
 	for k := range kinds {
 		if k == Configs {
 			d.Kinds[k].Rev = f.past[k].rev
@@ -106,7 +108,12 @@
 			f.apply(k, Batch{Objects: d.Kinds[k].Objects, Rev: d.Kinds[k].Rev})
 		}
 	}
-	// The other VM took the age after the question was sent, so the proof is not older than that.
+	// The other VM took the ages after the question was sent, so they are not older than that.
 	f.Proof.Read(sent.Add(-d.Age))
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, k := range []Kind{Configs, Servers} {
+		f.heard[k] = max(f.heard[k], sent.Add(-d.Quiet))
+	}
 	return true
 }
--- a/internal/follow/doc.go
+++ b/internal/follow/doc.go
@@ -6,7 +6,7 @@
 // changes and with the age of its proof that the configuration is the newest one. The asking VM counts that age from the
 // moment at which it asked, so ages add up and are never too young, however long the answer was on its way.
 //
-// A VM that gets no answer in time, or one that is too old, asks the store itself and goes on looking for a VM that
+// A VM that gets no answer in time, or that follows a VM to which the store is silent, asks the store itself and goes on looking for a VM that
 // answers. Nothing is decided by this order: two VMs that both ask the store cost calls and break nothing. Connections
 // are authenticated with a secret that the first VM puts into the store.
 package follow
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -199,6 +199,10 @@
 	}
 }
 
+// applyBound is the time within which a change is to be in force at a VM with a sound way to the store, with a reserve for
+// a busy machine.
+const applyBound = 4 * time.Second
+
 func newStore() *store {
 	return &store{config: 1, rev: 1, servers: map[string]backend.Server{}, members: map[string]feed.Member{}}
 }
@@ -245,6 +249,7 @@
 		assert.Check(t, m.feed.Fresh())
 	}
 	lead.view.set(true)
+	cut := time.Now()
 	waitFor(t, "another VM asks", func() bool {
 		n := 0
 		for _, m := range all {
@@ -260,6 +265,7 @@
 			continue
 		}
 		waitFor(t, "the next configuration is in force", func() bool { return m.feed.Config.Table().Config.Version == 6 })
+		assert.Check(t, time.Since(cut) < applyBound, "%s follows a VM without a way to the store for too long", m.name)
 		assert.Check(t, m.feed.Fresh(), m.name)
 	}
 	waitFor(t, "the VM that is cut off has no proof", func() bool { return !lead.feed.Fresh() })
--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -21,9 +21,9 @@
 	askEvery = 300 * clock.Millisecond
 	// askTime bounds the wait for an answer.
 	askTime = 500 * clock.Millisecond
-	// oldestProof is the age of a proof from which the VM that has it is no longer followed. It is above the age that a
-	// VM with a sound way to the store reaches between two watches.
-	oldestProof = 3900 * clock.Millisecond
+	// longestQuiet is the time without an answer of the store after which a VM is no longer followed: just above the
+	// time between two answers on a sound way, so that the followers can still read a change from the store in time.
+	longestQuiet = 1500 * clock.Millisecond
 	// beat bounds the silence of a peer's connection to three times this.
 	beat = 500 * clock.Millisecond
 	// secretBytes is the length of the fleet's secret.
@@ -148,8 +148,8 @@
 	if err := f.transport.Ask(asking, m.Name, peer.KindFeed, f.Feed.Revisions(), &d); err != nil {
 		return err
 	}
-	if d.Age > oldestProof {
-		return oops.Errorf("its proof is %d ms old", d.Age)
+	if d.Quiet > longestQuiet {
+		return oops.Errorf("the store has not answered it for %d ms", d.Quiet)
 	}
 	if f.Feed.Take(sent, d) {
 		return nil
@@ -177,6 +177,7 @@
 }
 
 func (f *Follower) shun(name string, now clock.Time, err error) {
+	f.Feed.Trouble()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.shunned[name] = now.Add(shunSpan)
