--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -44,6 +44,7 @@
 	sent     int            // attempts that count against the route's bound
 	tried    []string       // servers that failed the request
 	shut     []string       // of them those that did not take it
+	spent    string         // why no further attempt was made, for the log
 	unsure   bool           // an attempt may have run
 	fallback *Whole         // a failure of a server that is passed on if no further attempt does better
 	last     int64          // identifier of the last event that the caller has
@@ -260,7 +261,17 @@
 	paid := x.paid
 	x.paid = false
 	x.mu.Unlock()
-	return x.sent < x.route.Attempts && x.tries < maxTries && x.end.Sub(now) > leastLeft && (paid || x.pool.spend(now))
+	switch {
+	case x.sent >= x.route.Attempts || x.tries >= maxTries:
+		x.spent = "attempts"
+	case x.end.Sub(now) <= leastLeft:
+		x.spent = "time"
+	case !paid && !x.pool.spend(now):
+		x.spent = "retry budget"
+	default:
+		return true
+	}
+	return false
 }
 
 // failed takes the failure of an attempt. It returns nil if the request is to be sent again, otherwise the refusal.
