gateway: the placement counts 0.05 ms for a prompt token that is not cached

Cause: the default of 0.25 ms kept requests at the server of their shared part although it was busier than others; the engines here read 20 to 70 tokens a millisecond.

--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -45,7 +45,7 @@
 func newPool(g *Gateway, service string) *pool {
 	return &pool{
 		g: g, service: service, use: make(map[string]*use),
-		placer: place.Placer{Domain: g.Domain, Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))},
+		placer: place.Placer{Domain: g.Domain, Policy: place.Affine{Prefill: 0.05}, Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))},
 		budget: retry.Budget{Ratio: g.Retries}, chooser: models.Chooser{Worth: g.Worth},
 	}
 }
