--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -13,6 +13,7 @@
 
 	"shallotrun/core/clock"
 	"shallotrun/internal/feed"
+	"shallotrun/internal/logs"
 	"shallotrun/io/peer"
 )
 
@@ -67,7 +68,7 @@
 		_ = ln.Close()
 		return
 	}
-	srv := &fasthttp.Server{Handler: f.serve, NoDefaultServerHeader: true, Logger: silent{}}
+	srv := &fasthttp.Server{Handler: f.serve, NoDefaultServerHeader: true, Logger: logs.Silent{}}
 	go func() { _ = srv.Serve(ln) }()
 	t := time.NewTicker(askEvery.Std())
 	defer t.Stop()
@@ -239,8 +240,3 @@
 }
 
 func (h *handler) Up(string, uint64) {}
-
-// silent drops what fasthttp logs about broken connections.
-type silent struct{}
-
-func (silent) Printf(string, ...any) {}
--- a/internal/front/daemon.go
+++ b/internal/front/daemon.go
@@ -21,6 +21,7 @@
 	"shallotrun/internal/feed"
 	"shallotrun/internal/follow"
 	"shallotrun/internal/gateway"
+	"shallotrun/internal/logs"
 	"shallotrun/internal/settings"
 	"shallotrun/io/caller"
 )
@@ -110,7 +111,7 @@
 		if err != nil {
 			return oops.Wrapf(err, "listen on %s", l.addr)
 		}
-		srv := &fasthttp.Server{Handler: l.handle, NoDefaultServerHeader: true, Logger: silent{}}
+		srv := &fasthttp.Server{Handler: l.handle, NoDefaultServerHeader: true, Logger: logs.Silent{}}
 		g.Go(func() error { return srv.Serve(ln) })
 		defer ln.Close() //nolint:errcheck // the process ends
 	}
@@ -190,8 +191,3 @@
 		d.Log.Info().Bool("changed", *s != *d.Settings).Msg("daemon: settings read again; addresses and bounds change with the next start")
 	}
 }
-
-// silent drops what fasthttp logs about broken connections of the balancer.
-type silent struct{}
-
-func (silent) Printf(string, ...any) {}
