feed: fewer calls while the store is away and when many entries change

Change: while the configuration cannot be read the other kinds wait; after an answer a kind pauses (servers 80 ms, VMs 1 s) to gather changes.

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -20,6 +20,9 @@
 // returned, so the time bounds how late a change is learnt then.
 var watchWait = [kinds]clock.Span{Configs: 1200, Servers: 1200, Orders: 4000, Members: 15000}
 
+// Pauses after an answer, in which changes that come together are gathered for the next one.
+var gather = [kinds]clock.Span{Servers: 80, Orders: 20, Members: 1000}
+
 // Delays after a failed call.
 const (
 	retryFirst = 100 * clock.Millisecond
@@ -96,6 +99,7 @@
 		if err == nil {
 			known, delay = true, retryFirst
 			f.answered(k)
+			pause(ctx, gather[k])
 			continue
 		}
 		if ctx.Err() != nil {
@@ -108,9 +112,20 @@
 		}
 		pause(ctx, clock.Span(float64(delay)*(0.5+rand.Float64())))
 		delay = min(2*delay, retryMost)
+		for k != Configs && f.away() && ctx.Err() == nil {
+			pause(ctx, retryFirst)
+		}
 	}
 }
 
+// away reports whether the store fails to answer about the configuration. The other kinds then wait for that: each
+// call is paid for, also one that is refused.
+func (f *Feed) away() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.failing[Configs]
+}
+
 // step makes one call and takes what it returns.
 func (f *Feed) step(ctx context.Context, k Kind, known bool) error {
 	sent := f.Clock.Boot()
