--- a/internal/front/daemon.go
+++ b/internal/front/daemon.go
@@ -24,6 +24,7 @@
 	"shallotrun/internal/logs"
 	"shallotrun/internal/settings"
 	"shallotrun/io/caller"
+	"shallotrun/io/otlp"
 )
 
 // Dialect is how callers and the balancer speak.
@@ -83,14 +84,40 @@
 		Domain: s.Domain, State: &state{d.feed}, Backend: d.Backend, Clock: d.clock, Log: d.Log, Registry: registry,
 		Retries: retryPart * s.Retries, Grace: s.Grace - stopReserve, Worth: s.Worth,
 	}
+	stop, err := d.trace(ctx)
+	if err != nil {
+		return err
+	}
 	d.gateway.Init()
 	d.Log.Info().Str("vm", s.Name).Str("domain", s.Domain).Str("callers", s.Callers).Str("store", s.Store).
 		Int64("revoke_ms", int64(s.Revoke)).Int64("grace_ms", int64(s.Grace)).Msg("daemon: start")
-	err := d.serve(ctx, registry)
+	err = d.serve(ctx, registry)
+	stop()
 	d.Log.Info().Err(err).Int("open", d.gateway.Open()).Msg("daemon: stop")
 	return err
 }
 
+// trace starts the export of traces, if the settings name a receiver. The function that it returns sends what waits.
+func (d *Daemon) trace(ctx context.Context) (func(), error) {
+	t := d.Settings.Trace
+	if t.URL == "" {
+		return func() {}, nil
+	}
+	e := otlp.Export{URL: t.URL, Name: d.Settings.Name, Domain: d.Settings.Domain, Sample: t.Sample}
+	p, err := e.Provider(ctx)
+	if err != nil {
+		return nil, err
+	}
+	d.gateway.Tracer = p.Tracer("shallotrun")
+	return func() {
+		end, cancel := context.WithTimeout(context.WithoutCancel(ctx), leastGrace.Std())
+		defer cancel()
+		if err := p.Shutdown(end); err != nil {
+			d.Log.Warn().Err(err).Msg("daemon: the last spans were not exported")
+		}
+	}, nil
+}
+
 // serve runs all parts until ctx ends. What the open requests need goes on until they have ended.
 func (d *Daemon) serve(ctx context.Context, registry *prometheus.Registry) error {
 	dialect := d.Dialect(d.gateway, d.ready)
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -1,11 +1,13 @@
 package gateway
 
 import (
+	"context"
 	"errors"
 	"io"
 	"sync"
 
 	"github.com/cespare/xxhash/v2"
+	"go.opentelemetry.io/otel/trace"
 
 	"shallotrun/core/backend"
 	"shallotrun/core/catalog"
@@ -49,6 +51,10 @@
 	last     int64          // identifier of the last event that the caller has
 	abort    conn.Abort
 
+	ctx  context.Context // of the request's span
+	span trace.Span      // of the request, nil without tracing
+	hop  trace.Span      // of the attempt under way, nil without one
+
 	mu      sync.Mutex
 	waiting waiting
 	cause   cause
@@ -183,7 +189,7 @@
 func (x *exchange) attempt() *Attempt {
 	a := &Attempt{
 		Request: x.request, Server: x.server, Model: x.model, Urgency: x.rank, Left: x.end.Sub(x.g.Clock.Now()),
-		After: x.last, Fresh: x.tries > 1, Stream: x.route.Kind == catalog.Streaming, Abort: &x.abort,
+		Trace: x.traceAttempt(), After: x.last, Fresh: x.tries > 1, Stream: x.route.Kind == catalog.Streaming, Abort: &x.abort,
 	}
 	if x.space != nil {
 		a.Workspace = x.space.Name
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -9,6 +9,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
+	"go.opentelemetry.io/otel/trace"
 
 	"shallotrun/core/backend"
 	"shallotrun/core/canary"
@@ -34,9 +35,10 @@
 	Clock    clock.Clock
 	Log      zerolog.Logger
 	Registry prometheus.Registerer
-	Retries  float64    // extra attempts for each request of a service
-	Worth    float64    // of a right answer, in units of the models' cost
-	Grace    clock.Span // time between the start of a planned stop and the end of the process
+	Tracer   trace.Tracer // nil for no traces
+	Retries  float64      // extra attempts for each request of a service
+	Worth    float64      // of a right answer, in units of the models' cost
+	Grace    clock.Span   // time between the start of a planned stop and the end of the process
 
 	metrics *metrics
 	stop    atomic.Int64 // when the planned stop began, 0 before
@@ -71,6 +73,7 @@
 // Serve answers a request. A *Stream has to be closed.
 func (g *Gateway) Serve(r *Request) Answer {
 	x := &exchange{g: g, request: r, arrived: g.Clock.Now(), last: r.After}
+	x.trace()
 	if refusal := x.admit(); refusal != nil {
 		x.close(refusal)
 		return Refused{*refusal}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -46,6 +46,7 @@
 
 // close writes the line and the figures of a request that ended: served if there is no refusal.
 func (x *exchange) close(refusal *work.Refusal) {
+	x.endTrace(refusal)
 	now := x.g.Clock.Now()
 	total := now.Sub(x.arrived)
 	code, outcome := "served", "served"
--- a/internal/gateway/outcome.go
+++ b/internal/gateway/outcome.go
@@ -129,6 +129,7 @@
 	now := x.g.Clock.Now()
 	r.Server, r.First, r.Total, r.Tokens = x.server.ID, x.first, now.Sub(x.begun), x.events
 	x.pool.ended(x.server.ID, x.started, r)
+	x.endAttempt(r)
 	if r.Refused || r.Failed && !bad {
 		return
 	}
--- a/internal/gateway/types.go
+++ b/internal/gateway/types.go
@@ -27,6 +27,7 @@
 	Fields   []Field
 	Body     []byte
 	Key      string     // "" for none
+	Trace    string     // traceparent, "" for none
 	Wait     clock.Span // how long the caller waits, 0 if it does not say
 	Model    string     // "" for none
 	Prompt   int        // tokens
@@ -66,6 +67,7 @@
 	Model     string     // named to the server, "" for none
 	Urgency   int        // rank for the server's own queue, 0 first
 	Left      clock.Span // time until the end
+	Trace     string     // traceparent, "" for none
 	After     int64      // event after which the server is to go on, NoEvent for the start
 	Fresh     bool       // on a new connection: an open one may lead to a server that is gone
 	Stream    bool       // the answer is expected to be a series of events
--- a/internal/settings/front.go
+++ b/internal/settings/front.go
@@ -26,6 +26,7 @@
 	Grace   clock.Span // between the order to stop and the end
 	Retries float64    // extra attempts for each request that the fleet may make
 	Worth   float64    // of a right answer, in units of the models' cost
+	Trace   Trace      // export of traces
 	Level   string     // of log lines
 }
 
@@ -51,6 +52,8 @@
 	{"bounds", "grace", true, func(f *Front, v string) error { return seconds(&f.Grace, v) }},
 	{"bounds", "retries", true, func(f *Front, v string) error { return ratio(&f.Retries, v) }},
 	{"models", "worth", false, func(f *Front, v string) error { return ratio(&f.Worth, v) }},
+	{"trace", "url", false, func(f *Front, v string) error { return httpURL(&f.Trace.URL, v) }},
+	{"trace", "sample", false, func(f *Front, v string) error { return whole(&f.Trace.Sample, v, 0, 1000) }},
 	{"log", "level", false, func(f *Front, v string) error { return choice(&f.Level, v, "debug", "info", "warn", "error") }},
 }
 
