feed, follow: small configurations are handed on

Change: a VM that asks names its version; it is given the configuration if that has at most 250 routes and keys. Larger ones are read from the store as before.

--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -178,6 +178,24 @@
 	}
 }
 
+// Guards against a proof for a configuration that was not handed on, and against large ones that are handed on to a whole
+// failure domain.
+func TestHandOn(t *testing.T) {
+	for _, c := range []struct {
+		routes int
+		want   bool
+	}{{10, true}, {handEntries + 1, false}} {
+		a, b := &Feed{Clock: clock.NewManual(9000)}, &Feed{Clock: clock.NewManual(9000)}
+		b.Config.Offer(catalog.Config{Version: 3})
+		a.Config.Offer(catalog.Config{Version: 4, Routes: make([]catalog.Route, c.routes)})
+		a.Proof.Read(8800)
+		b.Proof.Bound = 5000
+		assert.Equal(t, b.Take(8900, a.Answer("b", b.Ask())), c.want)
+		assert.Equal(t, b.Config.Table().Config.Version == 4, c.want)
+		assert.Equal(t, b.Fresh(), c.want)
+	}
+}
+
 // Guards against a verdict or results that stay with one VM: what a following VM says reaches the others, and not itself a
 // second time.
 func TestWords(t *testing.T) {
--- a/internal/feed/hand.go
+++ b/internal/feed/hand.go
@@ -1,6 +1,7 @@
 package feed
 
 import (
+	"shallotrun/core/catalog"
 	"shallotrun/core/clock"
 )
 
@@ -9,29 +10,52 @@
 
 // Delta is what one VM hands on to another about the kinds of objects.
 type Delta struct {
-	Age    clock.Span // of the proof that the configuration is the newest one
-	Quiet  clock.Span // for which the store has not answered about the configuration or the servers
-	Config uint64     // version in force
+	Age    clock.Span      // of the proof that the configuration is the newest one
+	Quiet  clock.Span      // for which the store has not answered about the configuration or the servers
+	Config uint64          // version in force
+	Body   *catalog.Config // in force, if the other VM does not have it and it is small
 	Kinds  [kinds]Changes
 	Words  []Word // about the orders that are running
 }
 
 // Question is what a VM asks the one that it follows.
 type Question struct {
-	Revs  Revisions
-	Words []Word // about the orders that are running
+	Revs   Revisions
+	Config uint64 // version in force, 0 for none
+	Words  []Word // about the orders that are running
 }
 
 // Ask returns this VM's question.
-func (f *Feed) Ask() Question { return Question{f.Revisions(), f.Orders.Words()} }
+func (f *Feed) Ask() Question {
+	q := Question{Revs: f.Revisions(), Words: f.Orders.Words()}
+	if t := f.Config.Table(); t != nil {
+		q.Config = t.Config.Version
+	}
+	return q
+}
 
 // Answer answers the question of another VM.
 func (f *Feed) Answer(from string, q Question) Delta {
 	d := f.Since(q.Revs)
 	d.Words = f.Orders.Answer(from, q.Words)
+	if t := f.Config.Table(); t != nil && q.Config < t.Config.Version && small(&t.Config) {
+		d.Config, d.Body = t.Config.Version, &t.Config
+	}
 	return d
 }
 
+// handEntries is the number of routes and keys up to which a configuration is handed on. Each takes up to 200 bytes, and
+// a VM hands a change on to all others of its domain over its own link at the same moment.
+const handEntries = 250
+
+func small(c *catalog.Config) bool {
+	n := len(c.Routes)
+	for _, w := range c.Workspaces {
+		n += len(w.Keys)
+	}
+	return n <= handEntries
+}
+
 // Changes are the changes of a kind after a revision.
 type Changes struct {
 	Gap     bool // they are not all kept: the kind has to be listed
@@ -88,8 +112,7 @@
 	return out
 }
 
-// Since returns what this VM knows beyond the revisions of another one. A changed configuration is not handed on, since
-// it may be large: the other VM reads it from the store.
+// Since returns what this VM knows beyond the revisions of another one, but for the configuration.
 func (f *Feed) Since(revs Revisions) Delta {
 	d := Delta{Age: f.Proof.Age(f.Clock.Boot())}
 	if t := f.Config.Table(); t != nil {
@@ -111,6 +134,9 @@
 // Take applies what another VM handed on in answer to a question that was sent at a time. It returns false if something
 // has to be read from the store instead.
 func (f *Feed) Take(sent clock.Time, d Delta) bool {
+	if d.Body != nil {
+		f.configured(d.Body, d.Kinds[Configs].Rev)
+	}
 	t := f.Config.Table()
 	if t == nil || t.Config.Version < d.Config {
 		return false
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -247,6 +247,7 @@
 	for _, m := range all {
 		waitFor(t, "the configuration is in force", func() bool { return m.feed.Config.Table().Config.Version == 5 })
 		assert.Check(t, m.feed.Fresh())
+		assert.Check(t, m == lead || m.view.made() == 0, "%s asked the store %d times", m.name, m.view.made())
 	}
 	lead.view.set(true)
 	cut := time.Now()
