feed: what was handed on is in force although the configuration has to be read

Traced by the order of events: configurations came every 0.3 s and the following VM dropped the whole answer each time, its servers included, because the configuration was missing.

Change: every kind is taken that the answer has. Also, an empty watch moves the revision on only after 3 s, since a store that is about to drop its history may have kept changes from it.

TestServersDuringConfigurationChanges fails without the change.

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -50,6 +50,7 @@
 	listed  [kinds]bool
 	failing [kinds]bool
 	past    [kinds]history
+	seen    [kinds]revision   // of an empty watch, that may count later
 	trouble clock.Time        // when the store last failed to answer this VM
 	heard   [kinds]clock.Time // by Clock.Boot: when the store last answered about a kind
 	members map[string]Member
@@ -136,6 +137,7 @@
 	if err != nil {
 		return err
 	}
+	b.Rev = f.lagging(k, b)
 	f.apply(k, b)
 	f.hear(k)
 	if k == Configs {
@@ -170,6 +172,36 @@
 	return nil
 }
 
+// lagSpan is how long a store that is about to drop its history may keep changes from a watch, with a reserve.
+const lagSpan = 3 * clock.Second
+
+// lagging returns the revision from which a kind is watched next. A watch that returns nothing may have missed changes of its
+// last moments, so its revision counts only some time later. Watching from an older one repeats at most what is known.
+func (f *Feed) lagging(k Kind, b Batch) uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.Clock.Now()
+	if len(b.Objects) > 0 {
+		f.seen[k] = revision{}
+		return b.Rev
+	}
+	rev, old := f.past[k].rev, f.seen[k]
+	if old.rev != 0 && now.Sub(old.at) >= lagSpan {
+		rev, old = max(rev, old.rev), revision{}
+	}
+	if old.rev == 0 {
+		old = revision{b.Rev, now}
+	}
+	f.seen[k] = old
+	return rev
+}
+
+// revision is a revision of the store with the time at which it was seen.
+type revision struct {
+	rev uint64
+	at  clock.Time
+}
+
 func (f *Feed) hear(k Kind) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -196,6 +196,17 @@
 	}
 }
 
+// Guards against a leaving server that is not noticed because the configuration changes with every answer and has to be read
+// from the store.
+func TestServersDuringConfigurationChanges(t *testing.T) {
+	a, b := &Feed{Clock: clock.NewManual(9000)}, &Feed{Clock: clock.NewManual(9000)}
+	b.Config.Offer(catalog.Config{Version: 3})
+	a.Config.Offer(catalog.Config{Version: 4, Routes: make([]catalog.Route, handEntries+1)})
+	a.apply(Servers, Batch{Rev: 7, Objects: []Object{{Name: "x", Server: &backend.Server{ID: "x", Service: "s"}}}})
+	assert.Check(t, !b.Take(8900, a.Answer("b", b.Ask())), "the configuration is missing")
+	assert.Equal(t, len(b.Servers(9000, "s")), 1)
+}
+
 // Guards against a verdict or results that stay with one VM: what a following VM says reaches the others, and not itself a
 // second time.
 func TestWords(t *testing.T) {
--- a/internal/feed/hand.go
+++ b/internal/feed/hand.go
@@ -132,32 +132,33 @@
 }
 
 // Take applies what another VM handed on in answer to a question that was sent at a time. It returns false if something
-// has to be read from the store instead.
+// is missing that has to be read from the store; the rest is in force all the same.
 func (f *Feed) Take(sent clock.Time, d Delta) bool {
 	if d.Body != nil {
 		f.configured(d.Body, d.Kinds[Configs].Rev)
 	}
 	t := f.Config.Table()
-	if t == nil || t.Config.Version < d.Config {
-		return false
-	}
-	for k := range kinds {
-		if d.Kinds[k].Gap {
-			return false
-		}
-	}
+	current := t != nil && t.Config.Version >= d.Config
+	whole := current
 	for k := range kinds {
-		if k != Configs {
+		switch {
+		case d.Kinds[k].Gap:
+			whole = false
+		case k != Configs:
 			f.apply(k, Batch{Objects: d.Kinds[k].Objects, Rev: d.Kinds[k].Rev})
 		}
 	}
 	f.Orders.Learn(d.Words)
 	// The other VM took the ages after the question was sent, so they are not older than that.
-	f.Proof.Read(sent.Add(-d.Age))
+	if current {
+		f.Proof.Read(sent.Add(-d.Age))
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, k := range []Kind{Configs, Servers} {
-		f.heard[k] = max(f.heard[k], sent.Add(-d.Quiet))
+		if !d.Kinds[k].Gap {
+			f.heard[k] = max(f.heard[k], sent.Add(-d.Quiet))
+		}
 	}
-	return true
+	return whole
 }
