follow: the followed VM is kept while a better one is tried; lint

Change: a VM that fails again is passed over for 3, 6, 12, 15 s; the one that is followed is asked on meanwhile; the next in the order stops following first, the others have the bound of the settings. Reports are asked for after 0.6 of the objective, not 0.4.

--- a/internal/follow/choose.go
+++ b/internal/follow/choose.go
@@ -10,8 +10,11 @@
 	"shallotrun/internal/feed"
 )
 
-// shunSpan is how long a VM that did not answer is passed over.
-const shunSpan = 3 * clock.Second
+// How long a VM that did not answer is passed over: the first time, and at most.
+const (
+	shunFirst = 3 * clock.Second
+	shunMost  = 15 * clock.Second
+)
 
 // choose returns the VM to ask: the first of the failure domain that is not passed over, or false if that is this VM
 // itself. All VMs of a domain have the same order.
--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -22,9 +22,10 @@
 	askEvery = 300 * clock.Millisecond
 	// askTime bounds the wait for an answer.
 	askTime = 500 * clock.Millisecond
-	// longestQuiet is the time without an answer of the store after which a VM is no longer followed: just above the
-	// time between two answers on a sound way, so that the followers can still read a change from the store in time.
-	longestQuiet = 1500 * clock.Millisecond
+	// quietLeast is above the time between two answers of the store on a sound way, with the age of a question.
+	quietLeast = 1500 * clock.Millisecond
+	// quietReserve is kept of the bound for reading from the store what another VM did not hand on.
+	quietReserve = 500 * clock.Millisecond
 	// beat bounds the silence of a peer's connection to three times this.
 	beat = 500 * clock.Millisecond
 	// secretBytes is the length of the fleet's secret.
@@ -37,6 +38,7 @@
 type Follower struct {
 	Self  feed.Member
 	Feed  *feed.Feed
+	Bound clock.Span // within which a change in the store must be in force, 0 means 2 s
 	Clock clock.Clock
 	Log   zerolog.Logger
 
@@ -44,6 +46,7 @@
 
 	mu      sync.Mutex
 	shunned map[string]clock.Time // until when
+	spans   map[string]clock.Span // for how long, the last time
 	leading string                // VM that is followed, "" for none
 	dialled string                // VM that is being connected to
 	since   clock.Time            // when that began
@@ -53,7 +56,7 @@
 
 // Init prepares the follower. It is called once, before the feed runs.
 func (f *Follower) Init() {
-	f.shunned, f.changed = make(map[string]clock.Time), make(chan struct{})
+	f.shunned, f.spans, f.changed = make(map[string]clock.Time), make(map[string]clock.Span), make(chan struct{})
 	f.Feed.Covered = f.wait
 }
 
@@ -116,32 +119,70 @@
 	return false
 }
 
-// step asks the VM that is to be followed, and returns its name if it answered well.
+// step asks the VM that is to be followed, and returns its name if it answered well. While a VM that comes first is tried
+// again, the one that is followed goes on being asked.
 func (f *Follower) step(ctx context.Context) string {
 	if !f.Feed.Synchronised() {
 		return ""
 	}
-	now := f.Clock.Now()
-	m, ok := choose(f.Self, f.Feed.Members(), func(name string) bool { return now < f.until(name) })
-	if f.leading != "" && (!ok || m.Name != f.leading) {
-		f.transport.Disconnect(f.leading)
+	members := f.Feed.Members()
+	for range tries {
+		now := f.Clock.Now()
+		m, ok := choose(f.Self, members, func(name string) bool { return now < f.until(name) })
+		if !ok {
+			f.drop("")
+			return ""
+		}
+		f.transport.Connect(m.Name, m.Addr)
+		if !f.transport.Reachable(m.Name) && f.connecting(m.Name, now) {
+			return f.stay(ctx, members)
+		}
+		err := f.ask(ctx, m, f.quiet(members, m))
+		if err == nil {
+			f.drop(m.Name)
+			return m.Name
+		}
+		f.shun(m.Name, now, err)
 	}
-	if !ok {
-		return ""
+	return ""
+}
+
+// tries is the number of VMs that are asked in one step, each after the one before gave no good answer.
+const tries = 3
+
+// stay asks the VM that is followed already.
+func (f *Follower) stay(ctx context.Context, members []feed.Member) string {
+	for _, m := range members {
+		if m.Name == f.leading && f.transport.Reachable(m.Name) && f.ask(ctx, m, f.quiet(members, m)) == nil {
+			return m.Name
+		}
 	}
-	f.transport.Connect(m.Name, m.Addr)
-	if !f.transport.Reachable(m.Name) && f.connecting(m.Name, now) {
-		return ""
+	return ""
+}
+
+// drop ends the connection to the VM that was followed, if another one is now.
+func (f *Follower) drop(next string) {
+	if f.leading != "" && f.leading != next {
+		f.transport.Disconnect(f.leading)
 	}
-	if err := f.ask(ctx, m); err != nil {
-		f.shun(m.Name, now, err)
-		return ""
+}
+
+// quiet returns the time without an answer of the store after which a VM is no longer followed. The VM that comes next
+// after it stops first, so that the others find one that asks the store.
+func (f *Follower) quiet(members []feed.Member, m feed.Member) clock.Span {
+	bound := f.Bound
+	if bound == 0 {
+		bound = 2 * clock.Second
+	}
+	next, ok := choose(f.Self, members, func(name string) bool { return name == m.Name || f.Clock.Now() < f.until(name) })
+	if !ok || next.Name == f.Self.Name {
+		return quietLeast
 	}
-	return m.Name
+	return max(bound-quietReserve, quietLeast)
 }
 
-// ask makes one question and takes the answer.
-func (f *Follower) ask(ctx context.Context, m feed.Member) error {
+// ask makes one question and takes the answer, unless the store has been quiet for too long to the VM that gives it.
+func (f *Follower) ask(ctx context.Context, m feed.Member, quiet clock.Span) error {
 	asking, cancel := context.WithTimeout(ctx, askTime.Std())
 	defer cancel()
 	sent := f.Clock.Boot()
@@ -149,7 +190,7 @@
 	if err := f.transport.Ask(asking, m.Name, peer.KindFeed, f.Feed.Ask(), &d); err != nil {
 		return err
 	}
-	if d.Quiet > longestQuiet {
+	if d.Quiet > quiet {
 		return oops.Errorf("the store has not answered it for %d ms", d.Quiet)
 	}
 	if f.Feed.Take(sent, d) {
@@ -181,7 +222,9 @@
 	f.Feed.Trouble()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.shunned[name] = now.Add(shunSpan)
+	// A VM that fails again is passed over for longer: each trial costs a step without news.
+	f.spans[name] = min(max(2*f.spans[name], shunFirst), shunMost)
+	f.shunned[name] = now.Add(f.spans[name])
 	f.dialled = ""
 	f.Log.Info().Err(err).Str("vm", name).Msg("follow: no good answer, it is passed over")
 }
@@ -191,6 +234,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if name != f.leading {
+		delete(f.spans, name)
 		f.Log.Info().Str("vm", name).Str("before", f.leading).Msg("follow: followed VM changes; without one this VM asks the store")
 		f.leading = name
 	}
--- a/internal/front/daemon.go
+++ b/internal/front/daemon.go
@@ -14,7 +14,6 @@
 	"github.com/samber/oops"
 	"github.com/valyala/fasthttp"
 	"github.com/valyala/fasthttp/fasthttpadaptor"
-	"golang.org/x/sync/errgroup"
 
 	"shallotrun/core/clock"
 	"shallotrun/core/work"
@@ -123,24 +122,14 @@
 	dialect := d.Dialect(d.gateway, d.ready)
 	help, end := context.WithCancel(context.WithoutCancel(ctx))
 	defer end()
-	var g errgroup.Group
-	for _, l := range []struct {
-		addr   string
-		handle fasthttp.RequestHandler
-	}{
+	ports := []port{
 		{d.Settings.Ready, dialect.HandleReady},
 		{d.Settings.Metrics, fasthttpadaptor.NewFastHTTPHandler(promhttp.HandlerFor(registry, promhttp.HandlerOpts{}))},
-	} {
-		if l.addr == "" {
-			continue
-		}
-		ln, err := net.Listen("tcp", l.addr)
-		if err != nil {
-			return oops.Wrapf(err, "listen on %s", l.addr)
+	}
+	for _, p := range ports {
+		if err := p.serve(help); err != nil {
+			return err
 		}
-		srv := &fasthttp.Server{Handler: l.handle, NoDefaultServerHeader: true, Logger: logs.Silent{}}
-		g.Go(func() error { return srv.Serve(ln) })
-		defer ln.Close() //nolint:errcheck // the process ends
 	}
 	ln, err := net.Listen("tcp", d.Settings.Callers)
 	if err != nil {
@@ -164,6 +153,27 @@
 	return srv.Run(ctx)
 }
 
+// port is a listener beside the one for callers, with short requests only.
+type port struct {
+	addr   string // "" for none
+	handle fasthttp.RequestHandler
+}
+
+// serve answers on the port until ctx ends.
+func (p port) serve(ctx context.Context) error {
+	if p.addr == "" {
+		return nil
+	}
+	ln, err := net.Listen("tcp", p.addr)
+	if err != nil {
+		return oops.Wrapf(err, "listen on %s", p.addr)
+	}
+	srv := &fasthttp.Server{Handler: p.handle, NoDefaultServerHeader: true, Logger: logs.Silent{}}
+	go func() { _ = srv.Serve(ln) }() // it ends with the listener
+	context.AfterFunc(ctx, func() { _ = ln.Close() })
+	return nil
+}
+
 // follow starts to follow another VM. The function that it returns waits until this VM has left.
 func (d *Daemon) follow(ctx context.Context) func() {
 	if d.Settings.Peers == "" {
@@ -173,7 +183,7 @@
 		Self: feed.Member{
 			Name: d.Settings.Name, Domain: d.Settings.Domain, Addr: d.Settings.Peers, Inc: uint64(d.clock.Wall()),
 		},
-		Feed: d.feed, Clock: d.clock, Log: d.Log,
+		Feed: d.feed, Bound: d.Settings.Apply, Clock: d.clock, Log: d.Log,
 	}
 	f.Init()
 	ctx, stop := context.WithCancel(ctx)
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -17,7 +17,7 @@
 	// or of the objective while the first event is due.
 	pausePart  = 0.5
 	pauseLeast = 400 * clock.Millisecond
-	startPart  = 0.4
+	startPart  = 0.6
 	startLeast = 800 * clock.Millisecond
 	// A request that waits this many times as long at a server that lives is lost there, if the server says that no
 	// request waits in its queue.
--- a/internal/settings/front.go
+++ b/internal/settings/front.go
@@ -23,6 +23,7 @@
 	Peers   string     // IP:port for the other VMs, "" for none: this VM then asks the store itself
 	Store   string     // IP:port of the platform's store
 	Revoke  clock.Span // within which a revoked key must be refused, 0 for no bound
+	Apply   clock.Span // within which a change in the store must be in force, 0 means 2 s
 	Grace   clock.Span // between the order to stop and the end
 	Retries float64    // extra attempts for each request that the fleet may make
 	Worth   float64    // of a right answer, in units of the models' cost
@@ -49,6 +50,7 @@
 	{"listen", "peers", false, func(f *Front, v string) error { return addr(&f.Peers, v) }},
 	{"store", "addr", true, func(f *Front, v string) error { return addr(&f.Store, v) }},
 	{"bounds", "revoke", false, func(f *Front, v string) error { return span(&f.Revoke, v, 0, 3600_000) }},
+	{"bounds", "apply", false, func(f *Front, v string) error { return least(&f.Apply, v) }},
 	{"bounds", "grace", true, func(f *Front, v string) error { return seconds(&f.Grace, v) }},
 	{"bounds", "retries", true, func(f *Front, v string) error { return ratio(&f.Retries, v) }},
 	{"models", "worth", false, func(f *Front, v string) error { return ratio(&f.Worth, v) }},
@@ -112,6 +114,20 @@
 	return nil
 }
 
+// least reads one or several spans in milliseconds and keeps the shortest.
+func least(to *clock.Span, v string) error {
+	for _, s := range split(v) {
+		var n clock.Span
+		if err := span(&n, s, 1, 3600_000); err != nil {
+			return err
+		}
+		if *to == 0 || n < *to {
+			*to = n
+		}
+	}
+	return nil
+}
+
 func ratio(to *float64, v string) error {
 	n, err := strconv.ParseFloat(v, 64)
 	if err != nil || n < 0 || n > 100 {
