--- a/internal/feed/board.go
+++ b/internal/feed/board.go
@@ -18,42 +18,42 @@
 type Board struct {
 	mu    sync.Mutex
 	all   map[string]*canary.Rollout // by object name
-	peers map[string][]Word          // the last words of VMs that follow this one
+	peers map[string][]OrderReport   // the last reports of VMs that follow this one
 }
 
-// Word is what a VM knows about an order that is running: its results, or the sums of other VMs' results, and its verdict.
-type Word struct {
+// OrderReport is what a VM knows about an order that is running: its results, or the sums of other VMs' results, and its verdict.
+type OrderReport struct {
 	Service string
 	Made    uint64 // revision at which the order was given
 	Tallies []canary.Tally
 	Verdict string // why the new version is bad, "" for none
 }
 
-// Words returns what this VM has to say about the orders that are running.
-func (b *Board) Words() []Word {
+// Reports returns what this VM has to say about the orders that are running.
+func (b *Board) Reports() []OrderReport {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.words()
+	return b.reports()
 }
 
-func (b *Board) words() (out []Word) {
+func (b *Board) reports() (out []OrderReport) {
 	for _, r := range b.all {
 		if r.Order.State == canary.Running {
-			out = append(out, Word{r.Order.Service, r.Order.Made, r.Tallies(), r.Verdict()})
+			out = append(out, OrderReport{r.Order.Service, r.Order.Made, r.Tallies(), r.Verdict()})
 		}
 	}
 	return out
 }
 
-// Answer takes the words of a VM that follows this one, and returns the sums of all others that this VM knows.
-func (b *Board) Answer(from string, words []Word) []Word {
+// Answer takes the reports of a VM that follows this one, and returns the sums of all others that this VM knows.
+func (b *Board) Answer(from string, reports []OrderReport) []OrderReport {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.peers == nil {
-		b.peers = make(map[string][]Word)
+		b.peers = make(map[string][]OrderReport)
 	}
-	b.peers[from] = words
-	out := b.words()
+	b.peers[from] = reports
+	out := b.reports()
 	for i := range out {
 		r := b.all[out[i].Service]
 		r.Merge(b.sum(out[i], "", nil))
@@ -67,10 +67,10 @@
 }
 
 // sum adds the results of the following VMs, without one of them, to some tallies.
-func (b *Board) sum(w Word, without string, own []canary.Tally) []canary.Tally {
+func (b *Board) sum(w OrderReport, without string, own []canary.Tally) []canary.Tally {
 	all := [][]canary.Tally{own}
-	for name, words := range b.peers {
-		for _, p := range words {
+	for name, reports := range b.peers {
+		for _, p := range reports {
 			if name == without || p.Service != w.Service || p.Made != w.Made {
 				continue
 			}
@@ -83,11 +83,11 @@
 	return canary.Sum(all...)
 }
 
-// Learn takes the words of the VM that this one follows.
-func (b *Board) Learn(words []Word) {
+// Learn takes the reports of the VM that this one follows.
+func (b *Board) Learn(reports []OrderReport) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for _, w := range words {
+	for _, w := range reports {
 		r := b.all[w.Service]
 		if r == nil || r.Order.Made != w.Made {
 			continue
@@ -209,7 +209,7 @@
 		pause(ctx, clock.Span(float64(decideEvery)*(0.5+rand.Float64())))
 		orders, reasons := f.Orders.due(f.Clock.Now(), f.Clock.Wall())
 		for i, o := range orders {
-			if o.State == canary.Done && !f.settled() {
+			if o.State == canary.Done && !f.storeSettled() {
 				continue
 			}
 			err := f.Store.SetOrder(ctx, o)
@@ -236,17 +236,17 @@
 // writes that as soon as the store answers, and must not come second to one that did not notice.
 const settleSpan = 3 * clock.Second
 
-func (f *Feed) settled() bool {
+func (f *Feed) storeSettled() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.trouble == 0 || f.Clock.Now().Sub(f.trouble) >= settleSpan
+	return f.interrupted == 0 || f.Clock.Now().Sub(f.interrupted) >= settleSpan
 }
 
-// Trouble records that what the store says did not reach this VM.
-func (f *Feed) Trouble() {
+// Interrupted records that what the store says did not reach this VM.
+func (f *Feed) Interrupted() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.trouble = f.Clock.Now()
+	f.interrupted = f.Clock.Now()
 }
 
 // split returns the servers of a version, or those of every other one.
--- a/internal/feed/hand.go
+++ b/internal/feed/delta.go
@@ -5,29 +5,29 @@
 	"shallotrun/core/clock"
 )
 
-// handMost is the number of changes of a kind that are kept for other VMs.
-const handMost = 256
+// historyMost is the number of changes of a kind that are kept for other VMs.
+const historyMost = 256
 
 // Delta is what one VM hands on to another about the kinds of objects.
 type Delta struct {
-	Age    clock.Span      // of the proof that the configuration is the newest one
-	Quiet  clock.Span      // for which the store has not answered about the configuration or the servers
-	Config uint64          // version in force
-	Body   *catalog.Config // in force, if the other VM does not have it and it is small
-	Kinds  [kinds]Changes
-	Words  []Word // about the orders that are running
+	Age     clock.Span      // of the proof that the configuration is the newest one
+	Quiet   clock.Span      // for which the store has not answered about the configuration or the servers
+	Config  uint64          // version in force
+	Body    *catalog.Config // in force, if the other VM does not have it and it is small
+	Kinds   [kinds]Changes
+	Reports []OrderReport // about the orders that are running
 }
 
 // Question is what a VM asks the one that it follows.
 type Question struct {
-	Revs   Revisions
-	Config uint64 // version in force, 0 for none
-	Words  []Word // about the orders that are running
+	Revs    Revisions
+	Config  uint64        // version in force, 0 for none
+	Reports []OrderReport // about the orders that are running
 }
 
 // Ask returns this VM's question.
 func (f *Feed) Ask() Question {
-	q := Question{Revs: f.Revisions(), Words: f.Orders.Words()}
+	q := Question{Revs: f.Revisions(), Reports: f.Orders.Reports()}
 	if t := f.Config.Table(); t != nil {
 		q.Config = t.Config.Version
 	}
@@ -37,23 +37,23 @@
 // Answer answers the question of another VM.
 func (f *Feed) Answer(from string, q Question) Delta {
 	d := f.Since(q.Revs)
-	d.Words = f.Orders.Answer(from, q.Words)
+	d.Reports = f.Orders.Answer(from, q.Reports)
 	if t := f.Config.Table(); t != nil && q.Config < t.Config.Version && small(&t.Config) {
 		d.Config, d.Body = t.Config.Version, &t.Config
 	}
 	return d
 }
 
-// handEntries is the number of routes and keys up to which a configuration is handed on. Each takes up to 200 bytes, and
+// deltaEntries is the number of routes and keys up to which a configuration is handed on. Each takes up to 200 bytes, and
 // a VM hands a change on to all others of its domain over its own link at the same moment.
-const handEntries = 250
+const deltaEntries = 250
 
 func small(c *catalog.Config) bool {
 	n := len(c.Routes)
 	for _, w := range c.Workspaces {
 		n += len(w.Keys)
 	}
-	return n <= handEntries
+	return n <= deltaEntries
 }
 
 // Changes are the changes of a kind after a revision.
@@ -81,9 +81,9 @@
 		return
 	}
 	h.batches = append(h.batches, b)
-	if n := len(h.batches); n > handMost {
-		h.from = h.batches[n-handMost-1].Rev
-		h.batches = append([]Batch(nil), h.batches[n-handMost:]...)
+	if n := len(h.batches); n > historyMost {
+		h.from = h.batches[n-historyMost-1].Rev
+		h.batches = append([]Batch(nil), h.batches[n-historyMost:]...)
 	}
 }
 
@@ -148,7 +148,7 @@
 			f.apply(k, Batch{Objects: d.Kinds[k].Objects, Rev: d.Kinds[k].Rev})
 		}
 	}
-	f.Orders.Learn(d.Words)
+	f.Orders.Learn(d.Reports)
 	// The other VM took the ages after the question was sent, so they are not older than that.
 	if current {
 		f.Proof.Read(sent.Add(-d.Age))
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -21,7 +21,7 @@
 var watchWait = [kinds]clock.Span{Configs: 800, Servers: 1200, Orders: 4000, Members: 15000}
 
 // Pauses after an answer, in which changes that come together are gathered for the next one.
-var gather = [kinds]clock.Span{Servers: 80, Orders: 20, Members: 1000}
+var changePause = [kinds]clock.Span{Servers: 80, Orders: 20, Members: 1000}
 
 // Delays after a failed call.
 const (
@@ -45,15 +45,15 @@
 
 	applying [kinds]sync.Mutex // held while changes of a kind are taken
 
-	mu      sync.Mutex
-	servers backend.Set
-	listed  [kinds]bool
-	failing [kinds]bool
-	past    [kinds]history
-	seen    [kinds]revision   // of an empty watch, that may count later
-	trouble clock.Time        // when the store last failed to answer this VM
-	heard   [kinds]clock.Time // by Clock.Boot: when the store last answered about a kind
-	members map[string]Member
+	mu          sync.Mutex
+	servers     backend.Set
+	listed      [kinds]bool
+	failing     [kinds]bool
+	past        [kinds]history
+	seen        [kinds]revision   // of an empty watch, that may count later
+	interrupted clock.Time        // when the store last failed to answer this VM
+	heard       [kinds]clock.Time // by Clock.Boot: when the store last answered about a kind
+	members     map[string]Member
 }
 
 // Run follows the store until ctx ends.
@@ -100,7 +100,7 @@
 		if err == nil {
 			known, delay = true, retryFirst
 			f.answered(k)
-			pause(ctx, gather[k])
+			pause(ctx, changePause[k])
 			continue
 		}
 		if ctx.Err() != nil {
@@ -352,7 +352,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if !errors.Is(err, ErrHistory) {
-		f.trouble = f.Clock.Now()
+		f.interrupted = f.Clock.Now()
 	}
 	if k == Servers && !errors.Is(err, ErrHistory) {
 		f.servers.Away()
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -142,9 +142,9 @@
 	for range 20 {
 		f.Orders.Report("s", canary.Result{Route: "r", Version: "v2", First: 10})
 	}
-	f.Trouble()
+	f.Interrupted()
 	c.Advance(9500)
-	f.Trouble()
+	f.Interrupted()
 	time.Sleep(600 * time.Millisecond) // the order is looked at meanwhile
 	assert.Equal(t, len(s.orders), 0)
 	c.Advance(settleSpan)
@@ -184,7 +184,7 @@
 	for _, c := range []struct {
 		routes int
 		want   bool
-	}{{10, true}, {handEntries + 1, false}} {
+	}{{10, true}, {deltaEntries + 1, false}} {
 		a, b := &Feed{Clock: clock.NewManual(9000)}, &Feed{Clock: clock.NewManual(9000)}
 		b.Config.Offer(catalog.Config{Version: 3})
 		a.Config.Offer(catalog.Config{Version: 4, Routes: make([]catalog.Route, c.routes)})
@@ -201,7 +201,7 @@
 func TestServersDuringConfigurationChanges(t *testing.T) {
 	a, b := &Feed{Clock: clock.NewManual(9000)}, &Feed{Clock: clock.NewManual(9000)}
 	b.Config.Offer(catalog.Config{Version: 3})
-	a.Config.Offer(catalog.Config{Version: 4, Routes: make([]catalog.Route, handEntries+1)})
+	a.Config.Offer(catalog.Config{Version: 4, Routes: make([]catalog.Route, deltaEntries+1)})
 	a.apply(Servers, Batch{Rev: 7, Objects: []Object{{Name: "x", Server: &backend.Server{ID: "x", Service: "s"}}}})
 	assert.Check(t, !b.Take(8900, a.Answer("b", b.Ask())), "the configuration is missing")
 	assert.Equal(t, len(b.Servers(9000, "s")), 1)
@@ -218,18 +218,18 @@
 	for range 6 {
 		a.Report("s", canary.Result{Route: "r", Version: "v1", First: 10})
 	}
-	lead.Answer("a", a.Words())
-	back := lead.Answer("a", a.Words())
+	lead.Answer("a", a.Reports())
+	back := lead.Answer("a", a.Reports())
 	assert.Equal(t, len(back), 1)
 	assert.Equal(t, len(back[0].Tallies), 0, "a VM is told its own results")
-	b.Learn(lead.Answer("b", b.Words()))
-	got := lead.Answer("b", b.Words())
+	b.Learn(lead.Answer("b", b.Reports()))
+	got := lead.Answer("b", b.Reports())
 	assert.DeepEqual(t, got[0].Tallies, []canary.Tally{{Model: "r", Good: 6}, {Model: "s", Good: 6}})
 	for range 30 {
 		a.Report("s", canary.Result{Route: "r", Version: "v2", Failed: true})
 	}
-	lead.Answer("a", a.Words())
-	b.Learn(lead.Answer("b", b.Words()))
+	lead.Answer("a", a.Reports())
+	b.Learn(lead.Answer("b", b.Reports()))
 	due, reasons := b.due(1000, 1000)
 	assert.Equal(t, len(due), 1)
 	assert.Equal(t, due[0].State, canary.RolledBack)
--- a/internal/follow/choose.go
+++ b/internal/follow/choose.go
@@ -10,15 +10,15 @@
 	"shallotrun/internal/feed"
 )
 
-// How long a VM that did not answer is passed over: the first time, and at most.
+// How long a VM that did not answer is avoided: the first time, and at most.
 const (
-	shunFirst = 3 * clock.Second
-	shunMost  = 15 * clock.Second
+	avoidFirst = 3 * clock.Second
+	avoidMost  = 15 * clock.Second
 )
 
-// choose returns the VM to ask: the first of the failure domain that is not passed over, or false if that is this VM
+// choose returns the VM to ask: the first of the failure domain that is not avoided, or false if that is this VM
 // itself. All VMs of a domain have the same order.
-func choose(self feed.Member, all []feed.Member, shunned func(name string) bool) (feed.Member, bool) {
+func choose(self feed.Member, all []feed.Member, avoided func(name string) bool) (feed.Member, bool) {
 	var in []feed.Member
 	for _, m := range all {
 		if m.Domain == self.Domain && m.Name != self.Name {
@@ -40,7 +40,7 @@
 		if m.Name == self.Name {
 			return feed.Member{}, false
 		}
-		if !shunned(m.Name) {
+		if !avoided(m.Name) {
 			return m, true
 		}
 	}
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -287,10 +287,10 @@
 	}
 	all = append(all, feed.Member{Name: "far", Domain: "other"})
 	for mask := range 1 << 6 {
-		shunned := func(name string) bool { return mask>>(name[0]-'a')&1 == 1 }
+		avoided := func(name string) bool { return mask>>(name[0]-'a')&1 == 1 }
 		follows := make(map[string]string)
 		for _, m := range all[:6] {
-			if to, ok := choose(m, all, shunned); ok {
+			if to, ok := choose(m, all, avoided); ok {
 				assert.Check(t, to.Name != "far")
 				follows[m.Name] = to.Name
 			}
@@ -300,7 +300,7 @@
 			for follows[at] != "" {
 				at = follows[at]
 				steps++
-				assert.Assert(t, steps <= 6, "a circle at %s, passed over %b", m.Name, mask)
+				assert.Assert(t, steps <= 6, "a circle at %s, avoided %b", m.Name, mask)
 			}
 		}
 	}
--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -45,8 +45,8 @@
 	transport *peer.Transport
 
 	mu      sync.Mutex
-	shunned map[string]clock.Time // until when
-	spans   map[string]clock.Span // for how long, the last time
+	avoided map[string]clock.Time // until when
+	backoff map[string]clock.Span // for how long, the last time
 	leading string                // VM that is followed, "" for none
 	dialled string                // VM that is being connected to
 	since   clock.Time            // when that began
@@ -56,7 +56,7 @@
 
 // Init prepares the follower. It is called once, before the feed runs.
 func (f *Follower) Init() {
-	f.shunned, f.spans, f.changed = make(map[string]clock.Time), make(map[string]clock.Span), make(chan struct{})
+	f.avoided, f.backoff, f.changed = make(map[string]clock.Time), make(map[string]clock.Span), make(chan struct{})
 	f.Feed.Covered = f.wait
 }
 
@@ -142,7 +142,7 @@
 			f.drop(m.Name)
 			return m.Name
 		}
-		f.shun(m.Name, now, err)
+		f.avoid(m.Name, now, err)
 	}
 	return ""
 }
@@ -215,18 +215,18 @@
 func (f *Follower) until(name string) clock.Time {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.shunned[name]
+	return f.avoided[name]
 }
 
-func (f *Follower) shun(name string, now clock.Time, err error) {
-	f.Feed.Trouble()
+func (f *Follower) avoid(name string, now clock.Time, err error) {
+	f.Feed.Interrupted()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	// A VM that fails again is passed over for longer: each trial costs a step without news.
-	f.spans[name] = min(max(2*f.spans[name], shunFirst), shunMost)
-	f.shunned[name] = now.Add(f.spans[name])
+	// A VM that fails again is avoided for longer: each trial costs a step without news.
+	f.backoff[name] = min(max(2*f.backoff[name], avoidFirst), avoidMost)
+	f.avoided[name] = now.Add(f.backoff[name])
 	f.dialled = ""
-	f.Log.Info().Err(err).Str("vm", name).Msg("follow: no good answer, it is passed over")
+	f.Log.Info().Err(err).Str("vm", name).Msg("follow: no good answer, it is avoided for a while")
 }
 
 // set records which VM is followed.
@@ -234,7 +234,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if name != f.leading {
-		delete(f.spans, name)
+		delete(f.backoff, name)
 		f.Log.Info().Str("vm", name).Str("before", f.leading).Msg("follow: followed VM changes; without one this VM asks the store")
 		f.leading = name
 	}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -35,21 +35,21 @@
 	arrived clock.Time
 	end     clock.Time // when the final answer is due
 
-	pool     *pool
-	server   backend.Server // of the attempt under way
-	started  bool           // the attempt has its first answer
-	begun    clock.Time     // of the attempt
-	first    clock.Span     // of the attempt
-	events   int            // of the attempt
-	tries    int            // attempts, whatever became of them
-	sent     int            // attempts that count against the route's bound
-	tried    []string       // servers that failed the request
-	shut     []string       // of them those that did not take it
-	spent    string         // why no further attempt was made, for the log
-	unsure   bool           // an attempt may have run
-	fallback *Whole         // a failure of a server that is passed on if no further attempt does better
-	last     int64          // identifier of the last event that the caller has
-	abort    conn.Abort
+	pool      *pool
+	server    backend.Server // of the attempt under way
+	started   bool           // the attempt has its first answer
+	begun     clock.Time     // of the attempt
+	first     clock.Span     // of the attempt
+	events    int            // of the attempt
+	tries     int            // attempts, whatever became of them
+	sent      int            // attempts that count against the route's bound
+	tried     []string       // servers that failed the request
+	shut      []string       // of them those that did not take it
+	exhausted string         // why no further attempt was made, for the log
+	unsure    bool           // an attempt may have run
+	fallback  *Whole         // a failure of a server that is passed on if no further attempt does better
+	last      int64          // identifier of the last event that the caller has
+	abort     conn.Abort
 
 	ctx  context.Context // of the request's span
 	span trace.Span      // of the request, nil without tracing
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -53,7 +53,7 @@
 	l := x.g.Log.Info()
 	if refusal != nil {
 		code, outcome = refusal.Code, "failed"
-		l = x.g.Log.Warn().Int("status", refusal.Status).Str("ran", string(refusal.Ran)).Str("detail", refusal.Detail).Str("spent", x.spent)
+		l = x.g.Log.Warn().Int("status", refusal.Status).Str("ran", string(refusal.Ran)).Str("detail", refusal.Detail).Str("exhausted", x.exhausted)
 	}
 	x.g.metrics.answers.WithLabelValues(code).Inc()
 	x.g.metrics.seconds.WithLabelValues(outcome).Observe(total.Std().Seconds())
--- a/internal/gateway/outcome.go
+++ b/internal/gateway/outcome.go
@@ -18,11 +18,11 @@
 	x.mu.Unlock()
 	switch {
 	case x.sent >= x.route.Attempts || x.tries >= maxTries:
-		x.spent = "attempts"
+		x.exhausted = "attempts"
 	case x.end.Sub(now) <= leastLeft:
-		x.spent = "time"
+		x.exhausted = "time"
 	case !paid && !x.pool.spend(now):
-		x.spent = "retry budget"
+		x.exhausted = "retry budget"
 	default:
 		return true
 	}
