--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -100,14 +100,14 @@
 	}
 	for ctx.Err() == nil {
 		secret, err := f.Feed.Store.Secret(ctx, proposal)
+		if err == nil {
+			err = f.Feed.Store.Join(ctx, f.Self)
+		}
 		if err == nil {
 			f.transport = &peer.Transport{
 				Name: f.Self.Name, Inc: f.Self.Inc, Keys: [][]byte{secret}, Beat: beat, Handler: (*handler)(f), Log: zerolog.Nop(),
 			}
 			f.transport.Run(ctx)
-			err = f.Feed.Store.Join(ctx, f.Self)
-		}
-		if err == nil {
 			return true
 		}
 		f.Log.Warn().Err(err).Msg("follow: this VM cannot join yet")
@@ -212,12 +212,14 @@
 	return now.Sub(f.since) < connectSpan
 }
 
+// until returns the time until which a VM is avoided.
 func (f *Follower) until(name string) clock.Time {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.avoided[name]
 }
 
+// avoid records that a VM gave no good answer.
 func (f *Follower) avoid(name string, now clock.Time, err error) {
 	f.Feed.Interrupted()
 	f.mu.Lock()
