--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -168,6 +168,7 @@
 		x.pool.first(now)
 	}
 	x.tries++
+	x.g.metrics.attempts.Inc()
 	x.server, x.begun, x.started, x.first, x.events = server, now, false, 0, 0
 	x.wait(x.limit(now))
 	return nil
--- a/internal/gateway/outcome.go
+++ b/internal/gateway/outcome.go
@@ -117,6 +117,7 @@
 	}
 	now := x.g.Clock.Now()
 	x.started, x.first = true, max(now.Sub(x.begun), 1)
+	x.g.metrics.first.Observe(x.first.Std().Seconds())
 	x.pool.started(x.server.ID)
 	x.pool.heard(x.server.ID, now)
 	if len(x.models) > 0 && x.route.Objective > 0 {
