canary, feed: a bad version's share is bounded by the stages; late first answers and slow streams count

Three causes: a version that is bad only under load showed nothing and had all requests from 0.72 of the order's time on; a version whose engines are slow is twice as slow while it gets few requests, which was below the factor of 5, and its streams were reported only at their end, after the order was done; VMs that were started while the new version was tried knew no usual times and took every answer for good.

Change: the last stage begins when the bound on the share allows it (a new setting, "exposed", from the platform's bounds); the trial gets half of the bound. Late first answers and streams slower than most are counted apart from failures. An order is not finished while results speak against the new version. VMs adopt the usual times of others. Verdicts of orders carry the counts in the log.

Ruled out: a lower factor for single answers (load makes one in ten answers of the old version as slow); a count of requests as the bound in the last stage (sessions would go back to the old version).

Conclusion: the bound holds without a verdict, and slow engines are found out in the trial.

--- a/core/canary/canary_test.go
+++ b/core/canary/canary_test.go
@@ -215,3 +215,43 @@
 	assert.Check(t, reason != "")
 	assert.Check(t, !r.Admit(9900, 0.5))
 }
+
+// Guards against a version that is bad in a way that no result shows, for example only under a load that does not come:
+// it may not get more than its share of the requests by the order's deadline, also when the traffic grows at the end.
+func TestShareWithoutVerdict(t *testing.T) {
+	const slack = 30 // requests beyond the share, in the whole fleet
+	for _, c := range []struct {
+		share    float64
+		duration clock.Span
+		rate     int // requests a second
+		growth   float64
+	}{
+		{0.15, 12 * clock.Second, 20, 1}, {0.15, 17 * clock.Second, 75, 1.2}, {0.15, 24 * clock.Second, 75, 1.2}, {0.0975, 24 * clock.Second, 300, 1.1},
+	} {
+		order := Order{Service: "s", Target: "v2", Duration: c.duration}
+		fleet := make([]*Rollout, 9)
+		for i := range fleet {
+			fleet[i] = &Rollout{Order: order, Share: c.share}
+		}
+		random := rand.New(rand.NewPCG(5, 1))
+		total, exposed := 0, 0
+		done := false
+		for now := 0.0; now < float64(c.duration); total++ {
+			gap := 1000 / float64(c.rate)
+			if now > 0.85*float64(c.duration) {
+				gap /= c.growth
+			}
+			now += gap
+			r := fleet[random.IntN(len(fleet))]
+			v := Result{Route: "a", First: 30}
+			if done || r.Admit(clock.Time(now), random.Float64()) {
+				v.Version = order.Target
+				exposed++
+			}
+			r.Report(v)
+			s, _ := r.Decide(clock.Time(now))
+			done = done || s == Done
+		}
+		assert.Check(t, float64(exposed) <= c.share*float64(total)+slack, "%+v: %d of %d requests", c, exposed, total)
+	}
+}
--- a/core/canary/rollout.go
+++ b/core/canary/rollout.go
@@ -1,6 +1,7 @@
 package canary
 
 import (
+	"fmt"
 	"math"
 
 	"shallotrun/core/clock"
@@ -13,8 +14,10 @@
 	slowFactor = 5
 	// What is below this time is not slow, whatever the usual time.
 	slowLeast = 60 * clock.Millisecond
+	// A stream counts as slower than most at this many times the usual time between events.
+	paceFactor = 1.7
 	// usualLeast is the number of answers after which the usual time is known well enough.
-	usualLeast = 10
+	usualLeast = 6
 	// usualMost is the number of answers that the usual time follows. It is long, so that what counts as slow hardly
 	// moves while versions are compared.
 	usualMost = 300
@@ -24,16 +27,20 @@
 	riseOdds   = 8
 	riseFactor = 3
 	riseLeast  = 0.3
-	// Before the last stage the new version gets at most this part of all requests since the order, and a few, even
-	// if a session with much of the traffic falls to it.
-	exposureCap = 0.12
-	allowance   = 4
+	// An order is not finished while the odds against the new version are this high.
+	suspectOdds = 3
+	// Before the last stage the new version gets at most this part of the trial's share of all requests since the order,
+	// and a few, even if a session with much of the traffic falls to it.
+	trialCap  = 0.6
+	allowance = 2
 )
 
 // Rollout carries out one order on one VM.
 type Rollout struct {
 	Order Order
 	Seen  clock.Time // by this VM
+	// Share is the part of the service's requests that a bad version may get, 0 means 0.15.
+	Share float64
 
 	evidence rollout.Evidence
 	usual    map[pair]*usual
@@ -42,22 +49,19 @@
 	fleet    map[subject]count // the largest sums of other VMs' results so far
 	total    float64           // requests of the service since the order
 	exposed  float64           // of them to the new version
-	good     int               // good answers of the new version
 	verdict  string            // why the new version is bad, "" if it is not
 }
 
-// pair is a route and a model, whose answers take alike long.
-type pair struct{ route, model string }
-
-// usual is the time that the old version takes on a route, as the mean of logarithms, which outliers move little.
-type usual struct {
-	first, pace float64
-	count       int
-}
-
 // tally counts the results of a version.
 type tally struct{ bad, all float64 }
 
+func (t *tally) good() float64 {
+	if t == nil {
+		return 0
+	}
+	return t.all - t.bad
+}
+
 // rate returns the part of bad results, a little above the observed one: a rate that is taken too low by chance would
 // blame the other version.
 func (t *tally) rate() float64 {
@@ -98,42 +102,78 @@
 		return false
 	}
 	r.total++
-	s := share(r.part(now))
-	if position >= s || s < 1 && r.exposed >= exposureCap*r.total+allowance {
+	s := newStages(r.Share)
+	part := s.part(r.part(now))
+	if position >= part || part < 1 && r.exposed >= trialCap*s.trial*r.total+allowance {
 		return false
 	}
 	r.exposed++
 	return true
 }
 
-// Report takes the result of a request.
+// Report takes the result of a request, or of its first part.
 func (r *Rollout) Report(v Result) {
 	if r.Order.State == Done || r.Order.State == RolledBack {
 		return
 	}
-	if r.usual == nil {
-		r.usual = make(map[pair]*usual)
+	u := r.times(v)
+	target := v.Version == r.Order.Target
+	if v.Started || v.Pace == 0 && !v.Failed {
+		r.started(u, v)
 	}
-	u := r.usual[pair{v.Route, v.Model}]
-	if u == nil {
-		u = &usual{}
-		r.usual[pair{v.Route, v.Model}] = u
+	if v.Started {
+		return
 	}
-	target := v.Version == r.Order.Target
 	// Answers of the old version count as slow by the same measure, so that load that slows both is not blamed on the
 	// new one.
 	bad := v.Failed || u.slow(v)
-	switch {
-	case target && !bad:
-		r.good++
-	case !target && !v.Failed:
-		u.add(v)
+	if v.Pace > 0 && !v.Failed {
+		r.paced(u, v)
 	}
 	for _, model := range []string{r.Order.Service, v.Route} {
 		r.count(model, target, bad)
 	}
 }
 
+// Overdue takes the time for which a request has waited for its first answer. It reports whether that is so long that the
+// request counts as slow already; nothing more is then reported about its first answer.
+func (r *Rollout) Overdue(v Result) bool {
+	if r.Order.State == Done || r.Order.State == RolledBack || !r.times(v).late(v) {
+		return false
+	}
+	r.count(starts(r.Order.Service), v.Version == r.Order.Target, true)
+	return true
+}
+
+// started counts whether the first answer came late. These results are apart from the others: the time to the first event of a
+// stream also depends on its prompt, so more of them are late with both versions, and failures would show less.
+func (r *Rollout) started(u *usual, v Result) {
+	if u.first.count >= usualLeast {
+		r.count(starts(r.Order.Service), v.Version == r.Order.Target, u.late(v))
+	}
+	if v.Version != r.Order.Target {
+		u.first.add(float64(max(v.First, 1)))
+	}
+}
+
+// paced counts whether a stream was slower than most of the old version. A server that is several times as slow under load is
+// hardly twice as slow while it gets few requests, so a smaller factor counts here, apart from the other results.
+func (r *Rollout) paced(u *usual, v Result) {
+	target := v.Version == r.Order.Target
+	if u.pace.count >= usualLeast {
+		r.count(paces(r.Order.Service), target, v.Pace > paceFactor*math.Exp(u.pace.log))
+	}
+	if !target {
+		u.pace.add(v.Pace)
+	}
+}
+
+// paces names the results about the time between events.
+func paces(service string) string { return service + " paces" }
+
+// starts names the results about first answers.
+func starts(service string) string { return service + " starts" }
+
 // count adds a result of this VM to the evidence about a service or route.
 func (r *Rollout) count(model string, target, bad bool) {
 	if r.own == nil {
@@ -209,32 +249,52 @@
 	case r.Order.State == Done || r.Order.State == RolledBack:
 		return r.Order.State, ""
 	case r.verdict != "":
-		return RolledBack, r.verdict
-	case r.part(now) >= finishAt && r.good >= finishGood:
-		return Done, "no rise in failures"
+		return RolledBack, r.verdict + ": " + r.summary()
+	case r.part(now) >= finishAt && r.enough() && !r.suspected():
+		return Done, "no rise in failures: " + r.summary()
 	}
 	return Running, ""
 }
 
-// Counts returns how many requests the service had since the order, how many of them the new version got, and its good
-// answers, as this VM saw them.
-func (r *Rollout) Counts() (total, exposed, good int) { return int(r.total), int(r.exposed), r.good }
+// good returns the good answers of the new version that are known here.
+func (r *Rollout) good() float64 { return r.new[r.Order.Service].good() }
 
-func (u *usual) add(v Result) {
-	u.count++
-	weight := 1 / float64(min(u.count, usualMost))
-	u.first += (math.Log(float64(max(v.First, 1))) - u.first) * weight
-	u.pace += (math.Log(max(v.Pace, 0.1)) - u.pace) * weight
+// enough reports whether the new version gave enough good answers, and enough streams that were not slow if the service has
+// streams.
+func (r *Rollout) enough() bool {
+	streams := paces(r.Order.Service)
+	return r.good() >= finishGood && (r.old[streams].good() < streamsLeast || r.new[streams].good() >= finishGood)
 }
 
-// slow reports whether an answer took far longer than those of the old version. A stream is measured by the time
-// between its events: the time to its first event depends on its prompt.
-func (u *usual) slow(v Result) bool {
-	if u.count < usualLeast {
-		return false
+// streamsLeast is the number of the old version's streams from which the new one's are compared with them.
+const streamsLeast = 20
+
+// suspected reports whether some results speak against the new version, though not enough for a verdict.
+func (r *Rollout) suspected() bool {
+	for model, t := range r.new {
+		if t.odds(r.oldRate(model)) >= suspectOdds {
+			return true
+		}
 	}
-	if v.Pace > 0 {
-		return v.Pace > slowFactor*math.Exp(u.pace) && v.Pace > float64(slowLeast)
+	return false
+}
+
+// summary says what the results of the whole service are, for the log.
+func (r *Rollout) summary() string {
+	s := r.Order.Service
+	text := func(t *tally) string {
+		if t == nil {
+			return "0 of 0"
+		}
+		return fmt.Sprintf("%.0f of %.0f", t.bad, t.all)
 	}
-	return float64(v.First) > slowFactor*math.Exp(u.first) && v.First > slowLeast
+	return fmt.Sprintf("bad %s, before %s; late starts %s, before %s; slow streams %s, before %s",
+		text(r.new[s]), text(r.old[s]), text(r.new[starts(s)]), text(r.old[starts(s)]),
+		text(r.new[paces(s)]), text(r.old[paces(s)]))
+}
+
+// Counts returns how many requests the service had since the order, how many of them the new version got, as this VM
+// saw them, and the new version's good answers that are known here.
+func (r *Rollout) Counts() (total, exposed, good int) {
+	return int(r.total), int(r.exposed), int(r.good())
 }
--- a/core/canary/stage.go
+++ b/core/canary/stage.go
@@ -1,30 +1,49 @@
 package canary
 
-// stage is a part of an order's time with the part of the requests that the new version gets.
-type stage struct {
-	from  float64 // part of the order's duration that is over
-	share float64 // of the requests
-}
+// A session may not change its version in the first half of an order, and no VM knows which sessions the others serve, so
+// the new version gets nothing then. After that it gets a few requests, by which most bad versions are found out, and in
+// the end all of them. The stages depend on the time alone, so that all VMs send a session to the same version.
+const (
+	// firstAt is the part of the order's duration after which the new version gets requests.
+	firstAt = 0.51
+	// finishAt is the part after which the order is finished. What is left covers the write to the store.
+	finishAt = 0.97
+	// trialPart is the part of a bad version's share of requests that the new version gets before the last stage.
+	trialPart = 0.5
+	// sharePart is the part of a bad version's share that the stages use up. The rest is for a traffic that grows while
+	// the last stage lasts.
+	sharePart = 0.9
+	// defaultShare is the share if none is set.
+	defaultShare = 0.15
+)
 
-// stages give the new version nothing in the first half, in which a session that any VM serves has to keep its version: no
-// VM knows which sessions the others serve. Then it gets a few requests, by which a bad version is usually found out,
-// and more. The stages depend on the time alone, so that all VMs send a session to the same version.
-var stages = [...]stage{{0, 0}, {0.51, 0.1}, {0.62, 0.3}, {0.72, 1}}
+// finishGood is the number of good answers of the new version that a VM knows of before it says that the order is done.
+const finishGood = 8
 
-// finishAt is the part of the order's duration after which it is finished. The time since the last stage lets most
-// streams on the old replicas end.
-const finishAt = 0.92
+// stages say which part of the requests the new version gets. They keep its share of all requests of the order's
+// duration below a bound, also if it is bad in a way that no result shows.
+type stages struct {
+	trial float64 // part of the requests between firstAt and last
+	last  float64 // part of the order's duration after which it gets all requests
+}
 
-// finishGood is the number of good answers of the new version that a VM has seen before it says that the order is done.
-const finishGood = 8
+// newStages returns the stages that keep to a share of all requests: trial*(last-firstAt) + (1-last) is what they use.
+func newStages(share float64) stages {
+	if share <= 0 {
+		share = defaultShare
+	}
+	s := stages{trial: trialPart * share}
+	s.last = max((1-firstAt*s.trial-sharePart*share)/(1-s.trial), firstAt)
+	return s
+}
 
-// share returns the part of the requests for the new version.
-func share(over float64) float64 {
-	out := 0.0
-	for _, s := range stages {
-		if over >= s.from {
-			out = s.share
-		}
+// part returns the part of the requests for the new version, when a part of the duration is over.
+func (s stages) part(over float64) float64 {
+	switch {
+	case over >= s.last:
+		return 1
+	case over >= firstAt:
+		return s.trial
 	}
-	return out
+	return 0
 }
--- a/core/canary/types.go
+++ b/core/canary/types.go
@@ -29,6 +29,7 @@
 	Route   string
 	Model   string // that answered, "" for none: models differ in speed
 	Version string
+	Started bool       // only the time to the first answer is known yet
 	Failed  bool       // the server failed, not the caller and not the connection
 	First   clock.Span // time to the answer or the first event
 	Pace    float64    // milliseconds between events, 0 for an answer that is no stream
--- a/internal/feed/board.go
+++ b/internal/feed/board.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"strings"
 	"sync"
 
 	"github.com/cespare/xxhash/v2"
@@ -16,9 +17,12 @@
 // Board holds the orders that change the version of a service. The zero value holds none. All methods may be called
 // from several goroutines.
 type Board struct {
+	// Share is the part of a service's requests that a bad version may get, 0 means 0.15. It is set before the feed runs.
+	Share float64
+
 	mu    sync.Mutex
 	all   map[string]*canary.Rollout // by object name
-	peers map[string][]OrderReport   // the last reports of VMs that follow this one
+	peers map[string][]OrderReport   // the last reports of VMs that follow this one, and of other failure domains
 }
 
 // OrderReport is what a VM knows about an order that is running: its results, or the sums of other VMs' results, and its verdict.
@@ -26,7 +30,8 @@
 	Service string
 	Made    uint64 // revision at which the order was given
 	Tallies []canary.Tally
-	Verdict string // why the new version is bad, "" for none
+	Times   []canary.Times // the old version's usual ones
+	Verdict string         // why the new version is bad, "" for none
 }
 
 // Reports returns what this VM has to say about the orders that are running.
@@ -39,7 +44,7 @@
 func (b *Board) reports() (out []OrderReport) {
 	for _, r := range b.all {
 		if r.Order.State == canary.Running {
-			out = append(out, OrderReport{r.Order.Service, r.Order.Made, r.Tallies(), r.Verdict()})
+			out = append(out, OrderReport{r.Order.Service, r.Order.Made, r.Tallies(), r.Times(), r.Verdict()})
 		}
 	}
 	return out
@@ -49,34 +54,66 @@
 func (b *Board) Answer(from string, reports []OrderReport) []OrderReport {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.take(from, reports)
+	return b.sums(func(name string) bool { return name != from })
+}
+
+// Put takes the sums of another failure domain.
+func (b *Board) Put(domain string, reports []OrderReport) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.take(domainPrefix+domain, reports)
+}
+
+// Domain returns the sums of this VM and of those that follow it, for another failure domain.
+func (b *Board) Domain() []OrderReport {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.sums(func(name string) bool { return !strings.HasPrefix(name, domainPrefix) })
+}
+
+// domainPrefix begins the names under which the reports of other failure domains are kept.
+const domainPrefix = "domain "
+
+// take keeps the reports of a VM or failure domain in place of its last ones, and judges by them.
+func (b *Board) take(from string, reports []OrderReport) {
 	if b.peers == nil {
 		b.peers = make(map[string][]OrderReport)
 	}
 	b.peers[from] = reports
-	out := b.reports()
-	for i := range out {
-		r := b.all[out[i].Service]
-		r.Merge(b.sum(out[i], "", nil))
-		out[i].Tallies = b.sum(out[i], from, out[i].Tallies)
-		out[i].Verdict = r.Verdict()
+	running := false
+	for _, own := range b.reports() {
+		running = true
+		r := b.all[own.Service]
+		r.Merge(b.sum(own, nil, func(string) bool { return true }))
+		for _, p := range reports {
+			if p.Service == own.Service && p.Made == own.Made {
+				r.Adopt(p.Times)
+				r.Blame(p.Verdict)
+			}
+		}
 	}
-	if len(out) == 0 {
+	if !running {
 		clear(b.peers)
 	}
+}
+
+// sums returns this VM's reports with the results of some others added.
+func (b *Board) sums(with func(name string) bool) []OrderReport {
+	out := b.reports()
+	for i := range out {
+		out[i].Tallies = b.sum(out[i], out[i].Tallies, with)
+	}
 	return out
 }
 
-// sum adds the results of the following VMs, without one of them, to some tallies.
-func (b *Board) sum(w OrderReport, without string, own []canary.Tally) []canary.Tally {
+// sum adds the results of some others to some tallies.
+func (b *Board) sum(w OrderReport, own []canary.Tally, with func(name string) bool) []canary.Tally {
 	all := [][]canary.Tally{own}
 	for name, reports := range b.peers {
 		for _, p := range reports {
-			if name == without || p.Service != w.Service || p.Made != w.Made {
-				continue
-			}
-			all = append(all, p.Tallies)
-			if p.Verdict != "" {
-				b.all[w.Service].Blame(p.Verdict)
+			if with(name) && p.Service == w.Service && p.Made == w.Made {
+				all = append(all, p.Tallies)
 			}
 		}
 	}
@@ -92,10 +129,9 @@
 		if r == nil || r.Order.Made != w.Made {
 			continue
 		}
+		r.Adopt(w.Times)
 		r.Merge(w.Tallies)
-		if w.Verdict != "" {
-			r.Blame(w.Verdict)
-		}
+		r.Blame(w.Verdict)
 	}
 }
 
@@ -129,6 +165,15 @@
 	}
 }
 
+// Overdue takes the time for which a request has waited for its first answer, for the order of its service. It reports
+// whether that was counted.
+func (b *Board) Overdue(service string, v canary.Result) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	r := b.find(service)
+	return r != nil && r.Overdue(v)
+}
+
 func (b *Board) find(service string) *canary.Rollout {
 	for _, r := range b.all {
 		if r.Order.Service == service {
@@ -151,7 +196,7 @@
 		if age := wall.Sub(o.Started); o.Started != 0 && age > 0 && age < o.Duration {
 			seen = now.Add(-age)
 		}
-		b.all[o.Service] = &canary.Rollout{Order: o, Seen: seen}
+		b.all[o.Service] = &canary.Rollout{Order: o, Seen: seen, Share: b.Share}
 		return true
 	}
 	changed := r.Order.State != o.State
--- a/internal/settings/front.go
+++ b/internal/settings/front.go
@@ -26,6 +26,7 @@
 	Apply   clock.Span // within which a change in the store must be in force, 0 means 2 s
 	Grace   clock.Span // between the order to stop and the end
 	Retries float64    // extra attempts for each request that the fleet may make
+	Exposed float64    // part of a service's requests that a bad version may get, 0 means 0.15
 	Worth   float64    // of a right answer, in units of the models' cost
 	Trace   Trace      // export of traces
 	Level   string     // of log lines
@@ -53,6 +54,7 @@
 	{"bounds", "apply", false, func(f *Front, v string) error { return least(&f.Apply, v) }},
 	{"bounds", "grace", true, func(f *Front, v string) error { return seconds(&f.Grace, v) }},
 	{"bounds", "retries", true, func(f *Front, v string) error { return ratio(&f.Retries, v) }},
+	{"bounds", "exposed", false, func(f *Front, v string) error { return part(&f.Exposed, v) }},
 	{"models", "worth", false, func(f *Front, v string) error { return ratio(&f.Worth, v) }},
 	{"trace", "url", false, func(f *Front, v string) error { return httpURL(&f.Trace.URL, v) }},
 	{"trace", "sample", false, func(f *Front, v string) error { return whole(&f.Trace.Sample, v, 0, 1000) }},
@@ -136,3 +138,12 @@
 	*to = n
 	return nil
 }
+
+func part(to *float64, v string) error {
+	n, err := strconv.ParseFloat(v, 64)
+	if err != nil || n < 0 || n > 1 {
+		return oops.Errorf("%q, want a number from 0 to 1", v)
+	}
+	*to = n
+	return nil
+}
