load, place, follow, gateway: VMs pool their requests at each server and their results across failure domains

Change: each VM reports its open requests and unread prompt tokens at each server to the VM that it follows and gets the sums of all others back; the VMs that are followed exchange the sums of their domains. The placement adds the time to read what is unread. Results about orders travel the same way. Streams report the first answer and the first six events as they come, and a wait that is already too long.

--- a/core/place/affine.go
+++ b/core/place/affine.go
@@ -73,7 +73,7 @@
 func (p *Placer) rough(pol Affine, c Candidate) float64 {
 	w := p.wait(pol, c)
 	if slots := p.slots(c); p.estimate(c) < slots-1 {
-		w = pol.loaded(float64(c.Starting)/slots) * p.slowness(c.Name)
+		w = (pol.loaded(float64(c.Starting)/slots) + pol.Prefill*float64(c.Unread)) * p.slowness(c.Name)
 	}
 	return w
 }
@@ -92,7 +92,7 @@
 	n := p.estimate(c)
 	slots := p.slots(c)
 	service := p.service.or(float64(pol.Service))
-	w := pol.loaded(n / slots)
+	w := pol.loaded(n/slots) + pol.Prefill*float64(c.Unread)
 	if n >= slots {
 		w += (n - slots + 1) * service / slots
 	}
--- /dev/null
+++ b/core/place/others_test.go
@@ -0,0 +1,91 @@
+package place
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"shallotrun/core/clock"
+	"shallotrun/core/work"
+)
+
+// prompts plays VMs that send prompts of very unlike length to servers that read them one after the other, at two thirds of
+// their capacity, with a burst in the middle. It returns the waits for the first event in milliseconds. What the VMs know of
+// each other's requests, if anything, is half a second old.
+func prompts(seed uint64, pooled bool) (waits []float64) {
+	const vms, servers, speed, lag = 30, 20, 20.0, 500 // tokens a millisecond, milliseconds
+	type request struct {
+		vm, server     int
+		tokens         int
+		sent, answered float64
+	}
+	random := rand.New(rand.NewPCG(seed, 2))
+	placers := make([]*Placer, vms)
+	for i := range placers {
+		placers[i] = &Placer{Policy: Affine{Prefill: 1 / speed}, Rand: rand.New(rand.NewPCG(seed, uint64(i)))}
+	}
+	var open []request
+	free := make([]float64, servers)
+	// has returns the unread tokens and open requests of some VMs at a server, as of a time.
+	has := func(server int, at float64, of func(vm int) bool) (tokens, n int) {
+		for _, r := range open {
+			if r.server == server && of(r.vm) && r.sent <= at && at < r.answered {
+				tokens, n = tokens+r.tokens, n+1
+			}
+		}
+		return tokens, n
+	}
+	const mean = 3000.0 // tokens of a prompt
+	for now := 0.0; now < 20000; {
+		load := 0.66
+		if now > 8000 && now < 12000 {
+			load = 1.1
+		}
+		now += random.ExpFloat64() * mean / (load * servers * speed)
+		open = slices.DeleteFunc(open, func(r request) bool { return r.answered < now-lag })
+		r := request{vm: random.IntN(vms), tokens: int(mean * math.Exp(1.2*random.NormFloat64()-0.72)), sent: now}
+		var in []Candidate
+		for s := range servers {
+			own := func(vm int) bool { return vm == r.vm }
+			tokens, n := has(s, now, own)
+			c := Candidate{Name: fmt.Sprint(s), Load: work.Load{Slots: 64}, Own: n, Starting: n, Unread: tokens}
+			if pooled {
+				tokens, n := has(s, now-lag, func(vm int) bool { return vm != r.vm })
+				c.Others, c.Unread = n, c.Unread+tokens
+			}
+			in = append(in, c)
+		}
+		name, _ := placers[r.vm].Pick(clock.Time(now), Ask{}, in)
+		_, _ = fmt.Sscan(name, &r.server)
+		r.answered = max(now, free[r.server]) + float64(r.tokens)/speed
+		free[r.server] = r.answered
+		waits = append(waits, r.answered-now)
+		open = append(open, r)
+	}
+	return waits
+}
+
+// Guards against placements that know only a VM's own requests: in a large fleet these say little, and long prompts pile up at
+// some servers while others are idle. Callers are to have their first event within two seconds.
+func TestPooledCounts(t *testing.T) {
+	const objective = 2000 // milliseconds
+	late := func(pooled bool) (n, all int) {
+		for seed := range uint64(5) {
+			for _, w := range prompts(seed, pooled) {
+				all++
+				if w > objective {
+					n++
+				}
+			}
+		}
+		return n, all
+	}
+	alone, all := late(false)
+	pooled, _ := late(true)
+	t.Logf("late of %d: alone %d, pooled %d", all, alone, pooled)
+	assert.Check(t, 2*pooled <= alone, "late of %d: alone %d, pooled %d", all, alone, pooled)
+}
--- a/core/place/server.go
+++ b/core/place/server.go
@@ -114,7 +114,7 @@
 // VM started and ended since. It is never below what this VM itself has there.
 func (p *Placer) estimate(c Candidate) float64 {
 	if !c.Known {
-		return float64(c.Own)
+		return float64(c.Own + c.Others)
 	}
 	n := c.Load.Running + c.Load.Waiting
 	if s := p.servers[c.Name]; s != nil {
--- a/core/place/types.go
+++ b/core/place/types.go
@@ -13,8 +13,12 @@
 	Own    int // requests that it has in flight there
 	// Starting is how many of Own have no first token yet. They delay the first token of the next one most.
 	Starting int
-	Load     work.Load // latest report
-	Known    bool      // whether there is a report
+	// Others is how many requests other VMs have in flight there, by reports that lag.
+	Others int
+	// Unread is the number of prompt tokens that the server has yet to read, of this VM and of others.
+	Unread int
+	Load   work.Load // latest report
+	Known  bool      // whether there is a report
 }
 
 // Ask is the request to place.
--- a/internal/feed/delta.go
+++ b/internal/feed/delta.go
@@ -3,6 +3,7 @@
 import (
 	"shallotrun/core/catalog"
 	"shallotrun/core/clock"
+	"shallotrun/core/load"
 )
 
 // historyMost is the number of changes of a kind that are kept for other VMs.
@@ -16,6 +17,7 @@
 	Body    *catalog.Config // in force, if the other VM does not have it and it is small
 	Kinds   [kinds]Changes
 	Reports []OrderReport // about the orders that are running
+	Loads   []load.Use    // what all other VMs have at the backend servers
 }
 
 // Question is what a VM asks the one that it follows.
@@ -23,11 +25,12 @@
 	Revs    Revisions
 	Config  uint64        // version in force, 0 for none
 	Reports []OrderReport // about the orders that are running
+	Loads   []load.Use    // what it has at the backend servers
 }
 
 // Ask returns this VM's question.
 func (f *Feed) Ask() Question {
-	q := Question{Revs: f.Revisions(), Reports: f.Orders.Reports()}
+	q := Question{Revs: f.Revisions(), Reports: f.Orders.Reports(), Loads: f.Loads.Own()}
 	if t := f.Config.Table(); t != nil {
 		q.Config = t.Config.Version
 	}
@@ -38,12 +41,31 @@
 func (f *Feed) Answer(from string, q Question) Delta {
 	d := f.Since(q.Revs)
 	d.Reports = f.Orders.Answer(from, q.Reports)
+	d.Loads = f.Loads.Answer(f.Clock.Now(), from, q.Loads)
 	if t := f.Config.Table(); t != nil && q.Config < t.Config.Version && small(&t.Config) {
 		d.Config, d.Body = t.Config.Version, &t.Config
 	}
 	return d
 }
 
+// Sums are what the VMs of a failure domain know together, for those of another one.
+type Sums struct {
+	Domain  string
+	Loads   []load.Use
+	Reports []OrderReport
+}
+
+// Sums returns what this VM and those that follow it know together.
+func (f *Feed) Sums(domain string) Sums {
+	return Sums{Domain: domain, Loads: f.Loads.Domain(f.Clock.Now()), Reports: f.Orders.Domain()}
+}
+
+// TakeSums takes what the VMs of another failure domain know together.
+func (f *Feed) TakeSums(s Sums) {
+	f.Loads.Put(f.Clock.Now(), s.Domain, s.Loads)
+	f.Orders.Put(s.Domain, s.Reports)
+}
+
 // deltaEntries is the number of routes and keys up to which a configuration is handed on. Each takes up to 200 bytes, and
 // a VM hands a change on to all others of its domain over its own link at the same moment.
 const deltaEntries = 250
@@ -149,6 +171,7 @@
 		}
 	}
 	f.Orders.Learn(d.Reports)
+	f.Loads.Learn(f.Clock.Now(), d.Loads)
 	// The other VM took the ages after the question was sent, so they are not older than that.
 	if current {
 		f.Proof.Read(sent.Add(-d.Age))
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -42,6 +42,7 @@
 
 	Config catalog.Current
 	Orders Board
+	Loads  Loads
 
 	applying [kinds]sync.Mutex // held while changes of a kind are taken
 
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -12,6 +12,7 @@
 	"shallotrun/core/canary"
 	"shallotrun/core/catalog"
 	"shallotrun/core/clock"
+	"shallotrun/core/load"
 )
 
 // script is a store whose answers are given by the test, one for each call.
@@ -235,3 +236,39 @@
 	assert.Equal(t, due[0].State, canary.RolledBack)
 	assert.Check(t, reasons[0] != "")
 }
+
+// Guards against results and loads that stay in one failure domain, or come back to the one that they are from: then a bad
+// version is found late, and servers look busier than they are.
+func TestSums(t *testing.T) {
+	order := canary.Order{Service: "s", Target: "v2", Duration: 20000, State: canary.Running, Made: 5}
+	var lead, other, a Feed
+	for i, f := range []*Feed{&lead, &other, &a} {
+		f.Orders.put(0, 0, order)
+		f.Loads.Uses = func() []load.Use { return []load.Use{{Server: "x", Open: 1 << i}} }
+	}
+	for range 6 {
+		a.Orders.Report("s", canary.Result{Route: "r", Version: "v1", First: 10})
+	}
+	lead.Answer("a", a.Ask())
+	for range 2 {
+		other.TakeSums(lead.Sums("d1"))
+		lead.TakeSums(other.Sums("d2"))
+	}
+	sums := other.Sums("d2")
+	assert.Equal(t, len(sums.Reports[0].Tallies), 0, "another domain's results come back")
+	assert.DeepEqual(t, sums.Loads, []load.Use{{Server: "x", Open: 2}})
+	for _, c := range []struct {
+		name string
+		f    *Feed
+		want int // requests of the others
+	}{{"the VM that is followed", &lead, 2 + 4}, {"another domain's", &other, 1 + 4}} {
+		now := c.f.Clock.Now()
+		c.f.Loads.Lead(now)
+		assert.Equal(t, c.f.Loads.Others(now).Uses["x"].Open, c.want, c.name)
+	}
+	a.Take(0, lead.Answer("a", a.Ask()))
+	assert.Equal(t, a.Loads.Others(a.Clock.Now()).Uses["x"].Open, 1+2, "a VM that follows")
+	got := other.Orders.Answer("z", nil)
+	assert.DeepEqual(t, got[0].Tallies, []canary.Tally{{Model: "r", Good: 6}, {Model: "s", Good: 6}})
+	assert.Check(t, a.Loads.Others(a.Clock.Now().Add(2*loadKeep)) == nil, "old sums count")
+}
--- a/internal/follow/choose.go
+++ b/internal/follow/choose.go
@@ -19,13 +19,46 @@
 // choose returns the VM to ask: the first of the failure domain that is not avoided, or false if that is this VM
 // itself. All VMs of a domain have the same order.
 func choose(self feed.Member, all []feed.Member, avoided func(name string) bool) (feed.Member, bool) {
-	var in []feed.Member
+	in := inDomain(self.Domain, all)
+	in = slices.DeleteFunc(in, func(m feed.Member) bool { return m.Name == self.Name })
+	for _, m := range order(append(in, self)) {
+		if m.Name == self.Name {
+			return feed.Member{}, false
+		}
+		if !avoided(m.Name) {
+			return m, true
+		}
+	}
+	return feed.Member{}, false
+}
+
+// firsts returns the first VM of each other failure domain that is not avoided.
+func firsts(self feed.Member, all []feed.Member, avoided func(name string) bool) (out []feed.Member) {
+	seen := map[string]bool{self.Domain: true}
+	for _, m := range all {
+		if seen[m.Domain] {
+			continue
+		}
+		seen[m.Domain] = true
+		in := order(inDomain(m.Domain, all))
+		if i := slices.IndexFunc(in, func(m feed.Member) bool { return !avoided(m.Name) }); i >= 0 {
+			out = append(out, in[i])
+		}
+	}
+	return out
+}
+
+func inDomain(domain string, all []feed.Member) (out []feed.Member) {
 	for _, m := range all {
-		if m.Domain == self.Domain && m.Name != self.Name {
-			in = append(in, m)
+		if m.Domain == domain {
+			out = append(out, m)
 		}
 	}
-	in = append(in, self)
+	return out
+}
+
+// order sorts the VMs of a domain by a hash of their names.
+func order(in []feed.Member) []feed.Member {
 	slices.SortFunc(in, func(a, b feed.Member) int {
 		x, y := xxhash.Sum64String(a.Name), xxhash.Sum64String(b.Name)
 		switch {
@@ -36,13 +69,5 @@
 		}
 		return strings.Compare(a.Name, b.Name)
 	})
-	for _, m := range in {
-		if m.Name == self.Name {
-			return feed.Member{}, false
-		}
-		if !avoided(m.Name) {
-			return m, true
-		}
-	}
-	return feed.Member{}, false
+	return in
 }
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -305,3 +305,21 @@
 		}
 	}
 }
+
+// Guards against failure domains that each choose a VM to exchange sums with that is not the one that the others of its domain
+// follow.
+func TestFirsts(t *testing.T) {
+	var all []feed.Member
+	for _, name := range []string{"a", "b", "c", "e", "f", "g", "h"} {
+		all = append(all, feed.Member{Name: name, Domain: map[bool]string{true: "d1", false: "d2"}[name < "e"]})
+	}
+	for _, down := range []string{"", "e", "f", "g", "h"} {
+		avoided := func(name string) bool { return name == down }
+		got := firsts(all[0], all, avoided)
+		assert.Equal(t, len(got), 1)
+		for _, m := range all[3:] {
+			to, ok := choose(m, all, avoided)
+			assert.Check(t, m.Name == down || !ok && m.Name == got[0].Name || ok && to.Name == got[0].Name, "%s follows %s, not %s", m.Name, to.Name, got[0].Name)
+		}
+	}
+}
--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -4,12 +4,14 @@
 	"context"
 	"crypto/rand"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/rs/zerolog"
 	"github.com/samber/oops"
 	"github.com/valyala/fasthttp"
+	"golang.org/x/sync/errgroup"
 
 	"shallotrun/core/clock"
 	"shallotrun/internal/feed"
@@ -44,14 +46,15 @@
 
 	transport *peer.Transport
 
-	mu      sync.Mutex
-	avoided map[string]clock.Time // until when
-	backoff map[string]clock.Span // for how long, the last time
-	leading string                // VM that is followed, "" for none
-	dialled string                // VM that is being connected to
-	since   clock.Time            // when that began
-	covered bool
-	changed chan struct{} // closed when covered changes
+	mu       sync.Mutex
+	avoided  map[string]clock.Time // until when
+	backoff  map[string]clock.Span // for how long, the last time
+	leading  string                // VM that is followed, "" for none
+	partners []feed.Member         // of the other failure domains
+	dialled  string                // VM that is being connected to
+	since    clock.Time            // when that began
+	covered  bool
+	changed  chan struct{} // closed when covered changes
 }
 
 // Init prepares the follower. It is called once, before the feed runs.
@@ -77,6 +80,7 @@
 	defer t.Stop()
 	for ctx.Err() == nil {
 		f.set(f.step(ctx))
+		f.share(ctx)
 		select {
 		case <-ctx.Done():
 		case <-t.C:
@@ -199,6 +203,52 @@
 	return f.Feed.Resync(ctx, d)
 }
 
+// share exchanges sums with the other failure domains, if this VM follows none.
+func (f *Follower) share(ctx context.Context) {
+	var partners []feed.Member
+	if f.leading == "" {
+		now := f.Clock.Now()
+		partners = firsts(f.Self, f.Feed.Members(), func(name string) bool { return now < f.until(name) })
+	}
+	f.pair(partners)
+	if f.leading != "" {
+		return
+	}
+	var g errgroup.Group
+	for _, m := range partners {
+		if f.transport.Reachable(m.Name) {
+			g.Go(func() error { f.exchange(ctx, m); return nil })
+		}
+	}
+	_ = g.Wait() // the functions return no errors
+	f.Feed.Loads.Lead(f.Clock.Now())
+}
+
+// pair connects to the VMs of other failure domains, and ends the connections to those before.
+func (f *Follower) pair(next []feed.Member) {
+	for _, old := range f.partners {
+		if !slices.ContainsFunc(next, func(m feed.Member) bool { return m.Name == old.Name }) {
+			f.transport.Disconnect(old.Name)
+		}
+	}
+	for _, m := range next {
+		f.transport.Connect(m.Name, m.Addr)
+	}
+	f.partners = next
+}
+
+// exchange gives the sums of this failure domain to a VM of another one, and takes those of the other.
+func (f *Follower) exchange(ctx context.Context, m feed.Member) {
+	asking, cancel := context.WithTimeout(ctx, askTime.Std())
+	defer cancel()
+	var s feed.Sums
+	if err := f.transport.Ask(asking, m.Name, peer.KindSums, f.Feed.Sums(f.Self.Domain), &s); err != nil {
+		f.Log.Debug().Err(err).Str("vm", m.Name).Msg("follow: no sums of another failure domain")
+		return
+	}
+	f.Feed.TakeSums(s)
+}
+
 // connectSpan is the time for the first connection to a VM.
 const connectSpan = 1500 * clock.Millisecond
 
@@ -275,7 +325,16 @@
 type handler Follower
 
 func (h *handler) Handle(e *peer.Envelope) (string, any, error) {
-	if e.Kind != peer.KindFeed {
+	switch e.Kind {
+	case peer.KindFeed:
+	case peer.KindSums:
+		var s feed.Sums
+		if err := e.Decode(&s); err != nil {
+			return "", nil, err
+		}
+		h.Feed.TakeSums(s)
+		return peer.KindSums, h.Feed.Sums(h.Self.Domain), nil
+	default:
 		return "", nil, oops.Errorf("unknown kind %q", e.Kind)
 	}
 	var q feed.Question
--- a/internal/front/daemon.go
+++ b/internal/front/daemon.go
@@ -83,6 +83,8 @@
 		Domain: s.Domain, State: &state{d.feed}, Backend: d.Backend, Clock: d.clock, Log: d.Log, Registry: registry,
 		Retries: retryPart * s.Retries, Grace: s.Grace - stopReserve, Worth: s.Worth,
 	}
+	d.feed.Orders.Share = s.Exposed
+	d.feed.Loads.Uses = d.gateway.Uses
 	stop, err := d.trace(ctx)
 	if err != nil {
 		return err
--- a/internal/front/state.go
+++ b/internal/front/state.go
@@ -5,6 +5,7 @@
 	"shallotrun/core/canary"
 	"shallotrun/core/catalog"
 	"shallotrun/core/clock"
+	"shallotrun/core/load"
 	"shallotrun/internal/feed"
 )
 
@@ -22,4 +23,8 @@
 	return s.Orders.Choose(now, service, session, all)
 }
 
+func (s *state) Overdue(service string, v canary.Result) bool { return s.Orders.Overdue(service, v) }
+
+func (s *state) Others(now clock.Time) *load.View { return s.Loads.Others(now) }
+
 func (s *state) Report(service string, v canary.Result) { s.Orders.Report(service, v) }
--- /dev/null
+++ b/internal/gateway/evidence_test.go
@@ -0,0 +1,54 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"shallotrun/core/canary"
+)
+
+// Guards against a slow version that is found out only when its streams end, which may be after its order: the first answer and
+// the first events are reported as they come, each once.
+func TestStreamIsReportedEarly(t *testing.T) {
+	b := &fakeBackend{script: []step{{events: paceKnown + 1, hang: true}}}
+	g, s := start(t, b)
+	a, ok := g.Serve(ask("/stream/1")).(*Stream)
+	assert.Assert(t, ok)
+	buf := make([]byte, 1<<10)
+	for n := 0; n < len(events(0, paceKnown)); {
+		k, err := a.Read(buf)
+		assert.NilError(t, err)
+		n += k
+	}
+	s.mu.Lock()
+	got := append([]canary.Result(nil), s.results...)
+	s.mu.Unlock()
+	assert.Equal(t, len(got), 2)
+	assert.Check(t, got[0].Started && !got[1].Started)
+	assert.NilError(t, a.Close())
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	assert.Equal(t, len(s.results), 2, "the end of a stream is reported a second time")
+}
+
+// Guards against counts of requests that stay after the requests have ended, which would keep work from a server for good.
+func TestUses(t *testing.T) {
+	b := &fakeBackend{script: []step{{events: -1, hang: true}}}
+	g, _ := start(t, b)
+	r := ask("/stream/1")
+	r.Prompt = 700
+	r.Wait = 400
+	done := make(chan struct{})
+	go func() { g.Serve(r); close(done) }()
+	for deadline := time.Now().Add(10 * time.Second); len(g.Uses()) == 0 && time.Now().Before(deadline); {
+		time.Sleep(time.Millisecond)
+	}
+	got := g.Uses()
+	assert.Equal(t, len(got), 1)
+	assert.Equal(t, got[0].Open, 1)
+	assert.Equal(t, got[0].Unread, 700)
+	<-done
+	assert.Equal(t, len(g.Uses()), 0)
+}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -5,11 +5,13 @@
 	"errors"
 	"io"
 	"sync"
+	"sync/atomic"
 
 	"github.com/cespare/xxhash/v2"
 	"go.opentelemetry.io/otel/trace"
 
 	"shallotrun/core/backend"
+	"shallotrun/core/canary"
 	"shallotrun/core/catalog"
 	"shallotrun/core/clock"
 	"shallotrun/core/models"
@@ -38,9 +40,12 @@
 	pool      *pool
 	server    backend.Server // of the attempt under way
 	started   bool           // the attempt has its first answer
+	unread    int            // prompt tokens of the attempt, as if the largest model read them
 	begun     clock.Time     // of the attempt
 	first     clock.Span     // of the attempt
 	events    int            // of the attempt
+	overdue   atomic.Bool    // the attempt counted as slow before its first answer
+	judged    bool           // the attempt was reported to the order of its service
 	tries     int            // attempts, whatever became of them
 	sent      int            // attempts that count against the route's bound
 	tried     []string       // servers that failed the request
@@ -70,6 +75,7 @@
 	limit  clock.Time // when the attempt is given up, 0 for never
 	pool   *pool
 	server backend.Server
+	late   canary.Result // what is reported if the first answer is overdue
 }
 
 // Reasons for which an attempt was ended from outside.
@@ -169,7 +175,8 @@
 	}
 	x.tries++
 	x.g.metrics.attempts.Inc()
-	x.server, x.begun, x.started, x.first, x.events = server, now, false, 0, 0
+	x.server, x.begun, x.started, x.judged, x.first, x.events = server, now, false, false, 0, 0
+	x.overdue.Store(false)
 	x.wait(x.limit(now))
 	return nil
 }
--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -17,6 +17,7 @@
 	"shallotrun/core/canary"
 	"shallotrun/core/catalog"
 	"shallotrun/core/clock"
+	"shallotrun/core/load"
 	"shallotrun/core/work"
 )
 
@@ -40,6 +41,8 @@
 	return out
 }
 
+func (s *fakeState) Overdue(string, canary.Result) bool { return false }
+func (s *fakeState) Others(clock.Time) *load.View       { return nil }
 func (s *fakeState) Choose(_ clock.Time, _, _ string, all []backend.Server) []backend.Server {
 	return all
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -15,6 +15,7 @@
 	"shallotrun/core/canary"
 	"shallotrun/core/catalog"
 	"shallotrun/core/clock"
+	"shallotrun/core/load"
 	"shallotrun/core/work"
 )
 
@@ -25,6 +26,8 @@
 	Servers(now clock.Time, service string) []backend.Server
 	Choose(now clock.Time, service, session string, all []backend.Server) []backend.Server
 	Report(service string, v canary.Result)
+	Overdue(service string, v canary.Result) bool // the wait of a request counted against its version
+	Others(now clock.Time) *load.View             // what other VMs have at the servers, nil if that is not known
 }
 
 // Gateway serves requests. The exported fields are set before Run.
@@ -100,6 +103,17 @@
 	g.metrics.open.Set(float64(len(g.open)))
 }
 
+// Uses returns what this VM has under way at the backend servers.
+func (g *Gateway) Uses() (out []load.Use) {
+	now := g.Clock.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, p := range g.pools {
+		out = p.uses(now, out)
+	}
+	return out
+}
+
 // pool returns the pool of a service.
 func (g *Gateway) pool(service string) *pool {
 	g.mu.Lock()
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -24,6 +24,33 @@
 	x.model = x.models[x.choice].Name
 }
 
+// weight returns the time in which the chosen model reads a prompt, as a part of that of the largest model. A model's cost is
+// taken for the time that it takes of a server.
+func (x *exchange) weight() float64 {
+	if len(x.models) == 0 {
+		return 1
+	}
+	largest := x.models[len(x.models)-1].Cost
+	if largest <= 0 {
+		return 1
+	}
+	return min(x.models[x.choice].Cost/largest, 1)
+}
+
+// cachedPart is the part of the shared prompt tokens that the servers are taken to have in their caches.
+const cachedPart = 0.7
+
+// work returns the prompt tokens that an attempt probably makes a server read, as if the largest model read them.
+func (x *exchange) work() int {
+	n := float64(x.request.Prompt)
+	if len(x.request.Parts) > 1 {
+		for _, p := range x.request.Parts[:len(x.request.Parts)-1] {
+			n -= cachedPart * float64(p.Tokens)
+		}
+	}
+	return int(x.weight() * max(n, 0))
+}
+
 // choices returns the models of the route with their costs.
 func (x *exchange) choices() []models.Model {
 	out := make([]models.Model, 0, len(x.route.Models))
--- a/internal/gateway/outcome.go
+++ b/internal/gateway/outcome.go
@@ -2,6 +2,7 @@
 
 import (
 	"shallotrun/core/canary"
+	"shallotrun/core/catalog"
 	"shallotrun/core/clock"
 	"shallotrun/core/work"
 )
@@ -89,7 +90,7 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	x.waiting = waiting{
-		on: true, again: x.sent+1 < x.route.Attempts && x.tries < maxTries, begun: x.events > 0, since: x.g.Clock.Now(), limit: limit, pool: x.pool, server: x.server,
+		on: true, late: canary.Result{Route: x.route.Name, Model: x.model, Version: x.server.Version}, again: x.sent+1 < x.route.Attempts && x.tries < maxTries, begun: x.events > 0, since: x.g.Clock.Now(), limit: limit, pool: x.pool, server: x.server,
 	}
 	if x.cause == causeSlow || x.cause == causeSilent {
 		x.cause = causeNone // of an earlier attempt
@@ -118,8 +119,13 @@
 	now := x.g.Clock.Now()
 	x.started, x.first = true, max(now.Sub(x.begun), 1)
 	x.g.metrics.first.Observe(x.first.Std().Seconds())
-	x.pool.started(x.server.ID)
+	x.pool.started(x.server.ID, x.unread)
 	x.pool.heard(x.server.ID, now)
+	if x.route.Kind == catalog.Streaming && x.ended() == causeNone && !x.overdue.Load() {
+		v := x.evidence(false)
+		v.Started = true
+		x.g.State.Report(x.service, v)
+	}
 	if len(x.models) > 0 && x.route.Objective > 0 {
 		x.pool.late(float64(x.first) / float64(x.route.Objective))
 	}
@@ -129,17 +135,35 @@
 func (x *exchange) result(r work.Result, bad bool) {
 	now := x.g.Clock.Now()
 	r.Server, r.First, r.Total, r.Tokens = x.server.ID, x.first, now.Sub(x.begun), x.events
-	x.pool.ended(x.server.ID, x.started, r)
+	x.pool.ended(x.server.ID, x.started, x.unread, r)
 	x.endAttempt(r)
 	if r.Refused || r.Failed && !bad {
 		return
 	}
-	v := canary.Result{Route: x.route.Name, Model: x.model, Version: x.server.Version, Failed: bad, First: x.first}
+	if x.judged && !bad {
+		return
+	}
+	x.judge(bad)
+}
+
+// judge reports the attempt to the order of its service, if there is one.
+func (x *exchange) judge(bad bool) {
+	x.judged = true
+	v := x.evidence(bad)
 	if x.events > paceLeast {
-		v.Pace = float64(r.Total-r.First) / float64(x.events-1)
+		v.Pace = float64(x.g.Clock.Now().Sub(x.begun)-x.first) / float64(x.events-1)
 	}
 	x.g.State.Report(x.service, v)
 }
 
+// evidence returns what the attempt showed so far.
+func (x *exchange) evidence(bad bool) canary.Result {
+	return canary.Result{Route: x.route.Name, Model: x.model, Version: x.server.Version, Failed: bad, First: x.first}
+}
+
+// paceKnown is the number of events after which the time between them is reported. A stream of a slow version can last
+// longer than the part of an order in which the new version is tried.
+const paceKnown = 6
+
 // paceLeast is the number of events after which the time between them says something.
 const paceLeast = 3
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -7,6 +7,7 @@
 
 	"shallotrun/core/backend"
 	"shallotrun/core/clock"
+	"shallotrun/core/load"
 	"shallotrun/core/models"
 	"shallotrun/core/place"
 	"shallotrun/core/retry"
@@ -31,6 +32,7 @@
 type use struct {
 	own      int        // requests
 	starting int        // of them without an answer yet
+	unread   int        // prompt tokens of those, as if the largest model read them
 	heard    clock.Time // when the last byte came from the server
 	asking   bool       // a report was asked for
 	asked    clock.Time // when the last report was asked for
@@ -56,13 +58,20 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.cands = p.cands[:0]
+	var others map[string]load.Use
+	if v := p.g.State.Others(now); v != nil {
+		others = v.Uses
+	}
 	for _, v := range all {
 		c := place.Candidate{Name: v.ID, Domain: v.Domain, Load: work.Load{Slots: v.Slots}}
 		if x.spec != nil && x.spec.Conns > 0 {
 			c.Slots = max(x.spec.Conns/connPart, 1)
 		}
 		if u := p.use[v.ID]; u != nil {
-			c.Own, c.Starting = u.own, u.starting
+			c.Own, c.Starting, c.Unread = u.own, u.starting, u.unread
+		}
+		if o := others[v.ID]; o.Open > 0 {
+			c.Others, c.Unread = o.Open, c.Unread+o.Unread
 		}
 		p.cands = append(p.cands, c)
 	}
@@ -83,21 +92,34 @@
 	}
 	u.own++
 	u.starting++
+	x.unread = x.work()
+	u.unread += x.unread
 	i := slices.IndexFunc(all, func(v backend.Server) bool { return v.ID == name })
 	return all[i], true
 }
 
 // started records that an attempt has its first answer.
-func (p *pool) started(server string) {
+func (p *pool) started(server string, unread int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if u := p.use[server]; u != nil {
 		u.starting--
+		u.unread -= unread
+	}
+}
+
+// uses appends what this VM has under way at each server.
+func (p *pool) uses(now clock.Time, out []load.Use) []load.Use {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for name, u := range p.use {
+		out = append(out, load.Use{Server: name, Open: u.own, Unread: u.unread, Quiet: now.Sub(u.heard)})
 	}
+	return out
 }
 
 // ended records the end of an attempt.
-func (p *pool) ended(server string, started bool, r work.Result) {
+func (p *pool) ended(server string, started bool, unread int, r work.Result) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.placer.Report(p.g.Clock.Now(), r)
@@ -107,6 +129,7 @@
 	}
 	if !started {
 		u.starting--
+		u.unread -= unread
 	}
 	if u.own--; u.own <= 0 {
 		delete(p.use, server)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -86,6 +86,9 @@
 		}
 		x.answered()
 		x.events++
+		if x.events == paceKnown {
+			x.judge(false)
+		}
 		x.pool.heard(x.server.ID, x.g.Clock.Now())
 		if ev.ID <= x.last {
 			continue // a server that went on earlier than asked
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"shallotrun/core/catalog"
 	"shallotrun/core/clock"
 )
 
@@ -63,6 +64,10 @@
 	x.mu.Lock()
 	w := x.waiting
 	x.mu.Unlock()
+	if w.on && !w.begun && x.route.Kind == catalog.Streaming && !x.overdue.Load() {
+		w.late.First = now.Sub(w.since)
+		x.overdue.Store(x.g.State.Overdue(x.service, w.late))
+	}
 	switch {
 	case !w.on || !w.again:
 	case w.limit != 0 && now >= w.limit:
