gateway: a stream is not broken off when its key does not allow another attempt

The caller got half of its answer.

Change: an attempt is ended only if the key allows another one: still known, and proved to be.

Ruled out: the retry budget and the bound on attempts, which are looked at before.

Figures: TestNoBreakWithoutAKey fails before and passes after.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -158,13 +158,8 @@
 	if x.end.Sub(now) < leastLeft {
 		return x.over(work.CodeDeadline, "the time is over")
 	}
-	if x.space != nil {
-		if !x.g.State.Fresh() {
-			return x.over(work.CodeStale, "whether the key is still valid cannot be proved now")
-		}
-		if x.g.State.Table().Workspace(x.request.Key) == nil {
-			return x.over(work.CodeStale, "the key was taken away")
-		}
+	if why := x.barred(); why != "" {
+		return x.over(work.CodeStale, why)
 	}
 	server, ok := x.pool.pick(now, x)
 	if !ok {
@@ -181,6 +176,19 @@
 	return nil
 }
 
+// barred returns why the request's key does not allow another attempt now, "" if it does.
+func (x *exchange) barred() string {
+	switch {
+	case x.space == nil:
+		return ""
+	case !x.g.State.Fresh():
+		return "whether the key is still valid cannot be proved now"
+	case x.g.State.Table().Workspace(x.request.Key) == nil:
+		return "the key was taken away"
+	}
+	return ""
+}
+
 func (x *exchange) ask() place.Ask {
 	ask := place.Ask{Model: "", Exclude: x.tried}
 	if !x.route.Affine || len(x.request.Parts) < 2 {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -130,6 +130,29 @@
 	assert.Check(t, g.Clock.Now().Sub(begun) >= 1400, "the stream was broken off before the route's time")
 }
 
+// Guards against a stream that is broken off to be resumed when its key was taken away meanwhile, or cannot be proved now: the
+// attempt under way may go on, another one may not begin.
+func TestNoBreakWithoutAKey(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		bar  func(s *fakeState)
+	}{
+		{"taken away", func(s *fakeState) { s.table.Store(testTable(8, "other")) }},
+		{"no proof", func(s *fakeState) { s.stale.Store(true) }},
+	} {
+		b := &fakeBackend{dead: true, script: []step{{events: 2, hang: true}, {events: 5}}}
+		g, s := start(t, b)
+		s.table.Load().Config.Routes[3].Timeout = 2500
+		a := g.Serve(ask("/resumable/1"))
+		c.bar(s)
+		begun := g.Clock.Now()
+		got, err := read(t, a)
+		assert.Check(t, err != nil)
+		assert.Equal(t, got, events(0, 2))
+		assert.Check(t, g.Clock.Now().Sub(begun) >= 2000, "%s: the stream was broken off before the route's time", c.name)
+	}
+}
+
 // Guards against work that goes on after its caller left, in each phase.
 func TestCallerGone(t *testing.T) {
 	for _, path := range []string{"/resumable/1", "/stream/1"} {
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -80,7 +80,7 @@
 // retry ends the attempt that is under way if another one can follow. Otherwise it goes on: a late answer is better than
 // none.
 func (x *exchange) retry(now clock.Time, w waiting, c cause) {
-	if !w.again || x.end.Sub(now) <= leastLeft || !w.pool.spend(now) {
+	if !w.again || x.end.Sub(now) <= leastLeft || x.barred() != "" || !w.pool.spend(now) {
 		return
 	}
 	x.mu.Lock()
