gateway: a server that answers other VMs is not asked for a report

Change: a server counts as silent only if no VM heard from it; the pooled counts say how long ago that was.

--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -33,7 +33,8 @@
 	own      int        // requests
 	starting int        // of them without an answer yet
 	unread   int        // prompt tokens of those, as if the largest model read them
-	heard    clock.Time // when the last byte came from the server
+	since    clock.Time // when the first of them was sent
+	heard    clock.Time // when the last byte came from the server, 0 for never
 	asking   bool       // a report was asked for
 	asked    clock.Time // when the last report was asked for
 	dead     bool       // it was not answered
@@ -87,7 +88,7 @@
 	}
 	u := p.use[name]
 	if u == nil {
-		u = &use{heard: now}
+		u = &use{since: now}
 		p.use[name] = u
 	}
 	u.own++
@@ -113,11 +114,22 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for name, u := range p.use {
-		out = append(out, load.Use{Server: name, Open: u.own, Unread: u.unread, Quiet: now.Sub(u.heard)})
+		out = append(out, load.Use{Server: name, Open: u.own, Unread: u.unread, Quiet: u.quiet(now)})
 	}
 	return out
 }
 
+// quiet returns how long nothing has come from the server.
+func (u *use) quiet(now clock.Time) clock.Span {
+	if u.heard == 0 {
+		return neverHeard
+	}
+	return now.Sub(u.heard)
+}
+
+// neverHeard stands for the time since the last byte from a server that has sent none.
+const neverHeard = clock.Span(3600_000)
+
 // ended records the end of an attempt.
 func (p *pool) ended(server string, started bool, unread int, r work.Result) {
 	p.mu.Lock()
@@ -159,23 +171,31 @@
 }
 
 // look returns what is known about a server at which a request has waited for that long: how long nothing at all came
-// from it, whether it is dead, and its report if it is younger than the wait. If the server is silent or the wait is
-// suspicious, a report is asked for.
+// from it to any VM, whether it is dead, and its report if it is younger than the wait. A report is asked for if the server is
+// silent, or if it answers others and this request waits so long that it may be lost there.
 func (p *pool) look(v backend.Server, now clock.Time, waited, limit clock.Span) (silent clock.Span, dead bool, load *work.Load) {
+	others := p.g.State.Others(now)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	u := p.use[v.ID]
 	if u == nil {
 		return 0, false, nil
 	}
-	if waited >= limit && !u.asking && now.Sub(u.asked) >= limit {
+	silent = min(now.Sub(u.since), u.quiet(now))
+	if others != nil {
+		if o, ok := others.Uses[v.ID]; ok {
+			silent = min(silent, o.Quiet+now.Sub(others.At))
+		}
+	}
+	suspicious := silent >= limit || waited >= lostFactor*limit
+	if suspicious && waited >= limit && !u.asking && now.Sub(u.asked) >= limit {
 		u.asking, u.asked = true, now
 		go p.ask(v)
 	}
 	if !u.asking && u.asked != 0 && now.Sub(u.asked) < limit {
 		load = &u.load
 	}
-	return now.Sub(u.heard), u.dead, load
+	return silent, u.dead, load
 }
 
 // ask asks a server for a report. A report also shows that the server lives.
