feed, platform: a relisted kind is handed on as changes, a whole one in place of a gap; first list of orders may be stale

A VM that follows another had to list a kind when the other one's history began later than its own, or was lost.

Change: the VM that is followed keeps the objects of each kind, so that a list becomes changes for the others; where changes are not kept it hands on all objects of the kind.

TestRelistLeavesNoGap, TestWholeKindIsHandedOn and TestOnlyFirstListMayBeStale guard it.

--- a/internal/feed/delta.go
+++ b/internal/feed/delta.go
@@ -9,6 +9,10 @@
 // historyMost is the number of changes of a kind that are kept for other VMs.
 const historyMost = 256
 
+// wholeMost is the number of objects up to which all of a kind are handed on, in place of changes that are not kept. Each takes
+// about 100 bytes.
+const wholeMost = 400
+
 // Delta is what one VM hands on to another about the kinds of objects.
 type Delta struct {
 	Age     clock.Span      // of the proof that the configuration is the newest one
@@ -81,6 +85,7 @@
 // Changes are the changes of a kind after a revision.
 type Changes struct {
 	Gap     bool // they are not all kept: the kind has to be listed
+	Whole   bool // they are not all kept, and these are all objects instead
 	Objects []Object
 	Rev     uint64
 }
@@ -93,15 +98,40 @@
 	from    uint64 // changes up to here are not kept
 	rev     uint64
 	batches []Batch
+	all     map[string]Object // as of rev, nil before the first list
 }
 
-func (h *history) restart(rev uint64) { *h = history{from: rev, rev: rev} }
+// list takes all objects of the kind. VMs that follow this one then need only what changed, also if the store
+// dropped the changes in between.
+func (h *history) list(b Batch) {
+	if h.all == nil {
+		h.from, h.all = b.Rev, make(map[string]Object)
+		h.keep(b.Objects)
+		h.rev = b.Rev
+		return
+	}
+	d := Batch{Rev: b.Rev}
+	listed := make(map[string]bool, len(b.Objects))
+	for _, o := range b.Objects {
+		listed[o.Name] = true
+		if old, ok := h.all[o.Name]; !ok || !same(old, o) {
+			d.Objects = append(d.Objects, o)
+		}
+	}
+	for name := range h.all {
+		if !listed[name] {
+			d.Objects = append(d.Objects, Object{Name: name, Removed: true})
+		}
+	}
+	h.add(d)
+}
 
 func (h *history) add(b Batch) {
 	h.rev = max(h.rev, b.Rev)
 	if len(b.Objects) == 0 {
 		return
 	}
+	h.keep(b.Objects)
 	h.batches = append(h.batches, b)
 	if n := len(h.batches); n > historyMost {
 		h.from = h.batches[n-historyMost-1].Rev
@@ -109,11 +139,45 @@
 	}
 }
 
+func (h *history) keep(changes []Object) {
+	if h.all == nil {
+		return
+	}
+	for _, o := range changes {
+		if o.Removed {
+			delete(h.all, o.Name)
+			continue
+		}
+		h.all[o.Name] = o
+	}
+}
+
+// same reports whether two objects have the same value. Configurations differ if their versions do.
+func same(a, b Object) bool {
+	switch {
+	case a.Server != nil && b.Server != nil:
+		return *a.Server == *b.Server
+	case a.Order != nil && b.Order != nil:
+		return *a.Order == *b.Order
+	case a.Member != nil && b.Member != nil:
+		return *a.Member == *b.Member
+	case a.Config != nil && b.Config != nil:
+		return a.Config.Version == b.Config.Version
+	}
+	return a == b
+}
+
 // since returns the changes after a revision.
 func (h *history) since(rev uint64) Changes {
 	c := Changes{Rev: h.rev}
 	if rev < h.from {
-		c.Gap = true
+		if c.Gap = h.all == nil || len(h.all) > wholeMost; c.Gap {
+			return c
+		}
+		c.Whole = true
+		for _, o := range h.all {
+			c.Objects = append(c.Objects, o)
+		}
 		return c
 	}
 	for _, b := range h.batches {
@@ -166,6 +230,8 @@
 		switch {
 		case d.Kinds[k].Gap:
 			whole = false
+		case k != Configs && d.Kinds[k].Whole:
+			f.relisted(k, Batch{Objects: d.Kinds[k].Objects, Rev: d.Kinds[k].Rev})
 		case k != Configs:
 			f.apply(k, Batch{Objects: d.Kinds[k].Objects, Rev: d.Kinds[k].Rev})
 		}
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -154,18 +154,11 @@
 // Relist reads all objects of a kind from the store.
 func (f *Feed) Relist(ctx context.Context, k Kind) error {
 	sent := f.Clock.Boot()
-	b, err := f.Store.List(ctx, k)
+	b, err := f.Store.List(ctx, k, f.age(k))
 	if err != nil {
 		return err
 	}
-	f.applying[k].Lock()
-	if b.Rev >= f.Revisions()[k] {
-		f.list(k, b)
-		f.mu.Lock()
-		f.past[k].restart(b.Rev)
-		f.mu.Unlock()
-	}
-	f.applying[k].Unlock()
+	f.relisted(k, b)
 	f.hear(k)
 	if k == Configs {
 		f.Proof.Read(sent)
@@ -173,6 +166,32 @@
 	return nil
 }
 
+// relisted takes all objects of a kind, from the store or from another VM, unless what is known already is newer.
+func (f *Feed) relisted(k Kind, b Batch) {
+	f.applying[k].Lock()
+	defer f.applying[k].Unlock()
+	if b.Rev < f.Revisions()[k] {
+		return
+	}
+	f.list(k, b)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.past[k].list(b)
+}
+
+// age returns how old a list of a kind may be. The first list of the orders may be stale: what changed since then is learnt
+// a moment later, from the VM that is followed or from a watch. A list that is read because the history is gone has to be
+// the latest, as the history may be gone for a stale one again. The VMs are listed as they are, since one that joins
+// together with the others would find none to follow in an old list.
+func (f *Feed) age(k Kind) Age {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if k == Orders && !f.listed[k] {
+		return Stale
+	}
+	return Latest
+}
+
 // lagSpan is how long a store that is about to drop its history may keep changes from a watch, with a reserve.
 const lagSpan = 3 * clock.Second
 
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -28,7 +28,7 @@
 	err   error
 }
 
-func (s *script) List(_ context.Context, k Kind) (Batch, error) {
+func (s *script) List(_ context.Context, k Kind, _ Age) (Batch, error) {
 	if s.listed != nil {
 		s.listed <- k
 	}
@@ -272,3 +272,57 @@
 	assert.DeepEqual(t, got[0].Tallies, []canary.Tally{{Model: "r", Good: 6}, {Model: "s", Good: 6}})
 	assert.Check(t, a.Loads.Others(a.Clock.Now().Add(2*loadKeep)) == nil, "old sums count")
 }
+
+// Guards against a fleet whose VMs all list a kind again when the store drops its history: the one that is followed lists it,
+// and hands on what changed.
+func TestRelistLeavesNoGap(t *testing.T) {
+	server := func(id string, leaving bool) Object {
+		return Object{Name: id, Server: &backend.Server{ID: id, Service: "s", Leaving: leaving}}
+	}
+	s := &script{lists: map[Kind]Batch{Servers: {Rev: 5, Objects: []Object{server("x", false), server("y", false), server("u", false)}}}}
+	a, b := &Feed{Store: s}, &Feed{Store: s}
+	for _, f := range []*Feed{a, b} {
+		assert.NilError(t, f.Relist(t.Context(), Servers))
+	}
+	s.lists[Servers] = Batch{Rev: 20, Objects: []Object{server("y", true), server("z", false), server("u", false)}}
+	assert.NilError(t, a.Relist(t.Context(), Servers))
+	d := a.Since(b.Revisions())
+	assert.Check(t, !d.Kinds[Servers].Gap)
+	assert.Equal(t, len(d.Kinds[Servers].Objects), 3, "only what changed is handed on")
+	b.Take(0, d)
+	for _, f := range []*Feed{a, b} {
+		got := f.Servers(99, "s")
+		assert.Equal(t, len(got), 2)
+		assert.Equal(t, got[0].ID+got[1].ID, "uz")
+	}
+}
+
+// Guards against a list after a loss of history that is stale: its history may be gone again, for as long as the store
+// serves old answers.
+func TestOnlyFirstListMayBeStale(t *testing.T) {
+	f := &Feed{Store: &script{lists: map[Kind]Batch{}}}
+	for _, c := range []struct {
+		kind  Kind
+		first Age
+	}{{Configs, Latest}, {Servers, Latest}, {Orders, Stale}, {Members, Latest}} {
+		assert.Equal(t, f.age(c.kind), c.first, "%s", c.kind)
+		assert.NilError(t, f.Relist(t.Context(), c.kind))
+		assert.Equal(t, f.age(c.kind), Latest, "%s", c.kind)
+	}
+}
+
+// Guards against VMs that each list a kind although the VM that they follow knows all of it: its history begins later than
+// theirs when many start together.
+func TestWholeKindIsHandedOn(t *testing.T) {
+	member := func(name string) Object { return Object{Name: name, Member: &Member{Name: name, Domain: "d"}} }
+	s := &script{lists: map[Kind]Batch{Members: {Rev: 3, Objects: []Object{member("a"), member("gone")}}}}
+	a, b := &Feed{Store: s}, &Feed{Store: s}
+	assert.NilError(t, b.Relist(t.Context(), Members))
+	s.lists[Members] = Batch{Rev: 8, Objects: []Object{member("a"), member("b")}}
+	assert.NilError(t, a.Relist(t.Context(), Members))
+	d := a.Since(b.Revisions())
+	assert.Check(t, d.Kinds[Members].Whole && !d.Kinds[Members].Gap)
+	b.Take(0, d)
+	assert.Equal(t, len(b.Members()), 2)
+	assert.Equal(t, len(a.Since(b.Revisions()).Kinds[Members].Objects), 0)
+}
--- a/internal/feed/store.go
+++ b/internal/feed/store.go
@@ -54,10 +54,19 @@
 	Rev     uint64
 }
 
-// Store is the platform's store. Reads are linearizable.
+// Ages of what a list returns.
+const (
+	Latest Age = iota // linearizable
+	Stale             // may be seconds old, and costs the store little
+)
+
+// Age says how old the objects of a list may be.
+type Age uint8
+
+// Store is the platform's store. Reads are linearizable unless a list may be stale.
 type Store interface {
-	// List returns all objects of a kind.
-	List(ctx context.Context, k Kind) (Batch, error)
+	// List returns all objects of a kind as of the batch's revision.
+	List(ctx context.Context, k Kind, age Age) (Batch, error)
 	// Watch returns the changes after a revision, none when the wait is over. It fails with ErrHistory.
 	Watch(ctx context.Context, k Kind, rev uint64, wait clock.Span) (Batch, error)
 	// SetOrder writes the state of an order that was read, and the time of its start. It fails with ErrConflict.
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -84,7 +84,7 @@
 	s.add(feed.Configs, feed.Object{Name: "main", Config: &catalog.Config{Version: version}})
 }
 
-func (v *view) List(_ context.Context, k feed.Kind) (feed.Batch, error) {
+func (v *view) List(_ context.Context, k feed.Kind, _ feed.Age) (feed.Batch, error) {
 	if err := v.count(); err != nil {
 		return feed.Batch{}, err
 	}
