gateway, models, place: the backlog of all VMs raises the price of large models; cached parts weigh more

Change: the pressure on a service is the time that its servers need for the prompts that all VMs have there unread, as a part of the objective; above a tenth of it the price of a run rises by 12 for each objective (before: 4 above a quarter, from own late answers only). A cached part weighs twice its reading time, since reading it again also holds up the next requests.

TestBacklogOfOthersLowersTheModel.

--- a/core/models/chooser.go
+++ b/core/models/chooser.go
@@ -138,8 +138,8 @@
 
 // Load up to which the price of a run is only its cost, and the factor that it grows by for each unit beyond.
 const (
-	loadFree = 0.25
-	loadGain = 4
+	loadFree = 0.1
+	loadGain = 12
 )
 
 // dearness returns by how much a load raises the price of every run.
--- a/core/place/affine.go
+++ b/core/place/affine.go
@@ -23,6 +23,10 @@
 // since a person reads and writes between them.
 const sessionGap = 4 * clock.Second
 
+// rereadFactor is the weight of reading cached tokens again against waiting for as long: it also holds up the requests that come
+// to the server next, and takes memory from other parts.
+const rereadFactor = 2
+
 // affine scores the servers that may hold the prefix and two drawn at random from those with the fewest own requests.
 // Only a draw of two is compared by load, because all VMs see the same lagging reports and would otherwise send
 // everything to the same server. A prefix in constant use is soon in every cache, and following it would overload its
@@ -30,7 +34,7 @@
 func (p *Placer) affine(now clock.Time, pol Affine, ask Ask, in []Candidate) Candidate {
 	pol = pol.defaults()
 	wait := func(c Candidate) float64 { return p.wait(pol, c) }
-	prefill := pol.Prefill * float64(ask.Tokens)
+	prefill := rereadFactor * pol.Prefill * float64(ask.Tokens)
 	best := p.least(p.draw(idlest(in)), func(c Candidate) float64 { return p.rough(pol, c) })
 	k, ok := ask.key()
 	gap := pol.Hot
--- /dev/null
+++ b/internal/gateway/backlog_test.go
@@ -0,0 +1,39 @@
+package gateway
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"shallotrun/core/clock"
+	"shallotrun/core/load"
+)
+
+// Guards against a VM that goes on starting short requests with the largest model while long prompts of other VMs pile up at
+// every server: it has seen no late answer itself yet.
+func TestBacklogOfOthersLowersTheModel(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		unread int // tokens at each server
+		want   string
+	}{
+		{"idle", 0, "large"},
+		{"two seconds of reading at every server", 40_000, "small"},
+	} {
+		b := &fakeBackend{script: []step{{events: 3, confidence: 100}}}
+		g, s := start(t, b)
+		s.table.Load().Config.Services[0].Engine.Models[1].Cost = 0.3
+		v := load.View{At: clock.Clock{}.Now(), Uses: map[string]load.Use{}}
+		for _, server := range s.servers {
+			v.Uses[server.ID] = load.Use{Server: server.ID, Open: 3, Unread: c.unread}
+		}
+		s.others.Store(&v)
+		for range 2 { // the first one reads the counts
+			r := ask("/sized/1")
+			r.Prompt, r.Output = 800, 290
+			_, err := read(t, g.Serve(r))
+			assert.NilError(t, err)
+		}
+		assert.Equal(t, b.attempts[1].Model, c.want, c.name)
+	}
+}
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -20,7 +20,7 @@
 	}
 	x.pool.mu.Lock()
 	defer x.pool.mu.Unlock()
-	x.choice = x.pool.chooser.Start(x.route.Name, x.models, x.size, x.pool.load)
+	x.choice = x.pool.chooser.Start(x.route.Name, x.models, x.size, x.pool.pressure(x.route.Objective))
 	x.model = x.models[x.choice].Name
 }
 
@@ -80,7 +80,7 @@
 		return false
 	}
 	x.pool.mu.Lock()
-	keep := x.pool.chooser.Keep(x.route.Name, x.models, x.choice, float64(reply.Confidence)/100, x.size, x.pool.load)
+	keep := x.pool.chooser.Keep(x.route.Name, x.models, x.choice, float64(reply.Confidence)/100, x.size, x.pool.pressure(x.route.Objective))
 	x.pool.mu.Unlock()
 	if keep || x.sent+2 > x.route.Attempts || !x.spare() {
 		return false
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -24,6 +24,7 @@
 	budget  retry.Budget
 	chooser models.Chooser
 	load    float64         // how late first events come, as a part of the objective
+	backlog float64         // mean time that the servers need for the prompts they have yet to read, in milliseconds
 	use     map[string]*use // by server
 	cands   []place.Candidate
 }
@@ -45,10 +46,13 @@
 // limit, and the VMs do not know of each other's connections.
 const connPart = 4
 
+// readTime is the time in which a server reads a prompt token with the largest model, in milliseconds.
+const readTime = 0.05
+
 func newPool(g *Gateway, service string) *pool {
 	return &pool{
 		g: g, service: service, use: make(map[string]*use),
-		placer: place.Placer{Domain: g.Domain, Policy: place.Affine{Prefill: 0.05}, Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))},
+		placer: place.Placer{Domain: g.Domain, Policy: place.Affine{Prefill: readTime}, Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))},
 		budget: retry.Budget{Ratio: g.Retries}, chooser: models.Chooser{Worth: g.Worth},
 	}
 }
@@ -76,6 +80,7 @@
 		}
 		p.cands = append(p.cands, c)
 	}
+	p.backlog = backlog(p.cands)
 	ask := x.ask()
 	name, ok := p.placer.Pick(now, ask, p.cands)
 	if !ok && len(x.shut) < len(x.tried) {
@@ -99,6 +104,23 @@
 	return all[i], true
 }
 
+// backlog returns the mean time that servers need for the prompts that they have yet to read, in milliseconds.
+func backlog(in []place.Candidate) float64 {
+	unread := 0
+	for _, c := range in {
+		unread += c.Unread
+	}
+	return readTime * float64(unread) / float64(max(len(in), 1))
+}
+
+// pressure returns how late first events come or will come, as a part of an objective.
+func (p *pool) pressure(objective clock.Span) float64 {
+	if objective <= 0 {
+		return p.load
+	}
+	return max(p.load, p.backlog/float64(objective))
+}
+
 // started records that an attempt has its first answer.
 func (p *pool) started(server string, unread int) {
 	p.mu.Lock()
