launch, feed: one command line for both daemons; what a batch changes in a file of its own

Cause: the parsing of flags stood twice (cmd/shallotd and cmd/shallotfront, 10 lines), with -version in one of them only; feed.go had grown to 394 lines, and taking changes and taking a list were the same steps.

Ruled out: a package of cobra or the like: three flags.

--- a/cmd/shallotfront/main.go
+++ b/cmd/shallotfront/main.go
@@ -3,8 +3,6 @@
 
 import (
 	"context"
-	"flag"
-	"fmt"
 	"os"
 	"os/signal"
 	"syscall"
@@ -14,6 +12,7 @@
 	"shallotrun/core/clock"
 	"shallotrun/internal/front"
 	"shallotrun/internal/gateway"
+	"shallotrun/internal/launch"
 	"shallotrun/internal/logs"
 	"shallotrun/internal/settings"
 	"shallotrun/io/conn"
@@ -34,24 +33,9 @@
 
 func main() { os.Exit(run(os.Args[1:])) }
 
-// run returns the exit code: 0 after a graceful stop, 1 for a failure, 2 for wrong arguments or settings.
 func run(args []string) int {
-	fs := flag.NewFlagSet("shallotfront", flag.ContinueOnError)
-	file := fs.String("settings", os.Getenv(settingsVar), "path of the INI settings `file`, by default $"+settingsVar)
-	check := fs.Bool("check", false, "read the settings, print each fault, and exit")
-	if err := fs.Parse(args); err != nil {
-		return 2
-	}
-	s, err := settings.LoadFront(*file)
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return 2
-	}
-	if *check {
-		fmt.Println(*file + ": no faults")
-		return 0
-	}
-	return serve(*file, s)
+	d := launch.Daemon{Name: "shallotfront", File: os.Getenv(settingsVar), Out: os.Stdout, Err: os.Stderr}
+	return launch.Run(d, args, settings.LoadFront, serve)
 }
 
 func serve(file string, s *settings.Front) int {
@@ -77,7 +61,7 @@
 	}
 	if err := d.Run(ctx); err != nil {
 		log.Error().Err(err).Msg("daemon: stopped by a failure")
-		return 1
+		return launch.Failed
 	}
-	return 0
+	return launch.Stopped
 }
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -166,19 +166,6 @@
 	return nil
 }
 
-// relisted takes all objects of a kind, from the store or from another VM, unless what is known already is newer.
-func (f *Feed) relisted(k Kind, b Batch) {
-	f.applying[k].Lock()
-	defer f.applying[k].Unlock()
-	if b.Rev < f.Revisions()[k] {
-		return
-	}
-	f.list(k, b)
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.past[k].list(b)
-}
-
 // age returns how old a list of a kind may be. The first list of the orders may be stale: what changed since then is learnt
 // a moment later, from the VM that is followed or from a watch. A list that is read because the history is gone has to be
 // the latest, as the history may be gone for a stale one again. The VMs are listed as they are, since one that joins
@@ -228,20 +215,6 @@
 	f.heard[k] = f.Clock.Boot()
 }
 
-// apply takes changes, from the store or from another VM, unless what is known already is newer: an answer of the one
-// may arrive after a later answer of the other.
-func (f *Feed) apply(k Kind, b Batch) {
-	f.applying[k].Lock()
-	defer f.applying[k].Unlock()
-	if b.Rev < f.Revisions()[k] {
-		return
-	}
-	f.changes(k, b)
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.past[k].add(b)
-}
-
 // Resync reads from the store what a delta says is missing here.
 func (f *Feed) Resync(ctx context.Context, d Delta) error {
 	for k := range kinds {
@@ -267,98 +240,6 @@
 	return out
 }
 
-// list takes all objects of a kind.
-func (f *Feed) list(k Kind, b Batch) {
-	now := f.Clock.Now()
-	switch k {
-	case Servers:
-		var all []backend.Server
-		for _, o := range b.Objects {
-			if o.Server != nil {
-				all = append(all, *o.Server)
-			}
-		}
-		f.mu.Lock()
-		f.servers.Replace(now, all)
-		f.mu.Unlock()
-	case Configs:
-		f.changes(k, b)
-	case Orders:
-		f.Orders.keep(b.Objects)
-		f.changes(k, b)
-	default:
-		f.mu.Lock()
-		f.members = make(map[string]Member)
-		f.mu.Unlock()
-		f.changes(k, b)
-	}
-	f.mu.Lock()
-	f.listed[k] = true
-	f.mu.Unlock()
-	f.Log.Info().Stringer("kind", k).Int("objects", len(b.Objects)).Uint64("revision", b.Rev).Msg("feed: listed")
-}
-
-// changes takes changed objects of a kind.
-func (f *Feed) changes(k Kind, b Batch) {
-	now := f.Clock.Now()
-	for _, o := range b.Objects {
-		switch {
-		case o.Config != nil && !o.Removed:
-			f.configured(o.Config, b.Rev)
-		case k == Servers:
-			f.server(now, o, b.Rev)
-		case k == Members:
-			f.member(o)
-		case k == Orders && o.Removed:
-			f.Orders.remove(o.Name)
-		case o.Order != nil:
-			if f.Orders.put(now, f.Clock.Wall(), *o.Order) {
-				f.Log.Info().Str("service", o.Order.Service).Str("version", o.Order.Target).Stringer("state", o.Order.State).
-					Int64("ms", int64(o.Order.Duration)).Uint64("revision", b.Rev).Msg("feed: order")
-			}
-		}
-	}
-	if len(b.Objects) == 0 && k == Servers {
-		f.mu.Lock()
-		f.servers.Heard(now)
-		f.mu.Unlock()
-	}
-}
-
-func (f *Feed) configured(c *catalog.Config, rev uint64) {
-	if f.Config.Offer(*c) {
-		f.Log.Info().Uint64("version", c.Version).Uint64("revision", rev).Int("routes", len(c.Routes)).
-			Int("workspaces", len(c.Workspaces)).Msg("feed: configuration in force")
-	}
-}
-
-// server takes a change of a backend server. An entry that cannot be read names no server to use.
-func (f *Feed) server(now clock.Time, o Object, rev uint64) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if o.Removed || o.Server == nil {
-		f.servers.Remove(now, o.Name)
-		f.Log.Info().Str("server", o.Name).Uint64("revision", rev).Bool("removed", o.Removed).Msg("feed: backend server gone")
-		return
-	}
-	f.servers.Put(now, *o.Server)
-	f.Log.Info().Str("server", o.Name).Str("addr", o.Server.Addr).Str("version", o.Server.Version).Uint64("revision", rev).
-		Bool("leaving", o.Server.Leaving).Msg("feed: backend server")
-}
-
-func (f *Feed) member(o Object) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.members == nil {
-		f.members = make(map[string]Member)
-	}
-	if o.Removed || o.Member == nil {
-		delete(f.members, o.Name)
-		return
-	}
-	f.members[o.Name] = *o.Member
-}
-
 func (f *Feed) answered(k Kind) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- /dev/null
+++ b/internal/launch/doc.go
@@ -0,0 +1,2 @@
+// Package launch is the command line that the daemons share.
+package launch
