--- a/Makefile
+++ b/Makefile
@@ -9,6 +9,7 @@
 	$(GO) build -o $(BIN)/ ./cmd/...
 
 test: lint build unit
+	@cat KNOWN-RED.txt
 
 lint:
 	@out=$$(gofmt -l $$(git ls-files -co --exclude-standard '*.go')); if [ -n "$$out" ]; then echo "not formatted:"; echo "$$out"; exit 1; fi
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -41,6 +41,8 @@
 	server    backend.Server // of the attempt under way
 	started   bool           // the attempt has its first answer
 	unread    int            // prompt tokens of the attempt, as if the largest model read them
+	backlog   float64        // of the servers when the attempt was placed, in milliseconds
+	counts    clock.Span     // age of the counts of other VMs then, unknownAge without them
 	begun     clock.Time     // of the attempt
 	first     clock.Span     // of the attempt
 	events    int            // of the attempt
@@ -90,6 +92,8 @@
 type cause uint8
 
 const (
+	// unknownAge is the age of counts that are not known.
+	unknownAge clock.Span = -1
 	// maxTries bounds the attempts of a request, with those that never reached a server.
 	maxTries = 6
 	// leastLeft is the time below which no attempt is started: its answer could hardly arrive.
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -68,6 +68,7 @@
 	}
 	l.Str("request", x.request.ID).Str("code", code).Str("service", x.service).Str("server", x.server.ID).
 		Str("version", x.server.Version).Str("model", x.model).Int("tries", x.tries).Int("events", x.events).
+		Int64("backlog_ms", int64(x.backlog)).Int64("counts_ms", int64(x.counts)).
 		Int64("first_ms", int64(x.first)).Int64("ms", int64(total)).Msg("gateway: request ended")
 }
 
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -64,8 +64,9 @@
 	defer p.mu.Unlock()
 	p.cands = p.cands[:0]
 	var others map[string]load.Use
+	x.counts = unknownAge
 	if v := p.g.State.Others(now); v != nil {
-		others = v.Uses
+		others, x.counts = v.Uses, now.Sub(v.At)
 	}
 	for _, v := range all {
 		c := place.Candidate{Name: v.ID, Domain: v.Domain, Load: work.Load{Slots: v.Slots}}
@@ -81,6 +82,7 @@
 		p.cands = append(p.cands, c)
 	}
 	p.backlog = backlog(p.cands)
+	x.backlog = p.backlog
 	ask := x.ask()
 	name, ok := p.placer.Pick(now, ask, p.cands)
 	if !ok && len(x.shut) < len(x.tried) {
--- a/internal/settings/front_test.go
+++ b/internal/settings/front_test.go
@@ -40,6 +40,7 @@
 		{"addr = 127.0.0.1:8002", "addr = store:1", "x.ini: [store] addr:"},
 		{"grace = 8", "grace = soon", "x.ini: [bounds] grace:"},
 		{"[store]", "[sore]", "x.ini: [sore]: unknown section"},
+		{"grace = 8", "grace = 8\nexposed = 15", "x.ini: [bounds] exposed:"},
 		{"retries = 0.9", "retries = 0.9\nretries = 1", "x.ini: [bounds] retries: the key occurs twice"},
 	} {
 		_, err := ParseFront("x.ini", []byte(strings.Replace(goodFront, c.old, c.new, 1)))
