place: servers that cannot be reached are passed over while any other can be

The limit on passing over failed servers, half of the candidates, held for servers that cannot be reached too, and a domain that is cut off loses two thirds of them.

Change: what could not be reached is left out for the time of its ejection while any server remains; the limit holds for failed answers only.

Ruled out: more attempts a request (new connections are dear and the callers wait).

Figures: TestUnreachableServersArePassedOver fails before and passes after.

--- a/core/place/place_test.go
+++ b/core/place/place_test.go
@@ -131,3 +131,42 @@
 	}
 	assert.Check(t, len(p.homes.all) == 100 && p.homes.order.Len() == 100 && len(p.servers) <= 12, "%d", len(p.servers))
 }
+
+// Guards against a request that is sent to one unreachable server after the other while the VM's own failure domain is cut off
+// from the rest: most servers cannot be reached then, and those that can be are known.
+func TestUnreachableServersArePassedOver(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		down bool
+		want bool // only servers of the own domain are picked
+	}{
+		{"cannot be reached", true, true},
+		{"fail requests, which may be the requests' fault", false, false},
+	} {
+		p := &Placer{Policy: Affine{}, Domain: "d0"}
+		all := candidates(12) // four of them in d0
+		for _, v := range all {
+			for range ejectRow {
+				if v.Domain != "d0" {
+					p.Pick(0, Ask{}, all)
+					p.Report(0, work.Result{Server: v.Name, Failed: true, Down: c.down})
+				}
+			}
+		}
+		own := true
+		for range 50 {
+			name, ok := p.Pick(100, Ask{}, all)
+			assert.Assert(t, ok)
+			own = own && (name == "s0" || name == "s3" || name == "s6" || name == "s9")
+		}
+		assert.Equal(t, own, c.want, c.name)
+	}
+	// When no server can be reached, any may be tried.
+	p := &Placer{Policy: Affine{}, Domain: "d0"}
+	all := candidates(3)
+	for _, v := range all {
+		p.Report(0, work.Result{Server: v.Name, Failed: true, Down: true})
+	}
+	_, ok := p.Pick(100, Ask{}, all)
+	assert.Check(t, ok)
+}
--- a/core/place/placer.go
+++ b/core/place/placer.go
@@ -105,8 +105,9 @@
 			return !c.Known || len(c.Load.Models) == 0 || slices.Contains(c.Load.Models, name)
 		})
 	}
-	// A server that refused lately is passed over while any other remains. For failures the limit is half of
-	// the candidates: when more fail than that, the fault is hardly the servers' own.
+	// A server that refused lately or could not be reached is passed over while any other remains. For other failures the
+	// limit is half of the candidates: when more fail than that, the fault is hardly the servers' own.
+	in = prefer(in, 0, func(c Candidate) bool { return !p.down(c.Name, now) })
 	in = prefer(in, (len(all)-1)/2, func(c Candidate) bool { return !p.ejected(c.Name, now) })
 	return prefer(in, 0, func(c Candidate) bool { return !p.refusing(c.Name, now) })
 }
--- a/core/place/server.go
+++ b/core/place/server.go
@@ -25,6 +25,7 @@
 	row     int
 	eject   clock.Span
 	ejected clock.Time // until
+	down    bool       // the last attempt could not reach it
 	refused clock.Time // until
 	active  clock.Time
 	speed   average
@@ -67,6 +68,12 @@
 	return s != nil && now < s.ejected
 }
 
+// down reports whether a server could not be reached lately.
+func (p *Placer) down(name string, now clock.Time) bool {
+	s := p.servers[name]
+	return s != nil && s.down && now < s.ejected
+}
+
 func (p *Placer) refusing(name string, now clock.Time) bool {
 	s := p.servers[name]
 	return s != nil && now < s.refused
@@ -89,6 +96,7 @@
 
 func (s *server) report(now clock.Time, r work.Result) {
 	s.ends = recent(append(s.ends, now))
+	s.down = r.Down
 	switch {
 	case r.Failed:
 		s.row++
