--- a/internal/gateway/outcome.go
+++ b/internal/gateway/outcome.go
@@ -90,7 +90,8 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	x.waiting = waiting{
-		on: true, late: canary.Result{Route: x.route.Name, Model: x.model, Version: x.server.Version}, again: x.sent+1 < x.route.Attempts && x.tries < maxTries, begun: x.events > 0, since: x.g.Clock.Now(), limit: limit, pool: x.pool, server: x.server,
+		on: true, again: x.sent+1 < x.route.Attempts && x.tries < maxTries, begun: x.events > 0, since: x.g.Clock.Now(), limit: limit,
+		pool: x.pool, server: x.server, late: canary.Result{Route: x.route.Name, Model: x.model, Version: x.server.Version},
 	}
 	if x.cause == causeSlow || x.cause == causeSilent {
 		x.cause = causeNone // of an earlier attempt
