conn, gateway, platform: bytes that are no answer, without end, are bounded

Cause: a server may send bytes that are no answer without end. Ruled out: a bound on the time alone (the VM's processor is used up meanwhile); limits in fasthttp (interim heads, heads and trailers are bounded there, chunk extensions and bodies are not).

--- a/internal/front/daemon.go
+++ b/internal/front/daemon.go
@@ -82,6 +82,7 @@
 	d.gateway = &gateway.Gateway{
 		Domain: s.Domain, State: &state{d.feed}, Backend: d.Backend, Clock: d.clock, Log: d.Log, Registry: registry,
 		Retries: retryPart * s.Retries, Grace: s.Grace - stopReserve, Worth: s.Worth,
+		Memory: int64(s.Memory) << 20,
 	}
 	d.feed.Orders.Share = s.Exposed
 	d.feed.Loads.Uses = d.gateway.Uses
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"sync"
 	"sync/atomic"
 
@@ -65,7 +64,8 @@
 	mu      sync.Mutex
 	waiting waiting
 	cause   cause
-	paid    bool // a further attempt was taken from the retry budget when the last one was ended
+	cancel  context.CancelFunc // of the wait for room under way, nil for none
+	paid    bool               // a further attempt was taken from the retry budget when the last one was ended
 }
 
 // waiting says what the exchange waits for, for the goroutine that watches it.
@@ -98,8 +98,6 @@
 	maxTries = 6
 	// leastLeft is the time below which no attempt is started: its answer could hardly arrive.
 	leastLeft = 15 * clock.Millisecond
-	// maxWhole is the size limit of an answer that is no stream, in bytes.
-	maxWhole = 16 << 20
 )
 
 // serve sends the request until there is an answer.
@@ -129,8 +127,10 @@
 // the refusal.
 func (x *exchange) give(refusal *work.Refusal) Answer {
 	if x.fallback != nil && x.ended() != causeGone {
+		w := x.fallback
+		x.fallback = nil
 		x.close(nil)
-		return *x.fallback
+		return *w
 	}
 	x.close(refusal)
 	return Refused{*refusal}
@@ -230,23 +230,16 @@
 	if reply.Events != nil {
 		return x.begin(reply)
 	}
-	w := &Whole{Status: reply.Status, Fields: reply.Fields}
-	if reply.Body != nil {
-		b, err := io.ReadAll(io.LimitReader(reply.Body, maxWhole+1))
-		if err == nil && len(b) > maxWhole {
-			err = errTooLarge
-		}
-		if err != nil {
-			reply.Close(false)
-			return nil, &Fault{How: Unknown, Err: err}
-		}
-		w.Body = b
+	w, err := x.whole(reply)
+	if err != nil {
+		reply.Close(false)
+		return nil, &Fault{How: Unknown, Err: err}
 	}
 	reply.Close(true)
 	x.answered()
 	x.result(work.Result{Failed: reply.Status >= 500}, reply.Status >= 500)
 	if reply.Status >= 500 && x.repeats() {
-		x.fallback = w
+		x.keep(w)
 		x.sent++
 		x.unsure = true
 		x.tried = append(x.tried, x.server.ID)
@@ -258,11 +251,20 @@
 			return x.take(reply)
 		}
 	}
+	if x.fallback == w {
+		x.fallback = nil
+	}
 	x.close(nil)
 	return *w, nil
 }
 
-var errTooLarge = errors.New("the answer is too large")
+// keep keeps a failure of a server, in place of an earlier one, to be passed on if no further attempt does better.
+func (x *exchange) keep(w *Whole) {
+	if x.fallback != nil {
+		x.fallback.Release()
+	}
+	x.fallback = w
+}
 
 // drop ends an attempt whose answer is not passed on because the model is not sure of it.
 func (x *exchange) drop(reply *Reply) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -41,9 +41,11 @@
 	Tracer   trace.Tracer // nil for no traces
 	Retries  float64      // extra attempts for each request of a service
 	Worth    float64      // of a right answer, in units of the models' cost
+	Memory   int64        // of the VM in bytes, 0 if it is not known
 	Grace    clock.Span   // time between the start of a planned stop and the end of the process
 
 	metrics *metrics
+	room    *room
 	stop    atomic.Int64 // when the planned stop began, 0 before
 
 	mu    sync.Mutex
@@ -54,7 +56,7 @@
 // Init prepares the gateway. It is called once, before Serve.
 func (g *Gateway) Init() {
 	g.pools, g.open = make(map[string]*pool), make(map[*exchange]struct{})
-	g.metrics = newMetrics(g.Registry)
+	g.metrics, g.room = newMetrics(g.Registry), newRoom(g.Memory)
 }
 
 // Run watches the open requests until ctx ends.
@@ -83,6 +85,9 @@
 	}
 	g.enter(x)
 	a := x.serve()
+	if x.fallback != nil {
+		x.fallback.Release()
+	}
 	if _, ok := a.(*Stream); !ok {
 		g.leave(x)
 	}
--- /dev/null
+++ b/internal/gateway/room_test.go
@@ -0,0 +1,81 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against large answers that together take more memory than the VM can spare, against one that is cut to fit, and against
+// room that is lost when an answer fails.
+func TestRoom(t *testing.T) {
+	const size = 1 << 20
+	body := func(n int) io.Reader { return bytes.NewReader(make([]byte, n)) }
+	broken := func(n int) io.Reader { return io.MultiReader(body(n), &failingReader{}) }
+	for _, c := range []struct {
+		name   string
+		body   io.Reader
+		length int // -1 for unknown
+		held   int64
+		err    error
+	}{
+		{"none", body(0), 0, 0, nil},
+		{"small", body(smallWhole - 1), smallWhole - 1, 0, nil},
+		{"large", body(600 << 10), 600 << 10, 600 << 10, nil},
+		{"large without a length", body(600 << 10), -1, size, nil},
+		{"announced as too large", body(10), size + 1, 0, errTooLarge},
+		{"too large without a length", body(size + 1), -1, 0, errTooLarge},
+		{"broken", broken(200 << 10), -1, 0, errBroken},
+		{"all of the room", body(size), size, size, nil},
+	} {
+		m := newRoom(size / roomPart)
+		b, release, err := m.read(t.Context(), c.body, c.length)
+		assert.Check(t, errors.Is(err, c.err), "%s: %v", c.name, err)
+		if c.err == nil && c.length >= 0 {
+			assert.Equal(t, len(b), c.length, c.name)
+		}
+		assert.Check(t, m.free.TryAcquire(size-c.held), "%s: holds more than %d", c.name, c.held)
+		m.free.Release(size - c.held)
+		if release != nil {
+			release()
+		}
+		assert.Check(t, m.free.TryAcquire(size), "%s: room is lost", c.name)
+	}
+}
+
+var errBroken = errors.New("the connection broke")
+
+type failingReader struct{}
+
+func (*failingReader) Read([]byte) (int, error) { return 0, errBroken }
+
+// Guards against a large answer that does not wait for others, or waits after its request was given up.
+func TestRoomIsWaitedFor(t *testing.T) {
+	const size = 1 << 20
+	m := newRoom(size / roomPart)
+	first, release, err := m.read(t.Context(), bytes.NewReader(make([]byte, 700<<10)), 700<<10)
+	assert.NilError(t, err)
+	assert.Equal(t, len(first), 700<<10)
+	ended, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
+	defer cancel()
+	_, _, err = m.read(ended, bytes.NewReader(make([]byte, 700<<10)), 700<<10)
+	assert.Check(t, errors.Is(err, errNoRoom))
+	done := make(chan int)
+	go func() {
+		b, give, _ := m.read(t.Context(), bytes.NewReader(make([]byte, 700<<10)), 700<<10)
+		give()
+		done <- len(b)
+	}()
+	select {
+	case <-done:
+		t.Fatal("the second answer did not wait")
+	case <-time.After(50 * time.Millisecond):
+	}
+	release()
+	assert.Equal(t, <-done, 700<<10)
+}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -18,8 +18,19 @@
 	out   []byte
 	sent  int
 	err   error // to be returned once out is read
+
+	passed int   // bytes of events that were passed on
+	seen   int64 // identifier of the newest event of the attempt under way
+	idle   int   // bytes of the attempt's events since the last one that was passed on
 }
 
+// errNoProgress means that a server goes on sending events that the caller has already, or that have no identifier.
+var errNoProgress = errors.New("the events bring the stream no further")
+
+// repeatReserve is what a server may send beyond the events that the caller has already, without an event that is passed on, in
+// bytes. It covers comments that keep a connection open.
+const repeatReserve = 64 << 10
+
 // ErrBroken means that the stream could not be completed.
 var ErrBroken = errors.New("the stream could not be completed")
 
@@ -28,7 +39,7 @@
 
 // begin reads a stream up to its first event.
 func (x *exchange) begin(reply *Reply) (Answer, *Fault) {
-	s := &Stream{Status: reply.Status, Fields: reply.Fields, x: x, reply: reply}
+	s := &Stream{Status: reply.Status, Fields: reply.Fields, x: x, reply: reply, seen: NoEvent}
 	if err := s.fill(); err != nil {
 		reply.Close(false)
 		return nil, &Fault{How: Unknown, Err: err}
@@ -70,8 +81,7 @@
 	x := s.x
 	var ev Event
 	for {
-		x.wait(0)
-		err := s.reply.Events.Next(&ev)
+		err := s.next(&ev)
 		x.idle()
 		if errors.Is(err, io.EOF) {
 			s.err = io.EOF
@@ -84,23 +94,44 @@
 		if err != nil {
 			return err
 		}
-		x.answered()
-		x.events++
-		if x.events == paceKnown {
-			x.judge(false)
-		}
-		x.pool.heard(x.server.ID, x.g.Clock.Now())
-		if ev.ID <= x.last {
-			continue // a server that went on earlier than asked
-		}
 		x.last = ev.ID
 		s.out = append(s.out, ev.Raw...)
+		s.passed += len(ev.Raw)
 		if len(s.out) >= batch || !s.reply.Events.Buffered() {
 			return nil
 		}
 	}
 }
 
+// next reads the next event to pass on. A server that went on earlier than asked repeats events that the caller has: they show
+// that it works, as long as each is newer than the one before, and are not passed on.
+func (s *Stream) next(ev *Event) error {
+	x := s.x
+	x.wait(0)
+	for {
+		if err := s.reply.Events.Next(ev); err != nil {
+			return err
+		}
+		if ev.ID > s.seen {
+			s.seen = ev.ID
+			x.answered()
+			x.events++
+			if x.events == paceKnown {
+				x.judge(false)
+			}
+			x.pool.heard(x.server.ID, x.g.Clock.Now())
+			if ev.ID > x.last {
+				s.idle = 0
+				return nil
+			}
+			x.wait(0)
+		}
+		if s.idle += len(ev.Raw); s.idle > s.passed+repeatReserve {
+			return errNoProgress
+		}
+	}
+}
+
 // recover goes on with the stream at another server, or ends it as broken.
 func (s *Stream) recover(err error) {
 	x := s.x
@@ -133,7 +164,7 @@
 	if refusal != nil {
 		return refusal
 	}
-	s.reply = reply
+	s.reply, s.seen, s.idle = reply, NoEvent, 0
 	if reply.Events == nil || reply.Status != s.Status {
 		return &work.Refusal{Code: codeResume, Detail: "the server did not go on with the stream"}
 	}
--- a/internal/gateway/types.go
+++ b/internal/gateway/types.go
@@ -48,13 +48,18 @@
 // Refused is an answer of the gateway's own.
 type Refused struct{ work.Refusal }
 
-// Whole is an answer of a backend server whose body is complete.
+// Whole is an answer of a backend server whose body is complete. Release is called once the body was passed on.
 type Whole struct {
 	Status int
 	Fields []Field
 	Body   []byte
+
+	release func() // gives back the room of a large body, nil for a small one
 }
 
+// Large reports whether the body takes of the room for large answers.
+func (w *Whole) Large() bool { return w.release != nil }
+
 func (Refused) answer() {}
 func (Whole) answer()   {}
 func (*Stream) answer() {}
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -119,6 +119,9 @@
 	}
 	x.cause = c
 	x.waiting.on = false
+	if x.cancel != nil {
+		x.cancel()
+	}
 	x.mu.Unlock()
 	if c == causeGone || c == causeEnd {
 		x.abort.Abort()
--- a/io/conn/pool.go
+++ b/io/conn/pool.go
@@ -23,6 +23,8 @@
 	ErrHeaders = errors.New("response headers too large")
 	// ErrForeign means that only answers to other requests came.
 	ErrForeign = errors.New("the answer belongs to another request")
+	// ErrEndless means that the server went on sending bytes that are no part of the answer's body.
+	ErrEndless = errors.New("too many bytes that are no part of the answer")
 	// ErrAborted means that the call was ended by its Abort.
 	ErrAborted = errors.New("call aborted")
 )
@@ -68,6 +70,21 @@
 	link  *link
 	resp  *fasthttp.Response
 	abort *Abort
+	body  body
+}
+
+// body reads the body of the answer to the request. Its bytes are what the caller waits for.
+type body struct {
+	io.Reader
+	link *link
+}
+
+func (b *body) Read(p []byte) (int, error) {
+	n, err := b.Reader.Read(p)
+	if n > 0 {
+		b.link.idle = 0
+	}
+	return n, err
 }
 
 // Error describes the failure.
@@ -108,9 +125,12 @@
 		fasthttp.ReleaseResponse(resp)
 		return nil, &Error{Addr: addr, Sent: true, Err: Cause(err)}
 	}
-	return &Response{
-		Status: resp.StatusCode(), Header: &resp.Header, Body: resp.BodyStream(), pool: p, link: l, resp: resp, abort: o.Abort,
-	}, nil
+	out := &Response{Status: resp.StatusCode(), Header: &resp.Header, pool: p, link: l, resp: resp, abort: o.Abort}
+	if r := resp.BodyStream(); r != nil {
+		out.body = body{r, l}
+		out.Body = &out.body
+	}
+	return out, nil
 }
 
 // maxForeign is how many late answers to earlier requests are dropped before a call fails.
@@ -183,8 +203,13 @@
 	keep     clock.Span // the server's own limit of idle time, 0 if it names none
 	written  int64      // bytes of the current request
 	spoilt   bool       // the server answered before it had read the request
+	idle     int        // bytes read since the request was sent or the last byte of its answer's body, whichever came later
 }
 
+// maxIdleBytes bounds what a server may send without a byte of the answer's body: heads, late answers to earlier requests,
+// the framing of chunks. Without it a server that sends such bytes without end would use up the VM's processor.
+const maxIdleBytes = 1 << 20
+
 func (p *Pool) take(addr string, fresh bool) (*link, error) {
 	now := p.Clock.Now()
 	if l := p.reuse(addr, now, fresh); l != nil {
@@ -264,7 +289,7 @@
 }
 
 func (l *link) send(req *fasthttp.Request) error {
-	l.written = 0
+	l.written, l.idle = 0, 0
 	_, err := req.WriteTo(l)
 	return err
 }
@@ -301,6 +326,9 @@
 // Read moves the deadline only when less than the progress time is left, and then a little further than that:
 // setting it for every token costs a tenth of the time that a token takes.
 func (l *reads) Read(b []byte) (int, error) {
+	if l.idle > maxIdleBytes {
+		return 0, ErrEndless
+	}
 	now := time.Now()
 	slack := l.progress / 16
 	if left := l.until.Sub(now); left < l.progress || left > l.progress+slack {
@@ -309,7 +337,9 @@
 			return 0, err
 		}
 	}
-	return l.conn.Read(b)
+	n, err := l.conn.Read(b)
+	l.idle += n
+	return n, err
 }
 
 // Cause replaces a timeout by ErrSilent and a header that does not fit the buffer by ErrHeaders.
