canary: a version is finished on enough answers, by the chance of missing a bad one

Cause: an order was finished on eight good answers of the new version. Change: finished when the likelihood ratio of a bad version is 0.01 or less; for late and slow streams the same with the rates that slow versions have. An order with fewer requests runs past its duration until the answers are there.

--- a/core/canary/canary_test.go
+++ b/core/canary/canary_test.go
@@ -1,6 +1,7 @@
 package canary
 
 import (
+	"math"
 	"math/rand/v2"
 	"testing"
 
@@ -12,10 +13,15 @@
 // day plays the requests of a fleet of VMs that decide each for itself: rate a second in all, until the first verdict, which
 // reaches the others after a tenth of a second, or the end of the order's duration.
 func day(seed uint64, vms, rate int, order Order, outcome func(at clock.Time, r *rand.Rand, target bool, route string) Result) (state State, exposed, total int) {
+	return dayOf(seed, vms, rate, 0, order, outcome)
+}
+
+// dayOf is day with the part of the requests that a bad version may get, 0 for the usual one.
+func dayOf(seed uint64, vms, rate int, share float64, order Order, outcome func(at clock.Time, r *rand.Rand, target bool, route string) Result) (state State, exposed, total int) {
 	random := rand.New(rand.NewPCG(seed, 1))
 	fleet := make([]*Rollout, vms)
 	for i := range fleet {
-		fleet[i] = &Rollout{Order: order}
+		fleet[i] = &Rollout{Order: order, Share: share}
 	}
 	end := clock.Time(order.Duration)
 	state = Running
@@ -255,3 +261,30 @@
 		assert.Check(t, float64(exposed) <= c.share*float64(total)+slack, "%+v: %d of %d requests", c, exposed, total)
 	}
 }
+
+// Guards against a bad version that is finished on a few good answers because its service has few requests, at any rate of
+// failures that an order has to find, any rate of requests and any duration.
+func TestFewRequestsFinishNoBadVersion(t *testing.T) {
+	const days = 400
+	for _, share := range []float64{0.0975, 0.15} {
+		for _, rate := range []int{4, 12, 40} {
+			for _, seconds := range []int{12, 24} {
+				for _, fails := range []float64{riseLeast, 0.5} {
+					order := Order{Service: "s", Target: "v2", Duration: clock.Span(seconds) * clock.Second}
+					finished := 0
+					for seed := range uint64(days) {
+						state, _, _ := dayOf(seed, 1, rate, share, order, func(_ clock.Time, r *rand.Rand, target bool, _ string) Result {
+							return Result{First: clock.Span(20 + r.IntN(60)), Failed: target && r.Float64() < fails}
+						})
+						if state == Done {
+							finished++
+						}
+					}
+					// Two standard errors above the chance that is accepted.
+					most := days*missChance + 2*math.Sqrt(days*missChance)
+					assert.Check(t, float64(finished) <= most, "share %v, %d requests a second, %d s, %v fail: %d of %d days", share, rate, seconds, fails, finished, days)
+				}
+			}
+		}
+	}
+}
--- a/core/canary/rollout.go
+++ b/core/canary/rollout.go
@@ -80,9 +80,12 @@
 
 // odds returns the logarithm of the odds that the results come from a version that fails riseFactor times as often as
 // one with the given rate.
-func (t *tally) odds(rate float64) float64 {
+func (t *tally) odds(rate float64) float64 { return t.against(rate, riseLeast) }
+
+// against is odds with the least rate of a version that fails more often.
+func (t *tally) against(rate, least float64) float64 {
 	rate = min(rate, 0.9)
-	rise := min(max(riseFactor*rate, riseLeast), 0.95)
+	rise := min(max(riseFactor*rate, least), 0.95)
 	return t.bad*math.Log(rise/rate) + (t.all-t.bad)*math.Log((1-rise)/(1-rate))
 }
 
@@ -259,13 +262,31 @@
 // good returns the good answers of the new version that are known here.
 func (r *Rollout) good() float64 { return r.new[r.Order.Service].good() }
 
-// enough reports whether the new version gave enough good answers, and enough streams that were not slow if the service has
-// streams.
+// enough reports whether the new version gave enough good answers, and enough streams that were neither late nor slow if the
+// service has streams.
 func (r *Rollout) enough() bool {
-	streams := paces(r.Order.Service)
-	return r.good() >= finishGood && (r.old[streams].good() < streamsLeast || r.new[streams].good() >= finishGood)
+	s := r.Order.Service
+	if !r.cleared(s, riseLeast) {
+		return false
+	}
+	for _, subject := range []string{starts(s), paces(s)} {
+		if r.old[subject].good() >= streamsLeast && !r.cleared(subject, slowRise) {
+			return false
+		}
+	}
+	return true
 }
 
+// cleared reports whether the results of a subject speak for the new version with a chance of at most missChance that it is
+// bad in at least a part of its results.
+func (r *Rollout) cleared(subject string, least float64) bool {
+	t := r.new[subject]
+	return t != nil && t.against(r.oldRate(subject), least) <= math.Log(missChance)
+}
+
+// slowRise is the least part of late or slow streams of a version that is slow: of one that is twice as slow, more than half are.
+const slowRise = 0.5
+
 // streamsLeast is the number of the old version's streams from which the new one's are compared with them.
 const streamsLeast = 20
 
--- a/core/canary/stage.go
+++ b/core/canary/stage.go
@@ -17,8 +17,16 @@
 	defaultShare = 0.15
 )
 
-// finishGood is the number of good answers of the new version that a VM knows of before it says that the order is done.
-const finishGood = 8
+// missChance is the chance that is accepted of finishing a version that is bad in a way that its results show.
+//
+// It says how many answers a verdict needs. A version is finished when the likelihood ratio of "it fails riseFactor times as often
+// as the old one, riseLeast at least" against "it fails as often" is missChance or less. Whatever the number of answers at that
+// moment, a version of the first kind comes so far with a chance of at most missChance (Wald). Against an old version that
+// hardly fails that takes 14 good answers without a bad one, against one that fails more often about 40, and each bad answer
+// takes several more good ones. An order whose service has fewer requests stays running past its duration, since the new version then gets
+// all requests and the answers soon come: a late end costs the operator some seconds, a bad version costs callers until someone
+// notices.
+const missChance = 0.01
 
 // stages say which part of the requests the new version gets. They keep its share of all requests of the order's
 // duration below a bound, also if it is bad in a way that no result shows.
