standin/loopback: tests get addresses that nothing else takes in between

Cause: tests reserved a port by listening on 127.0.0.1, closing and listening again; a connection or another listener took it in between (TestTakeOver failed once beside load: address already in use). Ruled out: handing open listeners to each daemon (restarts at the same address, which the tests play, need the address again); trying again on this error (a long connection keeps the port). Test: TestAddrIsNotTaken.

--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -17,6 +17,7 @@
 	"shallotrun/core/work"
 	"shallotrun/internal/config"
 	"shallotrun/internal/servers"
+	"shallotrun/internal/standin/loopback"
 	"shallotrun/io/platform"
 )
 
@@ -108,7 +109,7 @@
 	var fs []*Fleet
 	for i := range 2 * n {
 		name, dom := fmt.Sprintf("v%d", i), fmt.Sprintf("d%d", i%2)
-		addr := fmt.Sprintf("127.0.0.1:%d", port(t))
+		addr := loopback.Addr()
 		rows = append(rows, work.VM{Name: name, Peer: addr, Domain: dom, Kind: work.KindEntry, State: work.StateLive})
 		c := clock.Clock{}
 		fs = append(fs, &Fleet{
--- /dev/null
+++ b/internal/standin/loopback/loopback_test.go
@@ -0,0 +1,43 @@
+package loopback
+
+import (
+	"net"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against an address that is taken between the moment at which it is given and that at which a process listens on it: by
+// a connection, whose port the system chooses, or by another listener that lets the system choose.
+func TestAddrIsNotTaken(t *testing.T) {
+	const connections = 500
+	addrs := make([]string, 20)
+	for i := range addrs {
+		addrs[i] = Addr()
+	}
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer ln.Close() //nolint:errcheck // the test ends
+	for range connections {
+		c, err := net.Dial("tcp", ln.Addr().String())
+		assert.NilError(t, err)
+		defer c.Close() //nolint:errcheck // the test ends
+		other, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NilError(t, err)
+		defer other.Close() //nolint:errcheck // the test ends
+	}
+	seen := make(map[string]bool)
+	for _, a := range addrs {
+		assert.Check(t, !seen[a] && strings.HasPrefix(a, "127.") && !strings.HasPrefix(a, "127.0.0.1:"), a)
+		seen[a] = true
+		own, err := net.Listen("tcp", a)
+		assert.NilError(t, err)
+		defer own.Close() //nolint:errcheck // the test ends
+		source := &net.Dialer{LocalAddr: &net.TCPAddr{IP: own.Addr().(*net.TCPAddr).IP}}
+		c, err := source.Dial("tcp", a)
+		assert.NilError(t, err)
+		assert.Check(t, c.LocalAddr().(*net.TCPAddr).Port > own.Addr().(*net.TCPAddr).Port, "a connection from this address has a lower port")
+		_ = c.Close()
+	}
+}
