--- a/core/canary/canary_test.go
+++ b/core/canary/canary_test.go
@@ -288,3 +288,13 @@
 		}
 	}
 }
+
+// Guards against an order that is never finished because the old version had no requests.
+func TestOldVersionWithoutRequests(t *testing.T) {
+	r := &Rollout{Order: Order{Service: "s", Target: "v2", Duration: 10000}}
+	for range 20 {
+		r.Report(Result{Route: "a", Version: "v2", First: 10})
+	}
+	s, reason := r.Decide(9900)
+	assert.Equal(t, s, Done, reason)
+}
--- a/core/canary/rollout.go
+++ b/core/canary/rollout.go
@@ -84,7 +84,7 @@
 
 // against is odds with the least rate of a version that fails more often.
 func (t *tally) against(rate, least float64) float64 {
-	rate = min(rate, 0.9)
+	rate = min(max(rate, leastRate), 0.9)
 	rise := min(max(riseFactor*rate, least), 0.95)
 	return t.bad*math.Log(rise/rate) + (t.all-t.bad)*math.Log((1-rise)/(1-rate))
 }
--- a/internal/feed/delta.go
+++ b/internal/feed/delta.go
@@ -1,6 +1,10 @@
 package feed
 
 import (
+	"errors"
+	"maps"
+	"slices"
+
 	"shallotrun/core/catalog"
 	"shallotrun/core/clock"
 	"shallotrun/core/load"
@@ -9,19 +13,16 @@
 // historyMost is the number of changes of a kind that are kept for other VMs.
 const historyMost = 256
 
-// wholeMost is the number of objects up to which all of a kind are handed on, in place of changes that are not kept. Each takes
-// about 100 bytes.
-const wholeMost = 400
-
 // Delta is what one VM hands on to another about the kinds of objects.
 type Delta struct {
-	Age     clock.Span      // of the proof that the configuration is the newest one
-	Quiet   clock.Span      // for which the store has not answered about the configuration or the servers
-	Config  uint64          // version in force
-	Body    *catalog.Config // in force, if the other VM does not have it and it is small
+	Age     clock.Span // of the proof that the configuration is the newest one
+	Quiet   clock.Span // for which the store has not answered about the configuration or the servers
+	Config  uint64     // version in force
+	Body    Packed     // the catalog.Config in force, if the other VM does not have it
 	Kinds   [kinds]Changes
 	Reports []OrderReport // about the orders that are running
 	Loads   []load.Use    // what all other VMs have at the backend servers
+	Stand   bool          // the VM that asked should let others follow it
 }
 
 // Question is what a VM asks the one that it follows.
@@ -30,6 +31,7 @@
 	Config  uint64        // version in force, 0 for none
 	Reports []OrderReport // about the orders that are running
 	Loads   []load.Use    // what it has at the backend servers
+	Power   float64       // of the VM, see Member
 }
 
 // Ask returns this VM's question.
@@ -41,15 +43,28 @@
 	return q
 }
 
-// Answer answers the question of another VM.
-func (f *Feed) Answer(from string, q Question) Delta {
-	d := f.Since(q.Revs)
+// ErrUnready means that a VM does not know enough yet to hand it on.
+var ErrUnready = errors.New("not everything is known here yet")
+
+// Answer answers the question of another VM. It fails with ErrUnready.
+func (f *Feed) Answer(from string, q Question) (d Delta, err error) {
+	if !f.Synchronised() {
+		return d, ErrUnready
+	}
+	if d, err = f.Since(q.Revs); err != nil {
+		return d, err
+	}
 	d.Reports = f.Orders.Answer(from, q.Reports)
 	d.Loads = f.Loads.Answer(f.Clock.Now(), from, q.Loads)
-	if t := f.Config.Table(); t != nil && q.Config < t.Config.Version && small(&t.Config) {
-		d.Config, d.Body = t.Config.Version, &t.Config
+	if t := f.Config.Table(); t != nil && q.Config < t.Config.Version {
+		d.Config = t.Config.Version
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		if d.Body, err = f.body.of(t.Config.Version, func() any { return t.Config }); err != nil {
+			return Delta{}, err
+		}
 	}
-	return d
+	return d, nil
 }
 
 // Sums are what the VMs of a failure domain know together, for those of another one.
@@ -70,22 +85,9 @@
 	f.Orders.Put(s.Domain, s.Reports)
 }
 
-// deltaEntries is the number of routes and keys up to which a configuration is handed on. Each takes up to 200 bytes, and
-// a VM hands a change on to all others of its domain over its own link at the same moment.
-const deltaEntries = 250
-
-func small(c *catalog.Config) bool {
-	n := len(c.Routes)
-	for _, w := range c.Workspaces {
-		n += len(w.Keys)
-	}
-	return n <= deltaEntries
-}
-
 // Changes are the changes of a kind after a revision.
 type Changes struct {
-	Gap     bool // they are not all kept: the kind has to be listed
-	Whole   bool // they are not all kept, and these are all objects instead
+	Whole   Packed // all objects, []Object, if the changes are not all kept; nil otherwise
 	Objects []Object
 	Rev     uint64
 }
@@ -99,6 +101,8 @@
 	rev     uint64
 	batches []Batch
 	all     map[string]Object // as of rev, nil before the first list
+	changes uint64            // of all so far
+	whole   snapshot          // of all
 }
 
 // list takes all objects of the kind. VMs that follow this one then need only what changed, also if the store
@@ -143,6 +147,7 @@
 	if h.all == nil {
 		return
 	}
+	h.changes++
 	for _, o := range changes {
 		if o.Removed {
 			delete(h.all, o.Name)
@@ -168,24 +173,18 @@
 }
 
 // since returns the changes after a revision.
-func (h *history) since(rev uint64) Changes {
-	c := Changes{Rev: h.rev}
-	if rev < h.from {
-		if c.Gap = h.all == nil || len(h.all) > wholeMost; c.Gap {
-			return c
-		}
-		c.Whole = true
-		for _, o := range h.all {
-			c.Objects = append(c.Objects, o)
-		}
-		return c
+func (h *history) since(rev uint64) (c Changes, err error) {
+	c.Rev = h.rev
+	if rev == 0 || rev < h.from { // 0 is the revision of a VM that knows nothing
+		c.Whole, err = h.whole.of(h.changes, func() any { return slices.Collect(maps.Values(h.all)) })
+		return c, err
 	}
 	for _, b := range h.batches {
 		if b.Rev > rev {
 			c.Objects = append(c.Objects, b.Objects...)
 		}
 	}
-	return c
+	return c, nil
 }
 
 // Revisions returns up to where this VM knows each kind.
@@ -199,8 +198,8 @@
 }
 
 // Since returns what this VM knows beyond the revisions of another one, but for the configuration.
-func (f *Feed) Since(revs Revisions) Delta {
-	d := Delta{Age: f.Proof.Age(f.Clock.Boot())}
+func (f *Feed) Since(revs Revisions) (d Delta, err error) {
+	d.Age = f.Proof.Age(f.Clock.Boot())
 	if t := f.Config.Table(); t != nil {
 		d.Config = t.Config.Version
 	}
@@ -212,42 +211,60 @@
 			d.Kinds[k].Rev = f.past[k].rev
 			continue
 		}
-		d.Kinds[k] = f.past[k].since(revs[k])
+		if d.Kinds[k], err = f.past[k].since(revs[k]); err != nil {
+			return d, err
+		}
 	}
-	return d
+	return d, nil
 }
 
-// Take applies what another VM handed on in answer to a question that was sent at a time. It returns false if something
-// is missing that has to be read from the store; the rest is in force all the same.
-func (f *Feed) Take(sent clock.Time, d Delta) bool {
+// Take applies what another VM handed on in answer to a question that was sent at a time. An error means that a part could not be read;
+// the rest is in force all the same.
+func (f *Feed) Take(sent clock.Time, d Delta) error {
+	var faults []error
 	if d.Body != nil {
-		f.configured(d.Body, d.Kinds[Configs].Rev)
+		faults = append(faults, f.takeConfig(d))
 	}
-	t := f.Config.Table()
-	current := t != nil && t.Config.Version >= d.Config
-	whole := current
 	for k := range kinds {
-		switch {
-		case d.Kinds[k].Gap:
-			whole = false
-		case k != Configs && d.Kinds[k].Whole:
-			f.relisted(k, Batch{Objects: d.Kinds[k].Objects, Rev: d.Kinds[k].Rev})
-		case k != Configs:
-			f.apply(k, Batch{Objects: d.Kinds[k].Objects, Rev: d.Kinds[k].Rev})
+		if k == Configs {
+			continue
+		}
+		c := d.Kinds[k]
+		if c.Whole == nil {
+			f.apply(k, Batch{Objects: c.Objects, Rev: c.Rev})
+			continue
+		}
+		var all []Object
+		if err := c.Whole.unpack(&all); err != nil {
+			faults = append(faults, err)
+			continue
 		}
+		f.relisted(k, Batch{Objects: all, Rev: c.Rev})
 	}
 	f.Orders.Learn(d.Reports)
 	f.Loads.Learn(f.Clock.Now(), d.Loads)
+	if err := errors.Join(faults...); err != nil {
+		return err
+	}
 	// The other VM took the ages after the question was sent, so they are not older than that.
-	if current {
+	if t := f.Config.Table(); t != nil && t.Config.Version >= d.Config {
 		f.Proof.Read(sent.Add(-d.Age))
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, k := range []Kind{Configs, Servers} {
-		if !d.Kinds[k].Gap {
-			f.heard[k] = max(f.heard[k], sent.Add(-d.Quiet))
-		}
+		f.heard[k] = max(f.heard[k], sent.Add(-d.Quiet))
+	}
+	return nil
+}
+
+// takeConfig puts a configuration in force that another VM handed on.
+func (f *Feed) takeConfig(d Delta) error {
+	var c catalog.Config
+	if err := d.Body.unpack(&c); err != nil {
+		return err
 	}
-	return whole
+	f.configured(&c, d.Kinds[Configs].Rev)
+	f.relisted(Configs, Batch{Objects: []Object{{Name: "main", Config: &c}}, Rev: d.Kinds[Configs].Rev})
+	return nil
 }
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -36,8 +36,8 @@
 	Log   zerolog.Logger
 	Proof fresh.Proof // Bound is set before Run
 
-	// Covered, if set, waits while another VM hands on what the store says, and returns when this VM has to ask the
-	// store itself.
+	// Covered, if set, waits while another VM hands on what the store says or is being looked for, and returns when this VM
+	// has to ask the store itself.
 	Covered func(ctx context.Context)
 
 	Config catalog.Current
@@ -55,6 +55,7 @@
 	interrupted clock.Time        // when the store last failed to answer this VM
 	heard       [kinds]clock.Time // by Clock.Boot: when the store last answered about a kind
 	members     map[string]Member
+	body        snapshot // of the configuration in force
 }
 
 // Run follows the store until ctx ends.
@@ -89,17 +90,17 @@
 // Fresh reports whether the configuration is proved to be new enough for work that needs a key.
 func (f *Feed) Fresh() bool { return f.Proof.Valid(f.Clock.Boot()) }
 
-// follow lists and watches one kind.
+// follow lists and watches one kind, while no other VM hands on what the store says.
 func (f *Feed) follow(ctx context.Context, k Kind) {
-	known := false
+	lost := false // the history after what is known is gone
 	delay := retryFirst
 	for ctx.Err() == nil {
-		if known && f.Covered != nil {
+		if f.Covered != nil && !lost {
 			f.Covered(ctx)
 		}
-		err := f.step(ctx, k, known)
+		err := f.step(ctx, k, !lost && f.knows(k))
 		if err == nil {
-			known, delay = true, retryFirst
+			lost, delay = false, retryFirst
 			f.answered(k)
 			pause(ctx, changePause[k])
 			continue
@@ -109,7 +110,7 @@
 		}
 		f.failed(k, err)
 		if errors.Is(err, ErrHistory) {
-			known = false
+			lost = true
 			continue
 		}
 		pause(ctx, clock.Span(float64(delay)*(0.5+rand.Float64())))
@@ -120,6 +121,13 @@
 	}
 }
 
+// knows reports whether a kind was listed, here or at the VM that handed it on.
+func (f *Feed) knows(k Kind) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.listed[k]
+}
+
 // away reports whether the store fails to answer about the configuration. The other kinds then wait for that: each
 // call is paid for, also one that is refused.
 func (f *Feed) away() bool {
@@ -153,8 +161,15 @@
 
 // Relist reads all objects of a kind from the store.
 func (f *Feed) Relist(ctx context.Context, k Kind) error {
+	return f.relist(ctx, k, f.age(k))
+}
+
+// Find reads from the store which VMs can be followed. A stale list costs little.
+func (f *Feed) Find(ctx context.Context, age Age) error { return f.relist(ctx, Members, age) }
+
+func (f *Feed) relist(ctx context.Context, k Kind, age Age) error {
 	sent := f.Clock.Boot()
-	b, err := f.Store.List(ctx, k, f.age(k))
+	b, err := f.Store.List(ctx, k, age)
 	if err != nil {
 		return err
 	}
@@ -168,8 +183,7 @@
 
 // age returns how old a list of a kind may be. The first list of the orders may be stale: what changed since then is learnt
 // a moment later, from the VM that is followed or from a watch. A list that is read because the history is gone has to be
-// the latest, as the history may be gone for a stale one again. The VMs are listed as they are, since one that joins
-// together with the others would find none to follow in an old list.
+// the latest, as the history may be gone for a stale one again.
 func (f *Feed) age(k Kind) Age {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -215,21 +229,6 @@
 	f.heard[k] = f.Clock.Boot()
 }
 
-// Resync reads from the store what a delta says is missing here.
-func (f *Feed) Resync(ctx context.Context, d Delta) error {
-	for k := range kinds {
-		t := f.Config.Table()
-		behind := k == Configs && (t == nil || t.Config.Version < d.Config)
-		if !behind && !d.Kinds[k].Gap {
-			continue
-		}
-		if err := f.Relist(ctx, k); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
 // Members returns the VMs of the fleet.
 func (f *Feed) Members() (out []Member) {
 	f.mu.Lock()
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"testing"
 	"time"
 
@@ -179,33 +180,86 @@
 	}
 }
 
-// Guards against a proof for a configuration that was not handed on, and against large ones that are handed on to a whole
-// failure domain.
+// synchronised returns a feed in which every kind is listed, with a configuration.
+func synchronised(t *testing.T, c *catalog.Config) *Feed {
+	f := &Feed{Clock: clock.NewManual(9000), Store: &script{lists: map[Kind]Batch{
+		Configs: {Rev: c.Version, Objects: []Object{{Name: "main", Config: c}}},
+	}}}
+	f.Proof.Bound = 5000
+	for k := range kinds {
+		assert.NilError(t, f.Relist(t.Context(), k))
+	}
+	return f
+}
+
+// Guards against a configuration that is not handed on whole, whatever its size, against one that takes as many bytes as its text, and
+// against a proof for one that was not handed on.
 func TestHandOn(t *testing.T) {
-	for _, c := range []struct {
-		routes int
-		want   bool
-	}{{10, true}, {deltaEntries + 1, false}} {
-		a, b := &Feed{Clock: clock.NewManual(9000)}, &Feed{Clock: clock.NewManual(9000)}
-		b.Config.Offer(catalog.Config{Version: 3})
-		a.Config.Offer(catalog.Config{Version: 4, Routes: make([]catalog.Route, c.routes)})
-		a.Proof.Read(8800)
-		b.Proof.Bound = 5000
-		assert.Equal(t, b.Take(8900, a.Answer("b", b.Ask())), c.want)
-		assert.Equal(t, b.Config.Table().Config.Version == 4, c.want)
-		assert.Equal(t, b.Fresh(), c.want)
+	for _, routes := range []int{10, 251, 5000} {
+		c := &catalog.Config{Version: 4}
+		for i := range routes {
+			c.Routes = append(c.Routes, catalog.Route{
+				Name: fmt.Sprint("route-", i), Host: "x.example", Prefix: fmt.Sprint("/route-", i, "/"), Kind: catalog.Streaming, Timeout: 25000,
+				Objective: 2000, Attempts: 3, Models: []string{"small", "large"}, Splits: []catalog.Split{{Service: "s", Weight: 1}},
+			})
+		}
+		a, b := synchronised(t, c), synchronised(t, &catalog.Config{Version: 3})
+		d, err := a.Answer("b", b.Ask())
+		assert.NilError(t, err)
+		assert.NilError(t, b.Take(8900, d))
+		got := b.Config.Table()
+		assert.Equal(t, got.Config.Version, uint64(4))
+		assert.DeepEqual(t, got.Config.Routes, c.Routes)
+		assert.Check(t, b.Fresh())
+		assert.Check(t, len(d.Body) < 1000+40*routes, "%d routes take %d bytes", routes, len(d.Body))
+		d, err = a.Answer("b", b.Ask())
+		assert.NilError(t, err)
+		assert.Equal(t, len(d.Body), 0, "what the other VM has is handed on again")
 	}
 }
 
-// Guards against a leaving server that is not noticed because the configuration changes with every answer and has to be read
-// from the store.
-func TestServersDuringConfigurationChanges(t *testing.T) {
-	a, b := &Feed{Clock: clock.NewManual(9000)}, &Feed{Clock: clock.NewManual(9000)}
-	b.Config.Offer(catalog.Config{Version: 3})
-	a.Config.Offer(catalog.Config{Version: 4, Routes: make([]catalog.Route, deltaEntries+1)})
+// Guards against a VM that starts and has to ask the store for what another VM knows, and against one that is taught by a VM that
+// does not know everything itself.
+func TestFirstAnswer(t *testing.T) {
+	a := synchronised(t, &catalog.Config{Version: 4})
+	a.apply(Servers, Batch{Rev: 7, Objects: []Object{{Name: "x", Server: &backend.Server{ID: "x", Service: "s"}}}})
+	a.apply(Members, Batch{Rev: 8, Objects: []Object{{Name: "m", Member: &Member{Name: "m"}}}})
+	a.apply(Orders, Batch{Rev: 9, Objects: []Object{{Name: "s", Order: &canary.Order{Service: "s", Target: "v2", Made: 9}}}})
+	b := &Feed{Clock: clock.NewManual(9000)}
+	_, err := b.Answer("a", a.Ask())
+	assert.Check(t, errors.Is(err, ErrUnready))
+	d, err := a.Answer("b", b.Ask())
+	assert.NilError(t, err)
+	assert.NilError(t, b.Take(8900, d))
+	assert.Check(t, b.Synchronised())
+	assert.Check(t, b.Fresh())
+	assert.Equal(t, len(b.Servers(9000, "s")), 1)
+	assert.Equal(t, len(b.Members()), 1)
+	assert.Equal(t, b.Revisions(), a.Revisions())
+}
+
+// Guards against a proof that counts, or a leaving server that is not noticed, because the configuration of the same answer cannot be
+// read.
+func TestUnreadableConfiguration(t *testing.T) {
+	a, b := synchronised(t, &catalog.Config{Version: 4}), synchronised(t, &catalog.Config{Version: 3})
+	before := b.Proof.Age(9000)
 	a.apply(Servers, Batch{Rev: 7, Objects: []Object{{Name: "x", Server: &backend.Server{ID: "x", Service: "s"}}}})
-	assert.Check(t, !b.Take(8900, a.Answer("b", b.Ask())), "the configuration is missing")
+	d, err := a.Answer("b", b.Ask())
+	assert.NilError(t, err)
+	for _, body := range []Packed{{1, 2, 3}, d.Body[:len(d.Body)/2], bomb(t)} {
+		d.Body = body
+		assert.Check(t, b.Take(9000, d) != nil, "%d bytes are taken for a configuration", len(body))
+	}
 	assert.Equal(t, len(b.Servers(9000, "s")), 1)
+	assert.Equal(t, b.Config.Table().Config.Version, uint64(3))
+	assert.Equal(t, b.Proof.Age(9000), before)
+}
+
+// bomb returns a few bytes that unpack to more than may be unpacked.
+func bomb(t *testing.T) Packed {
+	p, err := pack(make([]byte, 2*maxUnpacked))
+	assert.NilError(t, err)
+	return p
 }
 
 // Guards against a verdict or results that stay with one VM: what a following VM says reaches the others, and not itself a
@@ -243,13 +297,18 @@
 	order := canary.Order{Service: "s", Target: "v2", Duration: 20000, State: canary.Running, Made: 5}
 	var lead, other, a Feed
 	for i, f := range []*Feed{&lead, &other, &a} {
+		f.Store = &script{lists: map[Kind]Batch{Configs: config(1)}}
+		for k := range kinds {
+			assert.NilError(t, f.Relist(t.Context(), k))
+		}
 		f.Orders.put(0, 0, order)
 		f.Loads.Uses = func() []load.Use { return []load.Use{{Server: "x", Open: 1 << i}} }
 	}
 	for range 6 {
 		a.Orders.Report("s", canary.Result{Route: "r", Version: "v1", First: 10})
 	}
-	lead.Answer("a", a.Ask())
+	_, err := lead.Answer("a", a.Ask())
+	assert.NilError(t, err)
 	for range 2 {
 		other.TakeSums(lead.Sums("d1"))
 		lead.TakeSums(other.Sums("d2"))
@@ -266,7 +325,9 @@
 		c.f.Loads.Lead(now)
 		assert.Equal(t, c.f.Loads.Others(now).Uses["x"].Open, c.want, c.name)
 	}
-	a.Take(0, lead.Answer("a", a.Ask()))
+	d, err := lead.Answer("a", a.Ask())
+	assert.NilError(t, err)
+	assert.NilError(t, a.Take(0, d))
 	assert.Equal(t, a.Loads.Others(a.Clock.Now()).Uses["x"].Open, 1+2, "a VM that follows")
 	got := other.Orders.Answer("z", nil)
 	assert.DeepEqual(t, got[0].Tallies, []canary.Tally{{Model: "r", Good: 6}, {Model: "s", Good: 6}})
@@ -286,10 +347,11 @@
 	}
 	s.lists[Servers] = Batch{Rev: 20, Objects: []Object{server("y", true), server("z", false), server("u", false)}}
 	assert.NilError(t, a.Relist(t.Context(), Servers))
-	d := a.Since(b.Revisions())
-	assert.Check(t, !d.Kinds[Servers].Gap)
+	d, err := a.Since(b.Revisions())
+	assert.NilError(t, err)
+	assert.Equal(t, len(d.Kinds[Servers].Whole), 0)
 	assert.Equal(t, len(d.Kinds[Servers].Objects), 3, "only what changed is handed on")
-	b.Take(0, d)
+	assert.NilError(t, b.Take(0, d))
 	for _, f := range []*Feed{a, b} {
 		got := f.Servers(99, "s")
 		assert.Equal(t, len(got), 2)
@@ -320,9 +382,12 @@
 	assert.NilError(t, b.Relist(t.Context(), Members))
 	s.lists[Members] = Batch{Rev: 8, Objects: []Object{member("a"), member("b")}}
 	assert.NilError(t, a.Relist(t.Context(), Members))
-	d := a.Since(b.Revisions())
-	assert.Check(t, d.Kinds[Members].Whole && !d.Kinds[Members].Gap)
-	b.Take(0, d)
+	d, err := a.Since(b.Revisions())
+	assert.NilError(t, err)
+	assert.Check(t, d.Kinds[Members].Whole != nil)
+	assert.NilError(t, b.Take(0, d))
 	assert.Equal(t, len(b.Members()), 2)
-	assert.Equal(t, len(a.Since(b.Revisions()).Kinds[Members].Objects), 0)
+	d, err = a.Since(b.Revisions())
+	assert.NilError(t, err)
+	assert.Check(t, d.Kinds[Members].Whole == nil && len(d.Kinds[Members].Objects) == 0)
 }
--- a/internal/feed/store.go
+++ b/internal/feed/store.go
@@ -40,12 +40,12 @@
 	Member  *Member
 }
 
-// Member is a VM of this fleet.
+// Member is a VM of this fleet that others may follow.
 type Member struct {
 	Name   string
-	Domain string // failure domain
-	Addr   string // IP:port for its peers
-	Inc    uint64 // incarnation
+	Domain string  // failure domain
+	Addr   string  // IP:port for its peers
+	Power  float64 // cores that it may use: the VMs with most are followed first
 }
 
 // Batch is a list of objects, or of changes, as of a revision.
--- a/internal/follow/choose.go
+++ b/internal/follow/choose.go
@@ -1,8 +1,8 @@
 package follow
 
 import (
+	"cmp"
 	"slices"
-	"strings"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -16,12 +16,10 @@
 	avoidMost  = 15 * clock.Second
 )
 
-// choose returns the VM to ask: the first of the failure domain that is not avoided, or false if that is this VM
-// itself. All VMs of a domain have the same order.
+// choose returns the VM to ask: the first of the failure domain that is not avoided, or false if that is this VM itself or there is
+// none. All VMs of a domain have the same order. A VM that others cannot follow comes after all that they can.
 func choose(self feed.Member, all []feed.Member, avoided func(name string) bool) (feed.Member, bool) {
-	in := inDomain(self.Domain, all)
-	in = slices.DeleteFunc(in, func(m feed.Member) bool { return m.Name == self.Name })
-	for _, m := range order(append(in, self)) {
+	for _, m := range order(inDomain(self.Domain, all)) {
 		if m.Name == self.Name {
 			return feed.Member{}, false
 		}
@@ -32,6 +30,12 @@
 	return feed.Member{}, false
 }
 
+// position returns the place of this VM in the order of its failure domain, false if others cannot follow it.
+func position(self feed.Member, all []feed.Member) (int, bool) {
+	i := slices.IndexFunc(order(inDomain(self.Domain, all)), func(m feed.Member) bool { return m.Name == self.Name })
+	return i, i >= 0
+}
+
 // firsts returns the first VM of each other failure domain that is not avoided.
 func firsts(self feed.Member, all []feed.Member, avoided func(name string) bool) (out []feed.Member) {
 	seen := map[string]bool{self.Domain: true}
@@ -57,17 +61,15 @@
 	return out
 }
 
-// order sorts the VMs of a domain by a hash of their names.
+// order sorts the VMs of a domain: those with most processor time first, since the first one answers all others, then by a
+// hash of their names.
 func order(in []feed.Member) []feed.Member {
 	slices.SortFunc(in, func(a, b feed.Member) int {
-		x, y := xxhash.Sum64String(a.Name), xxhash.Sum64String(b.Name)
-		switch {
-		case x < y:
-			return -1
-		case x > y:
-			return 1
-		}
-		return strings.Compare(a.Name, b.Name)
+		return cmp.Or(
+			cmp.Compare(b.Power, a.Power),
+			cmp.Compare(xxhash.Sum64String(a.Name), xxhash.Sum64String(b.Name)),
+			cmp.Compare(a.Name, b.Name),
+		)
 	})
 	return in
 }
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"sync"
 	"testing"
 	"time"
@@ -15,6 +14,7 @@
 	"shallotrun/core/catalog"
 	"shallotrun/core/clock"
 	"shallotrun/internal/feed"
+	"shallotrun/internal/standin/loopback"
 )
 
 // store is the platform's store for several VMs. Each VM has its own view of it, which can be cut.
@@ -171,13 +171,10 @@
 
 func fleet(t *testing.T, s *store, names ...string) (out []*vm) {
 	for _, name := range names {
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
-		assert.NilError(t, err)
-		assert.NilError(t, ln.Close())
 		v := &view{store: s}
 		f := &feed.Feed{Store: v}
 		f.Proof.Bound = 5000
-		w := &Follower{Self: feed.Member{Name: name, Domain: "d", Addr: ln.Addr().String(), Inc: 1}, Feed: f}
+		w := &Follower{Self: feed.Member{Name: name, Domain: "d", Addr: loopback.Addr()}, Inc: 1, Feed: f}
 		w.Init()
 		ctx, cancel := context.WithCancel(context.Background())
 		var wg sync.WaitGroup
--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/rand"
 	"net"
 	"slices"
 	"sync"
@@ -32,13 +31,16 @@
 	beat = 500 * clock.Millisecond
 	// secretBytes is the length of the fleet's secret.
 	secretBytes = 32
-	// setupRetry is the delay before the entry in the store is tried again.
+	// setupRetry is the delay before a call to the store that is needed for the start is made again.
 	setupRetry = 500 * clock.Millisecond
+	// tries is the number of VMs that are asked in one step, each after the one before gave no good answer.
+	tries = 3
 )
 
 // Follower follows another VM, and is followed. Set the exported fields before Run.
 type Follower struct {
 	Self  feed.Member
+	Inc   uint64 // incarnation of this process
 	Feed  *feed.Feed
 	Bound clock.Span // within which a change in the store must be in force, 0 means 2 s
 	Clock clock.Clock
@@ -53,81 +55,63 @@
 	partners []feed.Member         // of the other failure domains
 	dialled  string                // VM that is being connected to
 	since    clock.Time            // when that began
-	covered  bool
-	changed  chan struct{} // closed when covered changes
+	covered  bool                  // another VM is followed, or is being looked for
+	changed  chan struct{}         // closed when covered changes
+	roster   roster
+	joining  bool
 }
 
 // Init prepares the follower. It is called once, before the feed runs.
 func (f *Follower) Init() {
 	f.avoided, f.backoff, f.changed = make(map[string]clock.Time), make(map[string]clock.Span), make(chan struct{})
+	f.covered = true // until it is known that there is no VM to follow
 	f.Feed.Covered = f.wait
 }
 
-// Run follows until ctx ends, then removes this VM's entry.
+// Run follows until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
+	defer f.uncover()
 	ln, err := net.Listen("tcp", f.Self.Addr)
 	if err != nil {
 		f.Log.Error().Err(err).Msg("follow: no port for peers, this VM asks the store itself")
 		return
 	}
-	if !f.setup(ctx) {
-		_ = ln.Close()
+	defer ln.Close() //nolint:errcheck // it is not used any more
+	found, ok := f.setup(ctx)
+	if !ok {
 		return
 	}
 	srv := &fasthttp.Server{Handler: f.serve, NoDefaultServerHeader: true, Logger: logs.Silent{}}
 	go func() { _ = srv.Serve(ln) }()
+	if found {
+		f.set(f.begin(ctx))
+	} else {
+		f.set("")
+		f.join(ctx)
+	}
 	t := time.NewTicker(askEvery.Std())
 	defer t.Stop()
 	for ctx.Err() == nil {
-		f.set(f.step(ctx))
+		name, ok := f.step(ctx)
+		if !ok && f.followed() != "" {
+			name = f.seek(ctx, switchSpan, false)
+		}
+		f.set(name)
 		f.share(ctx)
+		f.tend(ctx)
 		select {
 		case <-ctx.Done():
 		case <-t.C:
 		}
 	}
-	f.set("")
-	_ = ln.Close()
-	end, cancel := context.WithTimeout(context.WithoutCancel(ctx), askTime.Std())
-	defer cancel()
-	if err := f.Feed.Store.Leave(end, f.Self.Name); err != nil {
-		f.Log.Warn().Err(err).Msg("follow: this VM's entry stays in the store")
-	}
-}
-
-// setup gets the fleet's secret and writes this VM's entry.
-func (f *Follower) setup(ctx context.Context) bool {
-	proposal := make([]byte, secretBytes)
-	if _, err := rand.Read(proposal); err != nil {
-		f.Log.Error().Err(err).Msg("follow: no random numbers, this VM asks the store itself")
-		return false
-	}
-	for ctx.Err() == nil {
-		secret, err := f.Feed.Store.Secret(ctx, proposal)
-		if err == nil {
-			err = f.Feed.Store.Join(ctx, f.Self)
-		}
-		if err == nil {
-			f.transport = &peer.Transport{
-				Name: f.Self.Name, Inc: f.Self.Inc, Keys: [][]byte{secret}, Beat: beat, Handler: (*handler)(f), Log: zerolog.Nop(),
-			}
-			f.transport.Run(ctx)
-			return true
-		}
-		f.Log.Warn().Err(err).Msg("follow: this VM cannot join yet")
-		select {
-		case <-ctx.Done():
-		case <-time.After(setupRetry.Std()):
-		}
-	}
-	return false
 }
 
-// step asks the VM that is to be followed, and returns its name if it answered well. While a VM that comes first is tried
-// again, the one that is followed goes on being asked.
-func (f *Follower) step(ctx context.Context) string {
+// step asks the VM that is to be followed, and returns its name if it answered well, "" if this VM is to ask the store. It
+// returns false if there are VMs to be followed and none answered. While a VM that comes first is tried again, the one that is
+// followed goes on being asked.
+func (f *Follower) step(ctx context.Context) (name string, ok bool) {
 	if !f.Feed.Synchronised() {
-		return ""
+		return "", true
 	}
 	members := f.Feed.Members()
 	for range tries {
@@ -135,25 +119,23 @@
 		m, ok := choose(f.Self, members, func(name string) bool { return now < f.until(name) })
 		if !ok {
 			f.drop("")
-			return ""
+			return "", true
 		}
 		f.transport.Connect(m.Name, m.Addr)
 		if !f.transport.Reachable(m.Name) && f.connecting(m.Name, now) {
-			return f.stay(ctx, members)
+			name = f.stay(ctx, members)
+			return name, name != ""
 		}
 		err := f.ask(ctx, m, f.quiet(members, m))
 		if err == nil {
 			f.drop(m.Name)
-			return m.Name
+			return m.Name, true
 		}
 		f.avoid(m.Name, now, err)
 	}
-	return ""
+	return "", false
 }
 
-// tries is the number of VMs that are asked in one step, each after the one before gave no good answer.
-const tries = 3
-
 // stay asks the VM that is followed already.
 func (f *Follower) stay(ctx context.Context, members []feed.Member) string {
 	for _, m := range members {
@@ -191,16 +173,18 @@
 	defer cancel()
 	sent := f.Clock.Boot()
 	var d feed.Delta
-	if err := f.transport.Ask(asking, m.Name, peer.KindFeed, f.Feed.Ask(), &d); err != nil {
+	q := f.Feed.Ask()
+	q.Power = f.Self.Power
+	if err := f.transport.Ask(asking, m.Name, peer.KindFeed, q, &d); err != nil {
 		return err
 	}
 	if d.Quiet > quiet {
 		return oops.Errorf("the store has not answered it for %d ms", d.Quiet)
 	}
-	if f.Feed.Take(sent, d) {
-		return nil
+	if d.Stand {
+		f.join(ctx)
 	}
-	return f.Feed.Resync(ctx, d)
+	return f.Feed.Take(sent, d)
 }
 
 // share exchanges sums with the other failure domains, if this VM follows none.
@@ -289,14 +273,33 @@
 		delete(f.backoff, name)
 		f.Log.Info().Str("vm", name).Str("before", f.leading).Msg("follow: followed VM changes; without one this VM asks the store")
 		f.leading = name
+		f.roster = roster{since: f.Clock.Now()}
 	}
-	if covered := name != ""; covered != f.covered {
+	f.cover(name != "")
+}
+
+// uncover makes this VM ask the store itself.
+func (f *Follower) uncover() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cover(false)
+}
+
+func (f *Follower) cover(covered bool) {
+	if covered != f.covered {
 		f.covered = covered
 		close(f.changed)
 		f.changed = make(chan struct{})
 	}
 }
 
+// followed returns the VM that is followed, "" for none.
+func (f *Follower) followed() string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.leading
+}
+
 // wait returns when this VM follows none, or ctx ends.
 func (f *Follower) wait(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -341,7 +344,12 @@
 	if err := e.Decode(&q); err != nil {
 		return "", nil, err
 	}
-	return peer.KindFeed, h.Feed.Answer(e.From, q), nil
+	d, err := h.Feed.Answer(e.From, q)
+	if err != nil {
+		return "", nil, err
+	}
+	d.Stand = (*Follower)(h).stands(e.From, q.Power)
+	return peer.KindFeed, d, nil
 }
 
 func (h *handler) Up(string, uint64) {}
--- a/internal/front/daemon.go
+++ b/internal/front/daemon.go
@@ -184,9 +184,9 @@
 	}
 	f := &follow.Follower{
 		Self: feed.Member{
-			Name: d.Settings.Name, Domain: d.Settings.Domain, Addr: d.Settings.Peers, Inc: uint64(d.clock.Wall()),
+			Name: d.Settings.Name, Domain: d.Settings.Domain, Addr: d.Settings.Peers, Power: d.Settings.Power,
 		},
-		Feed: d.feed, Bound: d.Settings.Apply, Clock: d.clock, Log: d.Log,
+		Inc: uint64(d.clock.Wall()), Feed: d.feed, Bound: d.Settings.Apply, Clock: d.clock, Log: d.Log,
 	}
 	f.Init()
 	ctx, stop := context.WithCancel(ctx)
--- a/internal/settings/front.go
+++ b/internal/settings/front.go
@@ -17,6 +17,7 @@
 	Domain  string // failure domain
 	Memory  int    // MB that the process may use, 0 for no limit
 	Cores   int
+	Power   float64    // cores' worth of processor time that the process may use, 0 if it is not known
 	Callers string     // IP:port for callers
 	Ready   string     // IP:port for the balancer's question
 	Metrics string     // IP:port for metrics, "" for none
@@ -45,6 +46,7 @@
 	{"vm", "domain", true, func(f *Front, v string) error { return name(&f.Domain, v) }},
 	{"vm", "memory", false, func(f *Front, v string) error { return whole(&f.Memory, v, 16, 1<<20) }},
 	{"vm", "cores", false, func(f *Front, v string) error { return whole(&f.Cores, v, 1, 1024) }},
+	{"vm", "power", false, func(f *Front, v string) error { return ratio(&f.Power, v) }},
 	{"listen", "callers", true, func(f *Front, v string) error { return addr(&f.Callers, v) }},
 	{"listen", "ready", true, func(f *Front, v string) error { return addr(&f.Ready, v) }},
 	{"listen", "metrics", false, func(f *Front, v string) error { return addr(&f.Metrics, v) }},
--- a/io/peer/envelope.go
+++ b/io/peer/envelope.go
@@ -73,6 +73,9 @@
 	return b, nil
 }
 
+// Unmarshal reads what Marshal encoded, within the limits.
+func Unmarshal(b []byte, v any) error { return oops.Wrapf(decoder.Unmarshal(b, v), "decode %T", v) }
+
 func encode(e *Envelope) ([]byte, error) {
 	b, err := encoder.Marshal(e)
 	if err != nil {
