follow: a VM that does not know everything yet says so; no entry is removed at a start

Cause: a VM that was asked before it knew everything gave no answer, so each question took its whole time of 500 ms, and after a start of all VMs no one found another in time; a VM that asked the store from its start took all others for lost at once and removed their entries. Change: an answer says that its VM is not ready; the time since which a VM asks the store is set when it begins.

--- a/internal/feed/delta.go
+++ b/internal/feed/delta.go
@@ -15,6 +15,7 @@
 
 // Delta is what one VM hands on to another about the kinds of objects.
 type Delta struct {
+	Unready bool            // not everything is known there yet: nothing else is set
 	Age     clock.Span // of the proof that the configuration is the newest one
 	Quiet   clock.Span // for which the store has not answered about the configuration or the servers
 	Config  uint64     // version in force
@@ -43,13 +44,13 @@
 	return q
 }
 
-// ErrUnready means that a VM does not know enough yet to hand it on.
-var ErrUnready = errors.New("not everything is known here yet")
+// ErrUnready means that the other VM does not know everything itself yet.
+var ErrUnready = errors.New("not everything is known there yet")
 
-// Answer answers the question of another VM. It fails with ErrUnready.
+// Answer answers the question of another VM.
 func (f *Feed) Answer(from string, q Question) (d Delta, err error) {
 	if !f.Synchronised() {
-		return d, ErrUnready
+		return Delta{Unready: true}, nil
 	}
 	if d, err = f.Since(q.Revs); err != nil {
 		return d, err
@@ -218,9 +219,12 @@
 	return d, nil
 }
 
-// Take applies what another VM handed on in answer to a question that was sent at a time. An error means that a part could not be read;
-// the rest is in force all the same.
+// Take applies what another VM handed on in answer to a question that was sent at a time. It fails with ErrUnready. Another error means
+// that a part could not be read; the rest is in force all the same.
 func (f *Feed) Take(sent clock.Time, d Delta) error {
+	if d.Unready {
+		return ErrUnready
+	}
 	var faults []error
 	if d.Body != nil {
 		faults = append(faults, f.takeConfig(d))
--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -269,6 +269,9 @@
 func (f *Follower) set(name string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.roster.since == 0 {
+		f.roster.since = f.Clock.Now()
+	}
 	if name != f.leading {
 		delete(f.backoff, name)
 		f.Log.Info().Str("vm", name).Str("before", f.leading).Msg("follow: followed VM changes; without one this VM asks the store")
