follow, feed, load: VMs follow each other across failure domains; sums go up and down one tree

Change: the first VM of a failure domain follows that of a domain before it, so one VM asks the store; sums of loads and results go up as reports of a VM and all that follow it, and down as sums of all others. VMs that others cannot follow leave a silent store to those that can. The sums of a board change with each report instead of being added up for each question. A watch waits for a shorter time, since a silence is learnt two questions later. Ruled out: exchanging sums between domains besides (they would count twice); a lease in the store for the VM that asks. Tests: TestNoCircle (any avoidance), TestOneRoot, TestRoster, TestSumsFollowReports, TestSums on two levels.

--- a/core/load/board.go
+++ b/core/load/board.go
@@ -11,11 +11,13 @@
 	Quiet  clock.Span // since the last byte came from the server
 }
 
-// Board holds the reports of other VMs. Keep is set before the first call.
+// Board holds the reports of other VMs and their sums, which change with each report: many VMs ask for them. Keep is set before
+// the first call.
 type Board struct {
 	Keep clock.Span // for which a report counts
 
 	reports map[string]report // by VM
+	sums    map[string]sum    // by server
 }
 
 type report struct {
@@ -23,26 +25,63 @@
 	uses []Use
 }
 
+// sum is what all reports that count say about a server.
+type sum struct {
+	vms, open, unread int
+	heard             clock.Time // when the last byte came from the server to any VM
+}
+
 // Put takes what a VM reports, in place of what it reported before. The uses are not changed afterwards.
 func (b *Board) Put(now clock.Time, from string, uses []Use) {
 	if b.reports == nil {
-		b.reports = make(map[string]report)
+		b.reports, b.sums = make(map[string]report), make(map[string]sum)
 	}
+	b.remove(from)
 	b.reports[from] = report{now, uses}
+	for _, u := range uses {
+		s := b.sums[u.Server]
+		heard := now.Add(-u.Quiet)
+		if s.vms > 0 {
+			heard = max(heard, s.heard)
+		}
+		b.sums[u.Server] = sum{s.vms + 1, s.open + u.Open, s.unread + u.Unread, heard}
+	}
 }
 
-// Sum returns the sums of all reports that still count, without that of one VM.
+// remove takes the report of a VM out of the sums.
+func (b *Board) remove(from string) {
+	for _, u := range b.reports[from].uses {
+		s := b.sums[u.Server]
+		if s.vms--; s.vms == 0 {
+			delete(b.sums, u.Server)
+			continue
+		}
+		s.open, s.unread = s.open-u.Open, s.unread-u.Unread
+		b.sums[u.Server] = s
+	}
+	delete(b.reports, from)
+}
+
+// Sum returns the sums of all reports that still count, without that of one VM. The time since the last byte of a server is
+// that of all VMs.
 func (b *Board) Sum(now clock.Time, without string) View {
-	v := View{At: now, Uses: make(map[string]Use)}
 	for name, r := range b.reports {
-		age := now.Sub(r.at)
-		if age > b.Keep {
-			delete(b.reports, name)
-			continue
+		if now.Sub(r.at) > b.Keep {
+			b.remove(name)
 		}
-		if name != without {
-			v.add(r.uses, age)
+	}
+	v := View{At: now, Uses: make(map[string]Use, len(b.sums))}
+	for server, s := range b.sums {
+		v.Uses[server] = Use{Server: server, Open: s.open, Unread: s.unread, Quiet: now.Sub(s.heard)}
+	}
+	for _, u := range b.reports[without].uses {
+		if b.sums[u.Server].vms == 1 {
+			delete(v.Uses, u.Server)
+			continue
 		}
+		s := v.Uses[u.Server]
+		s.Open, s.Unread = s.Open-u.Open, s.Unread-u.Unread
+		v.Uses[u.Server] = s
 	}
 	return v
 }
@@ -53,10 +92,8 @@
 	Uses map[string]Use // by server
 }
 
-// Add includes uses that were counted when the view was taken.
-func (v *View) Add(uses []Use) { v.add(uses, 0) }
-
-func (v *View) add(uses []Use, age clock.Span) {
+// Add includes uses that were counted some time before the view was taken.
+func (v *View) Add(uses []Use, age clock.Span) {
 	for _, u := range uses {
 		u.Quiet += age
 		if sum, ok := v.Uses[u.Server]; ok {
--- a/core/load/board_test.go
+++ b/core/load/board_test.go
@@ -4,6 +4,7 @@
 	"testing"
 
 	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
 
 	"shallotrun/core/clock"
 )
@@ -20,8 +21,8 @@
 		want    map[string]Use
 	}{
 		{"all", 200, "", map[string]Use{"x": {Server: "x", Open: 5, Unread: 600, Quiet: 240}, "y": {Server: "y", Open: 1, Quiet: 200}}},
-		{"without the one that asks", 200, "a", map[string]Use{"x": {Server: "x", Open: 3, Unread: 100, Quiet: 400}}},
-		{"an old report", 1050, "", map[string]Use{"x": {Server: "x", Open: 3, Unread: 100, Quiet: 1250}}},
+		{"without the one that asks", 200, "a", map[string]Use{"x": {Server: "x", Open: 3, Unread: 100, Quiet: 240}}},
+		{"an old report", 1050, "", map[string]Use{"x": {Server: "x", Open: 3, Unread: 100, Quiet: 1090}}},
 	} {
 		v := b.Sum(c.now, c.without)
 		assert.DeepEqual(t, len(v.Uses), len(c.want))
@@ -32,3 +33,40 @@
 	b.Put(1060, "b", []Use{{Server: "x", Open: 1}})
 	assert.Equal(t, b.Sum(1060, "").Uses["x"].Open, 1, "a report takes the place of the one before")
 }
+
+// Guards against sums that drift from the reports they are made of, whatever is reported, repeated, lost or forgotten.
+func TestSumsFollowReports(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const keep = 1000
+		b := Board{Keep: keep}
+		last := make(map[string]report)
+		now := clock.Time(10_000)
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			now = now.Add(clock.Span(rapid.IntRange(0, 400).Draw(t, "pause")))
+			vm := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "vm")
+			var uses []Use
+			for _, server := range []string{"x", "y"} {
+				if n := rapid.IntRange(0, 3).Draw(t, server); n > 0 {
+					uses = append(uses, Use{Server: server, Open: n, Unread: 10 * n, Quiet: clock.Span(rapid.IntRange(0, 99).Draw(t, "quiet"))})
+				}
+			}
+			b.Put(now, vm, uses)
+			last[vm] = report{now, uses}
+			without := rapid.SampledFrom([]string{"", "a", "b", "c"}).Draw(t, "without")
+			want := make(map[string][2]int)
+			for name, r := range last {
+				for _, u := range r.uses {
+					if name != without && now.Sub(r.at) <= keep {
+						want[u.Server] = [2]int{want[u.Server][0] + u.Open, want[u.Server][1] + u.Unread}
+					}
+				}
+			}
+			got := make(map[string][2]int)
+			for server, u := range b.Sum(now, without).Uses {
+				got[server] = [2]int{u.Open, u.Unread}
+				assert.Check(t, u.Quiet >= 0 && u.Quiet <= keep+99)
+			}
+			assert.DeepEqual(t, got, want)
+		}
+	})
+}
--- a/internal/feed/board.go
+++ b/internal/feed/board.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"math/rand/v2"
-	"strings"
 	"sync"
 
 	"github.com/cespare/xxhash/v2"
@@ -22,9 +21,22 @@
 
 	mu    sync.Mutex
 	all   map[string]*canary.Rollout // by object name
-	peers map[string][]OrderReport   // the last reports of VMs that follow this one, and of other failure domains
+	peers map[string]peerReports     // of the VMs that follow this one, and of all above it
 }
 
+// peerReports are the last reports of a VM.
+type peerReports struct {
+	at  clock.Time
+	all []OrderReport
+}
+
+// reportKeep is how long the report of another VM counts among those that are handed on: a VM that follows another one from then
+// on is counted there. It covers two lost questions.
+const reportKeep = 1200 * clock.Millisecond
+
+// above names the reports of all VMs but this one and those that follow it.
+const above = ""
+
 // OrderReport is what a VM knows about an order that is running: its results, or the sums of other VMs' results, and its verdict.
 type OrderReport struct {
 	Service string
@@ -34,11 +46,11 @@
 	Verdict string         // why the new version is bad, "" for none
 }
 
-// Reports returns what this VM has to say about the orders that are running.
-func (b *Board) Reports() []OrderReport {
+// Report returns what this VM and those that follow it have to say about the orders that are running.
+func (b *Board) Report(now clock.Time) []OrderReport {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.reports()
+	return b.sums(now, func(name string) bool { return name != above })
 }
 
 func (b *Board) reports() (out []OrderReport) {
@@ -51,41 +63,31 @@
 }
 
 // Answer takes the reports of a VM that follows this one, and returns the sums of all others that this VM knows.
-func (b *Board) Answer(from string, reports []OrderReport) []OrderReport {
+func (b *Board) Answer(now clock.Time, from string, reports []OrderReport) []OrderReport {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.take(from, reports)
-	return b.sums(func(name string) bool { return name != from })
+	b.take(now, from, reports)
+	return b.sums(now, func(name string) bool { return name != from })
 }
 
-// Put takes the sums of another failure domain.
-func (b *Board) Put(domain string, reports []OrderReport) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.take(domainPrefix+domain, reports)
-}
-
-// Domain returns the sums of this VM and of those that follow it, for another failure domain.
-func (b *Board) Domain() []OrderReport {
+// Learn takes the reports of the VM that this one follows.
+func (b *Board) Learn(now clock.Time, reports []OrderReport) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.sums(func(name string) bool { return !strings.HasPrefix(name, domainPrefix) })
+	b.take(now, above, reports)
 }
 
-// domainPrefix begins the names under which the reports of other failure domains are kept.
-const domainPrefix = "domain "
-
-// take keeps the reports of a VM or failure domain in place of its last ones, and judges by them.
-func (b *Board) take(from string, reports []OrderReport) {
+// take keeps the reports of a VM in place of its last ones, and judges by them.
+func (b *Board) take(now clock.Time, from string, reports []OrderReport) {
 	if b.peers == nil {
-		b.peers = make(map[string][]OrderReport)
+		b.peers = make(map[string]peerReports)
 	}
-	b.peers[from] = reports
+	b.peers[from] = peerReports{now, reports}
 	running := false
 	for _, own := range b.reports() {
 		running = true
 		r := b.all[own.Service]
-		r.Merge(b.sum(own, nil, func(string) bool { return true }))
+		r.Merge(b.sum(now, own, nil, func(string) bool { return true }))
 		for _, p := range reports {
 			if p.Service == own.Service && p.Made == own.Made {
 				r.Adopt(p.Times)
@@ -99,20 +101,23 @@
 }
 
 // sums returns this VM's reports with the results of some others added.
-func (b *Board) sums(with func(name string) bool) []OrderReport {
+func (b *Board) sums(now clock.Time, with func(name string) bool) []OrderReport {
 	out := b.reports()
 	for i := range out {
-		out[i].Tallies = b.sum(out[i], out[i].Tallies, with)
+		out[i].Tallies = b.sum(now, out[i], out[i].Tallies, with)
 	}
 	return out
 }
 
 // sum adds the results of some others to some tallies.
-func (b *Board) sum(w OrderReport, own []canary.Tally, with func(name string) bool) []canary.Tally {
+func (b *Board) sum(now clock.Time, w OrderReport, own []canary.Tally, with func(name string) bool) []canary.Tally {
 	all := [][]canary.Tally{own}
 	for name, reports := range b.peers {
-		for _, p := range reports {
-			if with(name) && p.Service == w.Service && p.Made == w.Made {
+		if !with(name) || now.Sub(reports.at) > reportKeep {
+			continue
+		}
+		for _, p := range reports.all {
+			if p.Service == w.Service && p.Made == w.Made {
 				all = append(all, p.Tallies)
 			}
 		}
@@ -120,21 +125,6 @@
 	return canary.Sum(all...)
 }
 
-// Learn takes the reports of the VM that this one follows.
-func (b *Board) Learn(reports []OrderReport) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	for _, w := range reports {
-		r := b.all[w.Service]
-		if r == nil || r.Order.Made != w.Made {
-			continue
-		}
-		r.Adopt(w.Times)
-		r.Merge(w.Tallies)
-		r.Blame(w.Verdict)
-	}
-}
-
 // Choose returns those of a service's servers that may get the next request, of a session or of none.
 func (b *Board) Choose(now clock.Time, service, session string, all []backend.Server) []backend.Server {
 	b.mu.Lock()
@@ -156,8 +146,8 @@
 	return old
 }
 
-// Report takes the result of a request for the order of its service.
-func (b *Board) Report(service string, v canary.Result) {
+// Result takes the result of a request for the order of its service.
+func (b *Board) Result(service string, v canary.Result) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if r := b.find(service); r != nil {
--- a/internal/feed/delta.go
+++ b/internal/feed/delta.go
@@ -15,7 +15,7 @@
 
 // Delta is what one VM hands on to another about the kinds of objects.
 type Delta struct {
-	Unready bool            // not everything is known there yet: nothing else is set
+	Unready bool       // not everything is known there yet: nothing else is set
 	Age     clock.Span // of the proof that the configuration is the newest one
 	Quiet   clock.Span // for which the store has not answered about the configuration or the servers
 	Config  uint64     // version in force
@@ -30,14 +30,15 @@
 type Question struct {
 	Revs    Revisions
 	Config  uint64        // version in force, 0 for none
-	Reports []OrderReport // about the orders that are running
-	Loads   []load.Use    // what it has at the backend servers
-	Power   float64       // of the VM, see Member
+	Reports []OrderReport // of it and those that follow it, about the orders that are running
+	Loads   []load.Use    // what they have at the backend servers
+	VM      Member        // that asks
 }
 
 // Ask returns this VM's question.
 func (f *Feed) Ask() Question {
-	q := Question{Revs: f.Revisions(), Reports: f.Orders.Reports(), Loads: f.Loads.Own()}
+	now := f.Clock.Now()
+	q := Question{Revs: f.Revisions(), Reports: f.Orders.Report(now), Loads: f.Loads.Report(now)}
 	if t := f.Config.Table(); t != nil {
 		q.Config = t.Config.Version
 	}
@@ -55,8 +56,9 @@
 	if d, err = f.Since(q.Revs); err != nil {
 		return d, err
 	}
-	d.Reports = f.Orders.Answer(from, q.Reports)
-	d.Loads = f.Loads.Answer(f.Clock.Now(), from, q.Loads)
+	now := f.Clock.Now()
+	d.Reports = f.Orders.Answer(now, from, q.Reports)
+	d.Loads = f.Loads.Answer(now, from, q.Loads)
 	if t := f.Config.Table(); t != nil && q.Config < t.Config.Version {
 		d.Config = t.Config.Version
 		f.mu.Lock()
@@ -68,24 +70,6 @@
 	return d, nil
 }
 
-// Sums are what the VMs of a failure domain know together, for those of another one.
-type Sums struct {
-	Domain  string
-	Loads   []load.Use
-	Reports []OrderReport
-}
-
-// Sums returns what this VM and those that follow it know together.
-func (f *Feed) Sums(domain string) Sums {
-	return Sums{Domain: domain, Loads: f.Loads.Domain(f.Clock.Now()), Reports: f.Orders.Domain()}
-}
-
-// TakeSums takes what the VMs of another failure domain know together.
-func (f *Feed) TakeSums(s Sums) {
-	f.Loads.Put(f.Clock.Now(), s.Domain, s.Loads)
-	f.Orders.Put(s.Domain, s.Reports)
-}
-
 // Changes are the changes of a kind after a revision.
 type Changes struct {
 	Whole   Packed // all objects, []Object, if the changes are not all kept; nil otherwise
@@ -245,8 +229,9 @@
 		}
 		f.relisted(k, Batch{Objects: all, Rev: c.Rev})
 	}
-	f.Orders.Learn(d.Reports)
-	f.Loads.Learn(f.Clock.Now(), d.Loads)
+	now := f.Clock.Now()
+	f.Orders.Learn(now, d.Reports)
+	f.Loads.Learn(now, d.Loads)
 	if err := errors.Join(faults...); err != nil {
 		return err
 	}
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -18,7 +18,8 @@
 
 // Longest time that a watch waits in the store. A watch whose connection went silent is found when it should have
 // returned, so the time bounds how late a change is learnt then.
-var watchWait = [kinds]clock.Span{Configs: 800, Servers: 1200, Orders: 4000, Members: 15000}
+// A VM that follows two others on the way to the store learns a silence later by the time of two questions.
+var watchWait = [kinds]clock.Span{Configs: 500, Servers: 700, Orders: 4000, Members: 15000}
 
 // Pauses after an answer, in which changes that come together are gathered for the next one.
 var changePause = [kinds]clock.Span{Servers: 80, Orders: 20, Members: 1000}
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -142,7 +142,7 @@
 	}}
 	f, c := run(t, s)
 	for range 20 {
-		f.Orders.Report("s", canary.Result{Route: "r", Version: "v2", First: 10})
+		f.Orders.Result("s", canary.Result{Route: "r", Version: "v2", First: 10})
 	}
 	f.Interrupted()
 	c.Advance(9500)
@@ -272,33 +272,33 @@
 		x.put(0, 0, order)
 	}
 	for range 6 {
-		a.Report("s", canary.Result{Route: "r", Version: "v1", First: 10})
+		a.Result("s", canary.Result{Route: "r", Version: "v1", First: 10})
 	}
-	lead.Answer("a", a.Reports())
-	back := lead.Answer("a", a.Reports())
+	lead.Answer(0, "a", a.Report(0))
+	back := lead.Answer(0, "a", a.Report(0))
 	assert.Equal(t, len(back), 1)
 	assert.Equal(t, len(back[0].Tallies), 0, "a VM is told its own results")
-	b.Learn(lead.Answer("b", b.Reports()))
-	got := lead.Answer("b", b.Reports())
+	b.Learn(0, lead.Answer(0, "b", b.Report(0)))
+	got := lead.Answer(0, "b", b.Report(0))
 	assert.DeepEqual(t, got[0].Tallies, []canary.Tally{{Model: "r", Good: 6}, {Model: "s", Good: 6}})
 	for range 30 {
-		a.Report("s", canary.Result{Route: "r", Version: "v2", Failed: true})
+		a.Result("s", canary.Result{Route: "r", Version: "v2", Failed: true})
 	}
-	lead.Answer("a", a.Reports())
-	b.Learn(lead.Answer("b", b.Reports()))
+	lead.Answer(0, "a", a.Report(0))
+	b.Learn(0, lead.Answer(0, "b", b.Report(0)))
 	due, reasons := b.due(1000, 1000)
 	assert.Equal(t, len(due), 1)
 	assert.Equal(t, due[0].State, canary.RolledBack)
 	assert.Check(t, reasons[0] != "")
 }
 
-// Guards against results and loads that stay in one failure domain, or come back to the one that they are from: then a bad
+// Guards against results and loads that stay in one part of the tree, or come back to where they are from: then a bad
 // version is found late, and servers look busier than they are.
 func TestSums(t *testing.T) {
 	order := canary.Order{Service: "s", Target: "v2", Duration: 20000, State: canary.Running, Made: 5}
-	var lead, other, a Feed
-	for i, f := range []*Feed{&lead, &other, &a} {
-		f.Store = &script{lists: map[Kind]Batch{Configs: config(1)}}
+	var lead, other, a, b Feed
+	for i, f := range []*Feed{&lead, &other, &a, &b} {
+		f.Store = &script{lists: map[Kind]Batch{Configs: config(1), Servers: {Rev: 1}, Orders: {Rev: 1}, Members: {Rev: 1}}}
 		for k := range kinds {
 			assert.NilError(t, f.Relist(t.Context(), k))
 		}
@@ -306,33 +306,35 @@
 		f.Loads.Uses = func() []load.Use { return []load.Use{{Server: "x", Open: 1 << i}} }
 	}
 	for range 6 {
-		a.Orders.Report("s", canary.Result{Route: "r", Version: "v1", First: 10})
+		a.Orders.Result("s", canary.Result{Route: "r", Version: "v1", First: 10})
+	}
+	// Two levels: other follows lead, a and b follow other.
+	ask := func(from, to *Feed, name string) {
+		d, err := to.Answer(name, from.Ask())
+		assert.NilError(t, err)
+		assert.NilError(t, from.Take(0, d))
 	}
-	_, err := lead.Answer("a", a.Ask())
-	assert.NilError(t, err)
 	for range 2 {
-		other.TakeSums(lead.Sums("d1"))
-		lead.TakeSums(other.Sums("d2"))
+		ask(&a, &other, "a")
+		ask(&b, &other, "b")
+		ask(&other, &lead, "other")
 	}
-	sums := other.Sums("d2")
-	assert.Equal(t, len(sums.Reports[0].Tallies), 0, "another domain's results come back")
-	assert.DeepEqual(t, sums.Loads, []load.Use{{Server: "x", Open: 2}})
+	now := lead.Clock.Now()
 	for _, c := range []struct {
 		name string
 		f    *Feed
 		want int // requests of the others
-	}{{"the VM that is followed", &lead, 2 + 4}, {"another domain's", &other, 1 + 4}} {
-		now := c.f.Clock.Now()
-		c.f.Loads.Lead(now)
+	}{{"the first", &lead, 2 + 4 + 8}, {"in between", &other, 1 + 4 + 8}, {"a", &a, 1 + 2 + 8}, {"b", &b, 1 + 2 + 4}} {
+		c.f.Loads.Refresh(now)
 		assert.Equal(t, c.f.Loads.Others(now).Uses["x"].Open, c.want, c.name)
 	}
-	d, err := lead.Answer("a", a.Ask())
-	assert.NilError(t, err)
-	assert.NilError(t, a.Take(0, d))
-	assert.Equal(t, a.Loads.Others(a.Clock.Now()).Uses["x"].Open, 1+2, "a VM that follows")
-	got := other.Orders.Answer("z", nil)
-	assert.DeepEqual(t, got[0].Tallies, []canary.Tally{{Model: "r", Good: 6}, {Model: "s", Good: 6}})
-	assert.Check(t, a.Loads.Others(a.Clock.Now().Add(2*loadKeep)) == nil, "old sums count")
+	for _, f := range []*Feed{&lead, &other, &b} {
+		got := f.Orders.Answer(now, "z", nil)
+		assert.DeepEqual(t, got[0].Tallies, []canary.Tally{{Model: "r", Good: 6}, {Model: "s", Good: 6}})
+	}
+	assert.Check(t, a.Loads.Others(now.Add(2*loadKeep)) == nil, "old sums count")
+	sums := lead.Orders.Answer(now.Add(2*reportKeep), "z", nil)
+	assert.Equal(t, len(sums[0].Tallies), 0, "old results count")
 }
 
 // Guards against a fleet whose VMs all list a kind again when the store drops its history: the one that is followed lists it,
--- a/internal/follow/choose.go
+++ b/internal/follow/choose.go
@@ -16,35 +16,32 @@
 	avoidMost  = 15 * clock.Second
 )
 
-// choose returns the VM to ask: the first of the failure domain that is not avoided, or false if that is this VM itself or there is
-// none. All VMs of a domain have the same order. A VM that others cannot follow comes after all that they can.
-func choose(self feed.Member, all []feed.Member, avoided func(name string) bool) (feed.Member, bool) {
+// above returns the VMs that this one may follow, best first: those of its failure domain that come before it, then the first of each
+// domain that comes before its own. A VM that others cannot follow may follow all of its domain, and none of another one. All VMs
+// have the same orders, so no VMs follow each other in a circle, whoever avoids whom.
+func above(self feed.Member, all []feed.Member, avoided func(name string) bool) (out []feed.Member) {
 	for _, m := range order(inDomain(self.Domain, all)) {
 		if m.Name == self.Name {
-			return feed.Member{}, false
+			return append(out, heads(self, all, avoided)...)
 		}
 		if !avoided(m.Name) {
-			return m, true
+			out = append(out, m)
 		}
 	}
-	return feed.Member{}, false
-}
-
-// position returns the place of this VM in the order of its failure domain, false if others cannot follow it.
-func position(self feed.Member, all []feed.Member) (int, bool) {
-	i := slices.IndexFunc(order(inDomain(self.Domain, all)), func(m feed.Member) bool { return m.Name == self.Name })
-	return i, i >= 0
+	return out
 }
 
-// firsts returns the first VM of each other failure domain that is not avoided.
-func firsts(self feed.Member, all []feed.Member, avoided func(name string) bool) (out []feed.Member) {
-	seen := map[string]bool{self.Domain: true}
+// heads returns the first VM that is not avoided of each failure domain that comes before this VM's.
+func heads(self feed.Member, all []feed.Member, avoided func(name string) bool) (out []feed.Member) {
+	var domains []string
 	for _, m := range all {
-		if seen[m.Domain] {
-			continue
+		if compareNames(m.Domain, self.Domain) < 0 && !slices.Contains(domains, m.Domain) {
+			domains = append(domains, m.Domain)
 		}
-		seen[m.Domain] = true
-		in := order(inDomain(m.Domain, all))
+	}
+	slices.SortFunc(domains, compareNames)
+	for _, d := range domains {
+		in := order(inDomain(d, all))
 		if i := slices.IndexFunc(in, func(m feed.Member) bool { return !avoided(m.Name) }); i >= 0 {
 			out = append(out, in[i])
 		}
@@ -52,6 +49,12 @@
 	return out
 }
 
+// candidate reports whether others can follow a VM, and its place in the order of its failure domain.
+func candidate(self feed.Member, all []feed.Member) (int, bool) {
+	i := slices.IndexFunc(order(inDomain(self.Domain, all)), func(m feed.Member) bool { return m.Name == self.Name })
+	return i, i >= 0
+}
+
 func inDomain(domain string, all []feed.Member) (out []feed.Member) {
 	for _, m := range all {
 		if m.Domain == domain {
@@ -65,11 +68,12 @@
 // hash of their names.
 func order(in []feed.Member) []feed.Member {
 	slices.SortFunc(in, func(a, b feed.Member) int {
-		return cmp.Or(
-			cmp.Compare(b.Power, a.Power),
-			cmp.Compare(xxhash.Sum64String(a.Name), xxhash.Sum64String(b.Name)),
-			cmp.Compare(a.Name, b.Name),
-		)
+		return cmp.Or(cmp.Compare(b.Power, a.Power), compareNames(a.Name, b.Name))
 	})
 	return in
 }
+
+// compareNames orders names by a hash.
+func compareNames(a, b string) int {
+	return cmp.Or(cmp.Compare(xxhash.Sum64String(a), xxhash.Sum64String(b)), cmp.Compare(a, b))
+}
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -3,11 +3,14 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"slices"
 	"sync"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
 
 	"shallotrun/core/backend"
 	"shallotrun/core/canary"
@@ -276,47 +279,106 @@
 	}
 }
 
-// Guards against VMs that follow each other in a circle: then no one would ask the store.
-func TestChooseHasNoCircle(t *testing.T) {
-	var all []feed.Member
-	for _, name := range []string{"a", "b", "c", "d", "e", "f"} {
-		all = append(all, feed.Member{Name: name, Domain: "d"})
-	}
-	all = append(all, feed.Member{Name: "far", Domain: "other"})
-	for mask := range 1 << 6 {
-		avoided := func(name string) bool { return mask>>(name[0]-'a')&1 == 1 }
-		follows := make(map[string]string)
-		for _, m := range all[:6] {
-			if to, ok := choose(m, all, avoided); ok {
-				assert.Check(t, to.Name != "far")
-				follows[m.Name] = to.Name
+// Guards against VMs that follow each other in a circle, whoever avoids whom: then no one would ask the store. Also against a VM
+// that others cannot follow and that follows none of its domain.
+func TestNoCircle(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var all []feed.Member
+		for i := range rapid.IntRange(1, 12).Draw(t, "members") {
+			all = append(all, feed.Member{
+				Name: fmt.Sprint("vm-", i), Domain: rapid.SampledFrom([]string{"d1", "d2", "d3"}).Draw(t, "domain"),
+				Power: rapid.SampledFrom([]float64{0.2, 0.8}).Draw(t, "power"),
+			})
+		}
+		edges := make(map[string][]string)
+		for _, m := range all {
+			avoids := rapid.Uint16().Draw(t, "avoids")
+			for _, to := range above(m, all, func(name string) bool { return avoids>>(len(name)*int(name[len(name)-1]-'0')%16)&1 == 1 }) {
+				edges[m.Name] = append(edges[m.Name], to.Name)
 			}
 		}
-		for _, m := range all[:6] {
-			at, steps := m.Name, 0
-			for follows[at] != "" {
-				at = follows[at]
-				steps++
-				assert.Assert(t, steps <= 6, "a circle at %s, avoided %b", m.Name, mask)
+		for _, m := range all {
+			reached, next := map[string]bool{}, []string{m.Name}
+			for len(next) > 0 {
+				to := edges[next[0]]
+				next = next[1:]
+				for _, name := range to {
+					assert.Assert(t, name != m.Name, "a circle at %s", name)
+					if !reached[name] {
+						reached[name] = true
+						next = append(next, name)
+					}
+				}
 			}
 		}
-	}
+		other := feed.Member{Name: "other", Domain: "d1", Power: 1}
+		got := above(other, all, func(string) bool { return false })
+		assert.Equal(t, len(got), len(inDomain("d1", all)))
+		for _, m := range got {
+			assert.Equal(t, m.Domain, "d1")
+		}
+	})
 }
 
-// Guards against failure domains that each choose a VM to exchange sums with that is not the one that the others of its domain
-// follow.
-func TestFirsts(t *testing.T) {
+// Guards against failure domains that each ask the store, and against heads that the others do not follow: with nobody avoided, one VM of
+// the fleet follows none.
+func TestOneRoot(t *testing.T) {
 	var all []feed.Member
-	for _, name := range []string{"a", "b", "c", "e", "f", "g", "h"} {
-		all = append(all, feed.Member{Name: name, Domain: map[bool]string{true: "d1", false: "d2"}[name < "e"]})
+	for i := range 12 {
+		all = append(all, feed.Member{Name: fmt.Sprint("vm-", i), Domain: fmt.Sprint("d", i%3)})
+	}
+	for _, down := range append([]feed.Member{{}}, all...) {
+		avoided := func(name string) bool { return name == down.Name }
+		var roots []string
+		for _, m := range all {
+			if m.Name != down.Name && len(above(m, all, avoided)) == 0 {
+				roots = append(roots, m.Name)
+			}
+		}
+		assert.Equal(t, len(roots), 1, "without %s: %v", down.Name, roots)
+	}
+}
+
+// Guards against a fleet that has too few VMs to follow, too many, or weak ones although there are able ones.
+func TestRoster(t *testing.T) {
+	self := feed.Member{Name: "a", Domain: "d", Power: 0.2}
+	r := roster{since: 1000}
+	hear := func(now clock.Time) {
+		for i := range 20 {
+			r.hear(now, fmt.Sprint("vm-", i), []float64{0.2, 0.8}[i/18])
+		}
 	}
-	for _, down := range []string{"", "e", "f", "g", "h"} {
-		avoided := func(name string) bool { return name == down }
-		got := firsts(all[0], all, avoided)
-		assert.Equal(t, len(got), 1)
-		for _, m := range all[3:] {
-			to, ok := choose(m, all, avoided)
-			assert.Check(t, m.Name == down || !ok && m.Name == got[0].Name || ok && to.Name == got[0].Name, "%s follows %s, not %s", m.Name, to.Name, got[0].Name)
+	standing := func(now clock.Time, entries ...feed.Member) (out []string) {
+		for name := range r.heard {
+			if r.stands(now, self, entries, name) {
+				out = append(out, name)
+			}
 		}
+		slices.Sort(out)
+		return out
+	}
+	hear(1500)
+	assert.Equal(t, len(standing(1500)), 0, "not everyone was heard of yet")
+	hear(4000)
+	got := standing(4000)
+	assert.Check(t, len(got) == candidates || len(got) == candidates-1, "%v", got)
+	assert.Check(t, slices.Contains(got, "vm-18") && slices.Contains(got, "vm-19"), "%v", got)
+	var entries []feed.Member
+	for _, name := range got {
+		entries = append(entries, feed.Member{Name: name, Domain: "d"})
+	}
+	assert.Equal(t, len(standing(4000, entries...)), 0, "they have entries")
+	assert.Equal(t, len(standing(4000+clock.Time(present), entries...)), 0, "nobody is present")
+
+	_, ok := r.lost(50_000, self, entries)
+	assert.Check(t, !ok, "too early")
+	hear(70_000)
+	for _, name := range got[1:] {
+		r.hear(100_000, name, 0.2)
 	}
+	name, ok := r.lost(132_000, self, entries)
+	assert.Check(t, ok)
+	assert.Equal(t, name, got[0])
+	_, ok = r.lost(132_100, self, entries)
+	assert.Check(t, !ok, "one at a time")
 }
--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"slices"
 	"sync"
@@ -10,7 +11,6 @@
 	"github.com/rs/zerolog"
 	"github.com/samber/oops"
 	"github.com/valyala/fasthttp"
-	"golang.org/x/sync/errgroup"
 
 	"shallotrun/core/clock"
 	"shallotrun/internal/feed"
@@ -48,17 +48,17 @@
 
 	transport *peer.Transport
 
-	mu       sync.Mutex
-	avoided  map[string]clock.Time // until when
-	backoff  map[string]clock.Span // for how long, the last time
-	leading  string                // VM that is followed, "" for none
-	partners []feed.Member         // of the other failure domains
-	dialled  string                // VM that is being connected to
-	since    clock.Time            // when that began
-	covered  bool                  // another VM is followed, or is being looked for
-	changed  chan struct{}         // closed when covered changes
-	roster   roster
-	joining  bool
+	mu      sync.Mutex
+	avoided map[string]clock.Time // until when
+	backoff map[string]clock.Span // for how long, the last time
+	leading string                // VM that is followed, "" for none
+	dialled string                // VM that is being connected to
+	since   clock.Time            // when that began
+	covered bool                  // another VM is followed, or is being looked for
+	changed chan struct{}         // closed when covered changes
+	roster  roster
+	joining bool
+	turn    int // of the VMs that are asked when the store is silent to the one that is followed
 }
 
 // Init prepares the follower. It is called once, before the feed runs.
@@ -94,10 +94,10 @@
 	for ctx.Err() == nil {
 		name, ok := f.step(ctx)
 		if !ok && f.followed() != "" {
-			name = f.seek(ctx, switchSpan, false)
+			name = f.replace(ctx)
 		}
 		f.set(name)
-		f.share(ctx)
+		f.Feed.Loads.Refresh(f.Clock.Now())
 		f.tend(ctx)
 		select {
 		case <-ctx.Done():
@@ -113,20 +113,23 @@
 	if !f.Feed.Synchronised() {
 		return "", true
 	}
-	members := f.Feed.Members()
 	for range tries {
 		now := f.Clock.Now()
-		m, ok := choose(f.Self, members, func(name string) bool { return now < f.until(name) })
-		if !ok {
+		upstream := f.upstream(now)
+		if len(upstream) == 0 {
 			f.drop("")
 			return "", true
 		}
+		m := upstream[0]
 		f.transport.Connect(m.Name, m.Addr)
 		if !f.transport.Reachable(m.Name) && f.connecting(m.Name, now) {
-			name = f.stay(ctx, members)
+			name = f.stay(ctx)
 			return name, name != ""
 		}
-		err := f.ask(ctx, m, f.quiet(members, m))
+		err := f.ask(ctx, m)
+		if errors.Is(err, errQuiet) && !f.stands() {
+			return f.listen(ctx, upstream), true
+		}
 		if err == nil {
 			f.drop(m.Name)
 			return m.Name, true
@@ -136,10 +139,39 @@
 	return "", false
 }
 
+// upstream returns the VMs that this one may follow now, best first.
+func (f *Follower) upstream(now clock.Time) []feed.Member {
+	return above(f.Self, f.Feed.Members(), func(name string) bool { return now < f.until(name) })
+}
+
+// stands reports whether others can follow this VM. Such a VM asks the store if those before it get no answer from it; all others
+// leave that to them, so that a store that is away is not asked by the whole fleet.
+func (f *Follower) stands() bool {
+	_, ok := candidate(f.Self, f.Feed.Members())
+	return ok
+}
+
+// listen follows the first VM although the store is silent to it, unless another one has heard from the store: one of the
+// others is asked in each step.
+func (f *Follower) listen(ctx context.Context, upstream []feed.Member) string {
+	first := upstream[0]
+	if others := upstream[1:]; len(others) > 0 {
+		f.turn++
+		m := others[f.turn%len(others)]
+		f.transport.Connect(m.Name, m.Addr)
+		if f.transport.Reachable(m.Name) && f.ask(ctx, m) == nil {
+			f.avoid(first.Name, f.Clock.Now(), errQuiet)
+			f.drop(m.Name)
+			return m.Name
+		}
+	}
+	return first.Name
+}
+
 // stay asks the VM that is followed already.
-func (f *Follower) stay(ctx context.Context, members []feed.Member) string {
-	for _, m := range members {
-		if m.Name == f.leading && f.transport.Reachable(m.Name) && f.ask(ctx, m, f.quiet(members, m)) == nil {
+func (f *Follower) stay(ctx context.Context) string {
+	for _, m := range f.Feed.Members() {
+		if m.Name == f.leading && f.transport.Reachable(m.Name) && f.ask(ctx, m) == nil {
 			return m.Name
 		}
 	}
@@ -155,82 +187,42 @@
 
 // quiet returns the time without an answer of the store after which a VM is no longer followed. The VM that comes next
 // after it stops first, so that the others find one that asks the store.
-func (f *Follower) quiet(members []feed.Member, m feed.Member) clock.Span {
+func (f *Follower) quiet() clock.Span {
 	bound := f.Bound
 	if bound == 0 {
 		bound = 2 * clock.Second
 	}
-	next, ok := choose(f.Self, members, func(name string) bool { return name == m.Name || f.Clock.Now() < f.until(name) })
-	if !ok || next.Name == f.Self.Name {
+	if len(f.upstream(f.Clock.Now())) <= 1 {
 		return quietLeast
 	}
 	return max(bound-quietReserve, quietLeast)
 }
 
-// ask makes one question and takes the answer, unless the store has been quiet for too long to the VM that gives it.
-func (f *Follower) ask(ctx context.Context, m feed.Member, quiet clock.Span) error {
+// errQuiet means that the store has not answered a VM for too long.
+var errQuiet = errors.New("the store has not answered it for long")
+
+// ask makes one question and takes the answer. It fails with errQuiet if the store has been silent for too long to the VM that gives it;
+// what it knows is taken all the same.
+func (f *Follower) ask(ctx context.Context, m feed.Member) error {
 	asking, cancel := context.WithTimeout(ctx, askTime.Std())
 	defer cancel()
 	sent := f.Clock.Boot()
 	var d feed.Delta
 	q := f.Feed.Ask()
-	q.Power = f.Self.Power
+	q.VM = f.Self
 	if err := f.transport.Ask(asking, m.Name, peer.KindFeed, q, &d); err != nil {
 		return err
 	}
-	if d.Quiet > quiet {
-		return oops.Errorf("the store has not answered it for %d ms", d.Quiet)
-	}
 	if d.Stand {
 		f.join(ctx)
 	}
-	return f.Feed.Take(sent, d)
-}
-
-// share exchanges sums with the other failure domains, if this VM follows none.
-func (f *Follower) share(ctx context.Context) {
-	var partners []feed.Member
-	if f.leading == "" {
-		now := f.Clock.Now()
-		partners = firsts(f.Self, f.Feed.Members(), func(name string) bool { return now < f.until(name) })
-	}
-	f.pair(partners)
-	if f.leading != "" {
-		return
-	}
-	var g errgroup.Group
-	for _, m := range partners {
-		if f.transport.Reachable(m.Name) {
-			g.Go(func() error { f.exchange(ctx, m); return nil })
-		}
-	}
-	_ = g.Wait() // the functions return no errors
-	f.Feed.Loads.Lead(f.Clock.Now())
-}
-
-// pair connects to the VMs of other failure domains, and ends the connections to those before.
-func (f *Follower) pair(next []feed.Member) {
-	for _, old := range f.partners {
-		if !slices.ContainsFunc(next, func(m feed.Member) bool { return m.Name == old.Name }) {
-			f.transport.Disconnect(old.Name)
-		}
-	}
-	for _, m := range next {
-		f.transport.Connect(m.Name, m.Addr)
+	if err := f.Feed.Take(sent, d); err != nil {
+		return err
 	}
-	f.partners = next
-}
-
-// exchange gives the sums of this failure domain to a VM of another one, and takes those of the other.
-func (f *Follower) exchange(ctx context.Context, m feed.Member) {
-	asking, cancel := context.WithTimeout(ctx, askTime.Std())
-	defer cancel()
-	var s feed.Sums
-	if err := f.transport.Ask(asking, m.Name, peer.KindSums, f.Feed.Sums(f.Self.Domain), &s); err != nil {
-		f.Log.Debug().Err(err).Str("vm", m.Name).Msg("follow: no sums of another failure domain")
-		return
+	if d.Quiet > f.quiet() {
+		return errQuiet
 	}
-	f.Feed.TakeSums(s)
+	return nil
 }
 
 // connectSpan is the time for the first connection to a VM.
@@ -296,6 +288,12 @@
 	}
 }
 
+// leads reports whether this VM is the first of its failure domain that others follow.
+func (f *Follower) leads(members []feed.Member) bool {
+	name := f.followed()
+	return !slices.ContainsFunc(members, func(m feed.Member) bool { return m.Name == name && m.Domain == f.Self.Domain })
+}
+
 // followed returns the VM that is followed, "" for none.
 func (f *Follower) followed() string {
 	f.mu.Lock()
@@ -331,16 +329,7 @@
 type handler Follower
 
 func (h *handler) Handle(e *peer.Envelope) (string, any, error) {
-	switch e.Kind {
-	case peer.KindFeed:
-	case peer.KindSums:
-		var s feed.Sums
-		if err := e.Decode(&s); err != nil {
-			return "", nil, err
-		}
-		h.Feed.TakeSums(s)
-		return peer.KindSums, h.Feed.Sums(h.Self.Domain), nil
-	default:
+	if e.Kind != peer.KindFeed {
 		return "", nil, oops.Errorf("unknown kind %q", e.Kind)
 	}
 	var q feed.Question
@@ -351,7 +340,7 @@
 	if err != nil {
 		return "", nil, err
 	}
-	d.Stand = (*Follower)(h).stands(e.From, q.Power)
+	d.Stand = (*Follower)(h).heard(q.VM)
 	return peer.KindFeed, d, nil
 }
 
--- a/internal/follow/start.go
+++ b/internal/follow/start.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"crypto/rand"
+	"errors"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -65,7 +67,7 @@
 	for _, look := range []struct {
 		wait clock.Span
 		age  feed.Age
-	}{{0, feed.Stale}, {f.turn(), feed.Stale}, {0, feed.Latest}} {
+	}{{0, feed.Stale}, {f.delay(), feed.Stale}, {0, feed.Latest}} {
 		sleep(ctx, look.wait)
 		if err := f.Feed.Find(ctx, look.age); err != nil {
 			return false, err
@@ -77,15 +79,15 @@
 	return false, nil
 }
 
-// turn returns how long this VM waits at the first start of a fleet.
-func (f *Follower) turn() clock.Span {
+// delay returns how long this VM waits at the first start of a fleet.
+func (f *Follower) delay() clock.Span {
 	hash := float64(xxhash.Sum64String(f.Self.Name)>>11) / (1 << 53)
 	return clock.Span(hash * max(1-f.Self.Power, leastTurn) * float64(firstSpan))
 }
 
 // patience returns how long a VM that starts looks for another one to follow.
 func (f *Follower) patience() clock.Span {
-	if i, ok := position(f.Self, f.Feed.Members()); ok {
+	if i, ok := candidate(f.Self, f.Feed.Members()); ok {
 		return min(clock.Span(i+1)*seekStep, seekSpan)
 	}
 	return seekSpan
@@ -94,47 +96,54 @@
 // begin learns from another VM what it knows, and returns its name if it is to be followed from then on, "" if this VM is to ask
 // the store.
 func (f *Follower) begin(ctx context.Context) string {
-	name := f.seek(ctx, f.patience(), true)
-	first, ok := choose(f.Self, f.Feed.Members(), func(other string) bool { return other != name })
-	if !ok || first.Name != name {
-		f.transport.Disconnect(name)
+	known := func() []feed.Member {
+		now := f.Clock.Now()
+		return slices.DeleteFunc(order(inDomain(f.Self.Domain, f.Feed.Members())), func(m feed.Member) bool {
+			return m.Name == f.Self.Name || now < f.until(m.Name)
+		})
+	}
+	name := f.seek(ctx, f.patience(), known)
+	if !slices.ContainsFunc(f.upstream(f.Clock.Now()), func(m feed.Member) bool { return m.Name == name }) {
+		f.release("")
 		return ""
 	}
 	return name
 }
 
-// seek tries the VMs that can be followed for a time, and returns the first one that answers well, "" if there is none. Those
-// that come after this VM in the order are tried only if all are asked for: VMs that followed each other would learn nothing.
-func (f *Follower) seek(ctx context.Context, span clock.Span, all bool) string {
-	end := f.Clock.Now().Add(span)
-	for ctx.Err() == nil {
-		now := f.Clock.Now()
-		members := f.Feed.Members()
-		for _, m := range order(inDomain(f.Self.Domain, members)) {
-			if m.Name == f.Self.Name && !all {
-				break
-			}
-			if m.Name == f.Self.Name || now < f.until(m.Name) {
+// replace looks for another VM to follow after the one that was followed gave no good answer.
+func (f *Follower) replace(ctx context.Context) string {
+	return f.seek(ctx, switchSpan, func() []feed.Member { return f.upstream(f.Clock.Now()) })
+}
+
+// seek tries VMs for a time, and returns the first one that answers well, "" if there is none.
+func (f *Follower) seek(ctx context.Context, span clock.Span, known func() []feed.Member) string {
+	silent := "" // a VM that answers, but to which the store is silent
+	for end := f.Clock.Now().Add(span); ctx.Err() == nil; sleep(ctx, seekEvery) {
+		for _, m := range known() {
+			f.transport.Connect(m.Name, m.Addr)
+			if !f.transport.Reachable(m.Name) {
 				continue
 			}
-			f.transport.Connect(m.Name, m.Addr)
-			if f.transport.Reachable(m.Name) && f.ask(ctx, m, f.quiet(members, m)) == nil {
+			err := f.ask(ctx, m)
+			if err == nil {
 				f.release(m.Name)
 				return m.Name
 			}
+			if errors.Is(err, errQuiet) && !f.stands() {
+				silent = m.Name
+			}
 		}
 		if f.Clock.Now() >= end {
 			break
 		}
-		sleep(ctx, seekEvery)
 	}
-	f.release("")
-	return ""
+	f.release(silent)
+	return silent
 }
 
-// release ends the connections to VMs of this failure domain but the one that is followed.
+// release ends the connections to other VMs but the one that is followed.
 func (f *Follower) release(but string) {
-	for _, m := range inDomain(f.Self.Domain, f.Feed.Members()) {
+	for _, m := range f.Feed.Members() {
 		if m.Name != but {
 			f.transport.Disconnect(m.Name)
 		}
--- a/internal/follow/tend.go
+++ b/internal/follow/tend.go
@@ -4,33 +4,37 @@
 	"context"
 
 	"shallotrun/core/clock"
+	"shallotrun/internal/feed"
 )
 
 // joinAfter is how long a VM asks the store itself before it lets others follow it.
 const joinAfter = 3 * clock.Second
 
-// stands records a question of a VM, and reports whether it should let others follow it.
-func (f *Follower) stands(name string, power float64) bool {
+// heard records a question of a VM, and reports whether it should let others follow it.
+func (f *Follower) heard(m feed.Member) bool {
 	entries := f.Feed.Members()
+	if m.Domain != f.Self.Domain || !f.leads(entries) {
+		return false
+	}
 	now := f.Clock.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.roster.hear(now, name, power)
-	return f.leading == "" && f.roster.stands(now, f.Self, entries, name)
+	f.roster.hear(now, m.Name, m.Power)
+	return f.roster.stands(now, f.Self, entries, m.Name)
 }
 
-// tend keeps the entries of this failure domain, while this VM asks the store: its own is written if it has none, and those of VMs
-// that are gone are removed.
+// tend keeps the entries of this failure domain: that of a VM which asks the store is written if it has none, and those of VMs that are
+// gone are removed.
 func (f *Follower) tend(ctx context.Context) {
 	entries := f.Feed.Members()
 	now := f.Clock.Now()
+	leads := f.leads(entries)
 	f.mu.Lock()
-	if f.leading != "" {
-		f.mu.Unlock()
-		return
+	lone := f.leading == "" && now.Sub(f.roster.since) >= joinAfter
+	gone, ok := "", false
+	if leads {
+		gone, ok = f.roster.lost(now, f.Self, entries)
 	}
-	lone := now.Sub(f.roster.since) >= joinAfter
-	gone, ok := f.roster.lost(now, f.Self, entries)
 	f.mu.Unlock()
 	if lone {
 		f.join(ctx)
--- a/io/peer/envelope.go
+++ b/io/peer/envelope.go
@@ -38,7 +38,6 @@
 	KindAsk    = "ask"
 	KindGrant  = "grant"
 	KindBye    = "bye"
-	KindSums   = "sums" // what the VMs of a failure domain know together
 	KindFeed   = "feed" // what the platform's store says, from a VM that asks it
 )
 
