gateway, follow: requests wait a moment for the configuration of a VM that has just started

Cause: callers are there at once when all VMs come back; a VM refused them until it knew the configuration and told them to come back in a second. Change: such a request waits up to 0.5 s, a quarter of its caller's time at most; the first VM of a failure domain looks 50 ms for others that know everything before it asks the store, further ones 0.2 s each longer. Ruled out: a shorter Retry-After (the caller comes back to any VM, on a new connection, and is as late). Test: TestRequestAtStart.

--- a/internal/follow/start.go
+++ b/internal/follow/start.go
@@ -17,12 +17,14 @@
 
 const (
 	// seekEvery is the interval at which the VMs that could be followed are tried.
-	seekEvery = 50 * clock.Millisecond
+	seekEvery = 20 * clock.Millisecond
 	// seekSpan is the time in which a VM that starts looks for another one to follow.
 	seekSpan = 1500 * clock.Millisecond
-	// seekStep is the part of it for each place in the order: if all VMs start together, the first one asks the store
-	// soon, and the next one only if the first does not answer.
-	seekStep = 150 * clock.Millisecond
+	// seekFirst is that time for the first VM of a failure domain, and seekStep what each further one that others can follow
+	// takes longer: if all VMs start together, the first one asks the store soon, and the next one only if the first does not
+	// answer.
+	seekFirst = 50 * clock.Millisecond
+	seekStep  = 200 * clock.Millisecond
 	// switchSpan is the time in which a VM looks for another one after the one that it followed gave no good answer. What
 	// it knows meanwhile grows older by that.
 	switchSpan = 400 * clock.Millisecond
@@ -88,7 +90,7 @@
 // patience returns how long a VM that starts looks for another one to follow.
 func (f *Follower) patience() clock.Span {
 	if i, ok := candidate(f.Self, f.Feed.Members()); ok {
-		return min(clock.Span(i+1)*seekStep, seekSpan)
+		return min(seekFirst+clock.Span(i)*seekStep, seekSpan)
 	}
 	return seekSpan
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -6,6 +6,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
@@ -136,7 +137,7 @@
 func (x *exchange) admit() *work.Refusal {
 	g, r := x.g, x.request
 	x.end = x.arrived.Add(defaultWait)
-	t := g.State.Table()
+	t := x.table()
 	if t == nil {
 		return refuse(work.CodeNoDocument, 503, clock.Second, "the configuration is not known yet")
 	}
@@ -166,6 +167,29 @@
 	return nil
 }
 
+const (
+	// startWait is how long a request waits at a VM that has just started and does not know the configuration yet. Most VMs know it
+	// sooner, and a caller that is refused comes back later than that.
+	startWait = 500 * clock.Millisecond
+	// startPart is the part of the caller's time that this may take.
+	startPart = 0.25
+	// startLook is the interval at which it is looked for.
+	startLook = 10 * clock.Millisecond
+)
+
+// table returns the configuration. At a VM that has just started it waits a little for it, nil if that is not enough.
+func (x *exchange) table() *catalog.Table {
+	left := startWait
+	if x.request.Wait > 0 {
+		left = min(left, clock.Span(startPart*float64(x.request.Wait)))
+	}
+	for end := x.arrived.Add(left); ; time.Sleep(startLook.Std()) {
+		if t := x.g.State.Table(); t != nil || x.g.Clock.Now() >= end || x.g.Stopping() {
+			return t
+		}
+	}
+}
+
 // identify finds the workspace of the key.
 func (x *exchange) identify(t *catalog.Table, fresh bool) *work.Refusal {
 	if !t.Keyed() {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -247,3 +247,33 @@
 	assert.Check(t, refused && r.Ran == work.NotRun && r.Status == 503)
 	assert.Equal(t, b.sent(), 1)
 }
+
+// Guards against callers that are turned away by a VM which knows the configuration a moment later, and against one that keeps them
+// when it does not: all VMs of a fleet start together after a loss of power, and their callers are there at once.
+func TestRequestAtStart(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		known time.Duration // after the request arrived, 0 for never
+		wait  clock.Span    // of the caller
+		code  string        // of the refusal, "" for an answer
+		most  time.Duration
+	}{
+		{"known soon", 100 * time.Millisecond, 4000, "", 400 * time.Millisecond},
+		{"never known", 0, 4000, work.CodeNoDocument, 900 * time.Millisecond},
+		{"a caller with little time", 0, 200, work.CodeNoDocument, 180 * time.Millisecond},
+	} {
+		g, state := start(t, &fakeBackend{script: []step{{}}})
+		table := state.table.Swap(nil)
+		if c.known > 0 {
+			time.AfterFunc(c.known, func() { state.table.Store(table) })
+		}
+		r := ask("/safe/1")
+		r.Wait = c.wait
+		begun := time.Now()
+		a := g.Serve(r)
+		assert.Check(t, time.Since(begun) < c.most, "%s: %v", c.name, time.Since(begun))
+		refused, ok := a.(Refused)
+		assert.Equal(t, ok, c.code != "", c.name)
+		assert.Equal(t, refused.Code, c.code, c.name)
+	}
+}
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -18,8 +18,8 @@
 	// or of the objective while the first event is due.
 	pausePart  = 0.5
 	pauseLeast = 400 * clock.Millisecond
-	startPart  = 0.6
-	startLeast = 800 * clock.Millisecond
+	firstPart  = 0.6
+	firstLeast = 800 * clock.Millisecond
 	// A request that waits this many times as long at a server that lives is lost there, if the server says that no
 	// request waits in its queue.
 	lostFactor = 2
@@ -92,7 +92,7 @@
 // dead reports whether the server of a resumable stream is gone or has lost the request. A server that only works on
 // long prompts sends nothing either, so it is asked first.
 func (x *exchange) dead(now clock.Time, w waiting) bool {
-	limit := max(clock.Span(startPart*float64(x.route.Objective)), startLeast)
+	limit := max(clock.Span(firstPart*float64(x.route.Objective)), firstLeast)
 	if w.begun {
 		limit = max(clock.Span(pausePart*float64(x.route.Gap)), pauseLeast)
 	}
