--- a/core/load/board.go
+++ b/core/load/board.go
@@ -9,6 +9,8 @@
 	Open   int        // requests that have not ended
 	Unread int        // prompt tokens of those that have no answer yet, as if the largest model read them
 	Quiet  clock.Span // since the last byte came from the server
+	Slow   int        // sum of the logarithms of how much slower than usual its streams were, in hundredths
+	Paced  int        // number of these streams
 }
 
 // Board holds the reports of other VMs and their sums, which change with each report: many VMs ask for them. Keep is set before
@@ -27,8 +29,8 @@
 
 // sum is what all reports that count say about a server.
 type sum struct {
-	vms, open, unread int
-	heard             clock.Time // when the last byte came from the server to any VM
+	vms, open, unread, slow, paced int
+	heard                          clock.Time // when the last byte came from the server to any VM
 }
 
 // Put takes what a VM reports, in place of what it reported before. The uses are not changed afterwards.
@@ -44,7 +46,7 @@
 		if s.vms > 0 {
 			heard = max(heard, s.heard)
 		}
-		b.sums[u.Server] = sum{s.vms + 1, s.open + u.Open, s.unread + u.Unread, heard}
+		b.sums[u.Server] = sum{s.vms + 1, s.open + u.Open, s.unread + u.Unread, s.slow + u.Slow, s.paced + u.Paced, heard}
 	}
 }
 
@@ -56,7 +58,7 @@
 			delete(b.sums, u.Server)
 			continue
 		}
-		s.open, s.unread = s.open-u.Open, s.unread-u.Unread
+		s.open, s.unread, s.slow, s.paced = s.open-u.Open, s.unread-u.Unread, s.slow-u.Slow, s.paced-u.Paced
 		b.sums[u.Server] = s
 	}
 	delete(b.reports, from)
@@ -72,7 +74,7 @@
 	}
 	v := View{At: now, Uses: make(map[string]Use, len(b.sums))}
 	for server, s := range b.sums {
-		v.Uses[server] = Use{Server: server, Open: s.open, Unread: s.unread, Quiet: now.Sub(s.heard)}
+		v.Uses[server] = Use{Server: server, Open: s.open, Unread: s.unread, Quiet: now.Sub(s.heard), Slow: s.slow, Paced: s.paced}
 	}
 	for _, u := range b.reports[without].uses {
 		if b.sums[u.Server].vms == 1 {
@@ -80,7 +82,7 @@
 			continue
 		}
 		s := v.Uses[u.Server]
-		s.Open, s.Unread = s.Open-u.Open, s.Unread-u.Unread
+		s.Open, s.Unread, s.Slow, s.Paced = s.Open-u.Open, s.Unread-u.Unread, s.Slow-u.Slow, s.Paced-u.Paced
 		v.Uses[u.Server] = s
 	}
 	return v
@@ -99,6 +101,8 @@
 		if sum, ok := v.Uses[u.Server]; ok {
 			u.Open += sum.Open
 			u.Unread += sum.Unread
+			u.Slow += sum.Slow
+			u.Paced += sum.Paced
 			u.Quiet = min(u.Quiet, sum.Quiet)
 		}
 		v.Uses[u.Server] = u
--- /dev/null
+++ b/core/load/pace_test.go
@@ -0,0 +1,60 @@
+package load
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"shallotrun/core/clock"
+)
+
+// Guards against a slow server that a large fleet does not find because each VM meets it once a minute, against a model that is taken for a
+// slow server, and against a server that stays suspected after it recovered.
+func TestPaces(t *testing.T) {
+	const vms, servers = 60, 50
+	r := rand.New(rand.NewPCG(5, 6))
+	fleet := make([]Paces, vms)
+	now := clock.Time(0)
+	stream := func(slow int) {
+		model, ms := "small", 10.0
+		if r.IntN(2) == 0 {
+			model, ms = "large", 40.0
+		}
+		server := r.IntN(servers)
+		if server == slow {
+			ms *= 4
+		}
+		fleet[r.IntN(vms)].Add(now, fmt.Sprint("s", server), model, ms*(0.7+0.6*r.Float64()))
+	}
+	slowness := func(vm, server int) float64 {
+		name := fmt.Sprint("s", server)
+		b := Board{Keep: 1000}
+		for i := range fleet {
+			if i != vm {
+				slow, paced := fleet[i].Report(now, name)
+				b.Put(now, fmt.Sprint("vm", i), []Use{{Server: name, Slow: slow, Paced: paced}})
+			}
+		}
+		return fleet[vm].Slowness(now, name, b.Sum(now, "").Uses[name])
+	}
+	for range 1500 { // 30 streams a server, half a stream for each VM and server
+		now += 10
+		stream(7)
+	}
+	for _, vm := range []int{0, 17, 59} {
+		assert.Check(t, slowness(vm, 7) > 2, "%.2f", slowness(vm, 7))
+		for _, server := range []int{0, 8, 49} {
+			assert.Check(t, slowness(vm, server) < 1.5 && slowness(vm, server) > 0.6, "server %d: %.2f", server, slowness(vm, server))
+		}
+	}
+	for range 6000 {
+		now += 10
+		stream(-1)
+	}
+	assert.Check(t, slowness(0, 7) < 1.3, "%.2f", slowness(0, 7))
+	now = now.Add(20 * paceMemory)
+	assert.Equal(t, len(fleet[0].Known(now)), 0, "old streams are kept")
+	assert.Equal(t, fleet[0].Slowness(now, "s7", Use{}), 1.0)
+}
--- a/core/place/affine.go
+++ b/core/place/affine.go
@@ -44,10 +44,10 @@
 	if !ok || p.homes.hot(k, now, gap) {
 		return best
 	}
-	score := wait(best) + prefill*(1-p.cached(now, k, best.Name))*p.slowness(best.Name)
+	score := wait(best) + prefill*(1-p.cached(now, k, best.Name))*p.slowness(best)
 	try := func(c Candidate, probability float64) {
 		probability = max(probability, p.cached(now, k, c.Name))
-		if s := wait(c) + prefill*(1-probability)*p.slowness(c.Name); s < score {
+		if s := wait(c) + prefill*(1-probability)*p.slowness(c); s < score {
 			best, score = c, s
 		}
 	}
@@ -62,6 +62,9 @@
 	return best
 }
 
+// shortest is the time of a short request in milliseconds: a slow server is the worse choice also while it is idle.
+const shortest = 10
+
 // idlest returns the candidates with the fewest own requests, and those with one more if there is only one of them.
 // Own requests are the only exact and current figure.
 func idlest(in []Candidate) []Candidate {
@@ -77,7 +80,7 @@
 func (p *Placer) rough(pol Affine, c Candidate) float64 {
 	w := p.wait(pol, c)
 	if slots := p.slots(c); p.estimate(c) < slots-1 {
-		w = (pol.loaded(float64(c.Starting)/slots) + pol.Prefill*float64(c.Unread)) * p.slowness(c.Name)
+		w = (shortest + pol.loaded(float64(c.Starting)/slots) + pol.Prefill*float64(c.Unread)) * p.slowness(c)
 	}
 	return w
 }
@@ -96,11 +99,11 @@
 	n := p.estimate(c)
 	slots := p.slots(c)
 	service := p.service.or(float64(pol.Service))
-	w := pol.loaded(n/slots) + pol.Prefill*float64(c.Unread)
+	w := shortest + pol.loaded(n/slots) + pol.Prefill*float64(c.Unread)
 	if n >= slots {
 		w += (n - slots + 1) * service / slots
 	}
-	w *= p.slowness(c.Name)
+	w *= p.slowness(c)
 	if c.Domain != p.Domain && p.Domain != "" {
 		w += float64(pol.Far)
 	}
@@ -108,8 +111,11 @@
 }
 
 // slowness returns how much slower than the others a server generates, between 1 and 10.
-func (p *Placer) slowness(name string) float64 {
-	s := p.servers[name]
+func (p *Placer) slowness(c Candidate) float64 {
+	if c.Slow > 0 {
+		return min(max(c.Slow, 1), 10)
+	}
+	s := p.servers[c.Name]
 	if s == nil || s.speed.count < 5 || p.speed.value <= 0 {
 		return 1
 	}
--- a/core/place/types.go
+++ b/core/place/types.go
@@ -17,8 +17,10 @@
 	Others int
 	// Unread is the number of prompt tokens that the server has yet to read, of this VM and of others.
 	Unread int
-	Load   work.Load // latest report
-	Known  bool      // whether there is a report
+	// Slow is how many times slower than the others the server generates, 0 if that is left to this VM's own results.
+	Slow  float64
+	Load  work.Load // latest report
+	Known bool      // whether there is a report
 }
 
 // Ask is the request to place.
--- a/internal/gateway/outcome.go
+++ b/internal/gateway/outcome.go
@@ -137,6 +137,9 @@
 	now := x.g.Clock.Now()
 	r.Server, r.First, r.Total, r.Tokens = x.server.ID, x.first, now.Sub(x.begun), x.events
 	x.pool.ended(x.server.ID, x.started, x.unread, r)
+	if x.events > paceLeast {
+		x.pool.paced(x.server.ID, x.model, x.pace(now))
+	}
 	x.endAttempt(r)
 	if r.Refused || r.Failed && !bad {
 		return
@@ -152,11 +155,16 @@
 	x.judged = true
 	v := x.evidence(bad)
 	if x.events > paceLeast {
-		v.Pace = float64(x.g.Clock.Now().Sub(x.begun)-x.first) / float64(x.events-1)
+		v.Pace = x.pace(x.g.Clock.Now())
 	}
 	x.g.State.Report(x.service, v)
 }
 
+// pace returns the milliseconds between the events of the attempt.
+func (x *exchange) pace(now clock.Time) float64 {
+	return float64(now.Sub(x.begun)-x.first) / float64(x.events-1)
+}
+
 // evidence returns what the attempt showed so far.
 func (x *exchange) evidence(bad bool) canary.Result {
 	return canary.Result{Route: x.route.Name, Model: x.model, Version: x.server.Version, Failed: bad, First: x.first}
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -23,6 +23,7 @@
 	placer  place.Placer
 	budget  retry.Budget
 	chooser models.Chooser
+	paces   load.Paces
 	load    float64         // how late first events come, as a part of the objective
 	backlog float64         // mean time that the servers need for the prompts they have yet to read, in milliseconds
 	use     map[string]*use // by server
@@ -76,9 +77,9 @@
 		if u := p.use[v.ID]; u != nil {
 			c.Own, c.Starting, c.Unread = u.own, u.starting, u.unread
 		}
-		if o := others[v.ID]; o.Open > 0 {
-			c.Others, c.Unread = o.Open, c.Unread+o.Unread
-		}
+		o := others[v.ID]
+		c.Others, c.Unread = o.Open, c.Unread+o.Unread
+		c.Slow = p.paces.Slowness(now, v.ID, o)
 		p.cands = append(p.cands, c)
 	}
 	p.backlog = backlog(p.cands)
@@ -138,7 +139,17 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for name, u := range p.use {
-		out = append(out, load.Use{Server: name, Open: u.own, Unread: u.unread, Quiet: u.quiet(now)})
+		v := load.Use{Server: name, Open: u.own, Unread: u.unread, Quiet: u.quiet(now)}
+		v.Slow, v.Paced = p.paces.Report(now, name)
+		out = append(out, v)
+	}
+	for _, name := range p.paces.Known(now) {
+		if p.use[name] != nil {
+			continue
+		}
+		v := load.Use{Server: name, Quiet: neverHeard}
+		v.Slow, v.Paced = p.paces.Report(now, name)
+		out = append(out, v)
 	}
 	return out
 }
@@ -185,6 +196,13 @@
 // loadMost bounds what one first event says about the load.
 const loadMost = 3
 
+// paced records the milliseconds between the events of a stream.
+func (p *pool) paced(server, model string, ms float64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.paces.Add(p.g.Clock.Now(), server, model, ms)
+}
+
 // heard records bytes from a server.
 func (p *pool) heard(server string, now clock.Time) {
 	p.mu.Lock()
