--- /dev/null
+++ b/io/peer/fuzz_test.go
@@ -0,0 +1,34 @@
+package peer
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against a message of a peer that cannot be read and ends the process, or that is read as something else than what is
+// written again.
+func FuzzEnvelope(f *testing.F) {
+	for _, e := range []Envelope{{}, {Kind: KindFeed, From: "a", Seq: 7}, {Kind: KindBeat, Ack: 1, Body: []byte{0xa1, 0x61, 0x61, 0x01}}} {
+		b, err := encode(&e)
+		assert.NilError(f, err)
+		f.Add(b)
+	}
+	f.Add([]byte{0xbf, 0xff})
+	f.Add([]byte{0x9b, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff})
+	f.Fuzz(func(t *testing.T, in []byte) {
+		var e Envelope
+		if decode(in, &e) != nil {
+			return
+		}
+		out, err := encode(&e)
+		if err != nil {
+			return // a body that is no single value
+		}
+		var again Envelope
+		assert.NilError(t, decode(out, &again))
+		assert.DeepEqual(t, again, e)
+		var v any
+		_ = e.Decode(&v)
+	})
+}
