feed, settings: what a VM tells those that follow it fits its link

Cause: a VM tells each of those that follow it the loads of all servers three times a second; 59 of them and 250 servers are over 1 MB/s, near half of a link of 20 Mbit/s, which the callers' answers need too. Change: loads are told as often as a tenth of the link allows, 0.8 s apart at most, since counts older than 1.2 s do not count; the link is a setting.

--- a/core/load/board.go
+++ b/core/load/board.go
@@ -64,6 +64,9 @@
 	delete(b.reports, from)
 }
 
+// Servers returns the number of servers that the reports name.
+func (b *Board) Servers() int { return len(b.sums) }
+
 // Sum returns the sums of all reports that still count, without that of one VM. The time since the last byte of a server is
 // that of all VMs.
 func (b *Board) Sum(now clock.Time, without string) View {
--- a/internal/feed/delta.go
+++ b/internal/feed/delta.go
@@ -22,7 +22,8 @@
 	Body    Packed     // the catalog.Config in force, if the other VM does not have it
 	Kinds   [kinds]Changes
 	Reports []OrderReport // about the orders that are running
-	Loads   []load.Use    // what all other VMs have at the backend servers
+	Loads   []load.Use    // what all other VMs have at the backend servers, if Counted
+	Counted bool          // loads are told more rarely than the rest where they are many
 	Stand   bool          // the VM that asked should let others follow it
 }
 
@@ -58,7 +59,7 @@
 	}
 	now := f.Clock.Now()
 	d.Reports = f.Orders.Answer(now, from, q.Reports)
-	d.Loads = f.Loads.Answer(now, from, q.Loads)
+	d.Loads, d.Counted = f.Loads.Answer(now, from, q.Loads)
 	if t := f.Config.Table(); t != nil && q.Config < t.Config.Version {
 		d.Config = t.Config.Version
 		f.mu.Lock()
@@ -231,7 +232,9 @@
 	}
 	now := f.Clock.Now()
 	f.Orders.Learn(now, d.Reports)
-	f.Loads.Learn(now, d.Loads)
+	if d.Counted {
+		f.Loads.Learn(now, d.Loads)
+	}
 	if err := errors.Join(faults...); err != nil {
 		return err
 	}
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -14,6 +14,7 @@
 	"shallotrun/core/catalog"
 	"shallotrun/core/clock"
 	"shallotrun/core/load"
+	"shallotrun/io/peer"
 )
 
 // script is a store whose answers are given by the test, one for each call.
@@ -394,3 +395,41 @@
 	assert.NilError(t, err)
 	assert.Check(t, d.Kinds[Members].Whole == nil && len(d.Kinds[Members].Objects) == 0)
 }
+
+// Guards against a VM whose link is filled by what it tells the VMs that follow it, and against counts that are too old because they
+// are told too rarely.
+func TestLoadsFitTheLink(t *testing.T) {
+	const followers, servers = 59, 250
+	var uses []load.Use
+	for i := range servers {
+		uses = append(uses, load.Use{Server: fmt.Sprintf("i-%010x", i), Open: i % 9, Unread: 700 * i})
+	}
+	for _, c := range []struct {
+		link int // Mbit/s
+		most int // bytes a second
+	}{{20, 450_000}, {200, 2_500_000}, {0, 1 << 30}} {
+		l := Loads{Link: c.link}
+		var bytes int
+		last, oldest := make(map[int]clock.Time), clock.Span(0)
+		for now := clock.Time(0); now < 10_000; now += 300 {
+			for i := range followers {
+				all, ok := l.Answer(now, fmt.Sprint("vm-", i), uses[:20])
+				if !ok {
+					continue
+				}
+				raw, err := peer.Marshal(all)
+				assert.NilError(t, err)
+				bytes += len(raw)
+				if at, ok := last[i]; ok {
+					oldest = max(oldest, now.Sub(at))
+				}
+				last[i] = now
+			}
+			if now == 0 {
+				l.Learn(now, uses)
+			}
+		}
+		assert.Check(t, bytes/10 <= c.most, "%d Mbit/s: %d bytes a second", c.link, bytes/10)
+		assert.Check(t, oldest < loadKeep, "%d Mbit/s: told after %d ms", c.link, oldest)
+	}
+}
--- a/internal/feed/loads.go
+++ b/internal/feed/loads.go
@@ -11,15 +11,28 @@
 // loadKeep is how long the report of another VM counts. It covers two lost questions.
 const loadKeep = 1200 * clock.Millisecond
 
+const (
+	// linkPart is the part of a VM's link that may be used to tell those that follow it what all others have at the servers.
+	linkPart = 0.1
+	// useSize is what a server takes in an answer, in bytes.
+	useSize = 25
+	// tellMost is the longest time between two answers with loads. Together with the time that an answer takes it stays below
+	// loadKeep.
+	tellMost = 800 * clock.Millisecond
+)
+
 // Loads pools what the VMs have under way at the backend servers. Sums go up the tree of VMs that follow each other, and the rest
 // of the fleet comes down. All methods may be called from several goroutines. Uses is set before the feed runs.
 type Loads struct {
 	// Uses returns what this VM has under way.
 	Uses func() []load.Use
+	// Link is the rate of this VM's link in Mbit/s, 0 if it is not known: loads are then told with every answer.
+	Link int
 
 	mu        sync.Mutex
 	followers load.Board
-	above     load.View // all VMs but this one and those that follow it, directly or not
+	told      map[string]clock.Time // by VM that follows this one: when it was told the loads last
+	above     load.View             // all VMs but this one and those that follow it, directly or not
 	others    atomic.Pointer[load.View]
 }
 
@@ -32,15 +45,38 @@
 	return v.List()
 }
 
-// Answer takes the report of a VM that follows this one, and returns the sums of all others.
-func (l *Loads) Answer(now clock.Time, from string, uses []load.Use) []load.Use {
+// Answer takes the report of a VM that follows this one, and returns the sums of all others, or false if that VM was told them a
+// short time ago: many VMs that each learn about many servers several times a second would fill the link.
+func (l *Loads) Answer(now clock.Time, from string, uses []load.Use) ([]load.Use, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.followers.Keep = loadKeep
 	l.followers.Put(now, from, uses)
+	if at, ok := l.told[from]; ok && now.Sub(at) < l.pause() {
+		return nil, false
+	}
+	if l.told == nil {
+		l.told = make(map[string]clock.Time)
+	}
+	for name, at := range l.told {
+		if now.Sub(at) > loadKeep {
+			delete(l.told, name)
+		}
+	}
+	l.told[from] = now
 	v := l.known(now, from)
 	v.Add(l.own(), 0)
-	return v.List()
+	return v.List(), true
+}
+
+// pause returns the time between two answers with loads to the same VM.
+func (l *Loads) pause() clock.Span {
+	if l.Link <= 0 {
+		return 0
+	}
+	const bytes = 1e6 / 8 // of a Mbit
+	all := float64(len(l.told) * max(l.followers.Servers(), len(l.above.Uses)) * useSize)
+	return min(clock.Span(all/(linkPart*bytes*float64(l.Link))*float64(clock.Second)), tellMost)
 }
 
 // Learn takes the sums of all other VMs from the VM that this one follows.
--- a/internal/front/daemon.go
+++ b/internal/front/daemon.go
@@ -85,7 +85,7 @@
 		Memory: int64(s.Memory) << 20,
 	}
 	d.feed.Orders.Share = s.Exposed
-	d.feed.Loads.Uses = d.gateway.Uses
+	d.feed.Loads.Uses, d.feed.Loads.Link = d.gateway.Uses, s.Link
 	stop, err := d.trace(ctx)
 	if err != nil {
 		return err
--- a/internal/settings/front.go
+++ b/internal/settings/front.go
@@ -17,6 +17,7 @@
 	Domain  string // failure domain
 	Memory  int    // MB that the process may use, 0 for no limit
 	Cores   int
+	Link    int        // Mbit/s of the VM's own link, 0 if it is not known
 	Power   float64    // cores' worth of processor time that the process may use, 0 if it is not known
 	Callers string     // IP:port for callers
 	Ready   string     // IP:port for the balancer's question
@@ -47,6 +48,7 @@
 	{"vm", "memory", false, func(f *Front, v string) error { return whole(&f.Memory, v, 16, 1<<20) }},
 	{"vm", "cores", false, func(f *Front, v string) error { return whole(&f.Cores, v, 1, 1024) }},
 	{"vm", "power", false, func(f *Front, v string) error { return ratio(&f.Power, v) }},
+	{"vm", "link", false, func(f *Front, v string) error { return link(&f.Link, v) }},
 	{"listen", "callers", true, func(f *Front, v string) error { return addr(&f.Callers, v) }},
 	{"listen", "ready", true, func(f *Front, v string) error { return addr(&f.Ready, v) }},
 	{"listen", "metrics", false, func(f *Front, v string) error { return addr(&f.Metrics, v) }},
@@ -132,6 +134,16 @@
 	return nil
 }
 
+// link reads a rate in Mbit/s, which may have a fraction.
+func link(to *int, v string) error {
+	n, err := strconv.ParseFloat(v, 64)
+	if err != nil || n < 1 || n > 1e6 {
+		return oops.Errorf("%q, want Mbit/s from 1 to 1000000", v)
+	}
+	*to = int(n)
+	return nil
+}
+
 func ratio(to *float64, v string) error {
 	n, err := strconv.ParseFloat(v, 64)
 	if err != nil || n < 0 || n > 100 {
