models, gateway: the model also by the time in which it reads the prompt

Cause: prompts are heavy-tailed (further: 64,000 tokens beside a mean of 12,000), and the largest model reads ten tokens in a millisecond: a prompt of 64,000 took it 6 to 8 s against an objective of 4 s, and held up the streams of its server meanwhile. Such requests came late for certain, at the highest price. Change: each model's time to the first event is estimated (tokens that are probably not cached, at the rate that was seen for this model, and the backlog); an answer that probably comes late loses part of its worth, once; after an unsure answer any larger model may follow, the middle one where the largest would be late and its own answers after unsure ones are mostly right. Tests: TestLongPrompts.

--- a/core/models/chooser.go
+++ b/core/models/chooser.go
@@ -2,10 +2,19 @@
 
 import "math"
 
-// Model is a model with its cost for each 1,000 generated tokens.
+// Model is a model with its cost for each 1,000 generated tokens, and the time in which it probably gives its first event of a
+// request, as a part of the objective; 0 if that is not known.
 type Model struct {
 	Name string
 	Cost float64
+	Time float64
+}
+
+// Answer is what a model says of its answer.
+type Answer struct {
+	Model      int     // index
+	Confidence float64 // in [0, 1]
+	Second     bool    // an answer of a smaller model was dropped before
 }
 
 // Size is the size of a request in tokens.
@@ -37,7 +46,11 @@
 	usual map[string]float64 // weight of the usual request, by route
 }
 
-type key struct{ route, model string }
+// key is a model on a route; second is for requests of which a smaller model was not sure.
+type key struct {
+	route, model string
+	second       bool
+}
 
 // record is what is known of a model on a route: how many of its answers were kept, and how often those and all of them are wrong.
 type record struct{ all, kept, wrong, doubt float64 }
@@ -61,17 +74,17 @@
 	c.observe(route, s)
 	best := len(models) - 1
 	dear := dearness(load)
-	last := dear * models[best].price(s)
 	worth := c.worth(route, s)
 	// Answers that the largest model gets wrong are not counted against it, since no other model would do better.
-	least := last
+	least := dear*models[best].price(s) + worth*loss(0, models[best].Time)
 	for i, m := range models[:len(models)-1] {
-		k := key{route, m.Name}
+		k := key{route, m.Name, false}
 		total := dear * m.price(s)
 		if second {
-			total += (1-c.kept(k))*last + c.kept(k)*worth*c.wrong(k)
+			_, next := c.next(route, models, i, s, load)
+			total += (1-c.kept(k))*next + c.kept(k)*worth*loss(c.wrong(k), m.Time)
 		} else {
-			total += worth * c.doubt(k)
+			total += worth * loss(c.doubt(k), m.Time)
 		}
 		if total < least {
 			best, least = i, total
@@ -80,24 +93,66 @@
 	return best
 }
 
-// Keep decides whether an answer is passed on, or dropped and asked of the largest model, and learns from it. The
-// confidence is in [0, 1].
-func (c *Chooser) Keep(route string, models []Model, i int, confidence float64, s Size, load float64) bool {
-	keep := i == len(models)-1 || c.worth(route, s)*wrong(confidence) <= dearness(load)*models[len(models)-1].price(s)
+// Next returns the index of the model that is asked after an answer of a smaller one was dropped: a larger one that is probably
+// right and in time for the least price. A prompt that the largest model reads for longer than the objective is better read by one
+// between them, and does not hold up the other requests of its server for so long.
+func (c *Chooser) Next(route string, models []Model, i int, s Size, load float64) int {
+	j, _ := c.next(route, models, i, s, load)
+	return j
+}
+
+func (c *Chooser) next(route string, models []Model, i int, s Size, load float64) (best int, least float64) {
+	worth := c.worth(route, s)
+	least = math.Inf(1)
+	for j := len(models) - 1; j > i; j-- {
+		wrong := 0.0
+		if j < len(models)-1 {
+			wrong = c.doubt(key{route, models[j].Name, true})
+		}
+		total := dearness(load)*models[j].price(s) + worth*loss(wrong, models[i].Time+models[j].Time)
+		if total < least {
+			best, least = j, total
+		}
+	}
+	return best, least
+}
+
+// lateLoss is the part of its worth that an answer loses if it comes late.
+const lateLoss = 0.7
+
+// Times, as parts of the objective, from which an answer may be late and at which it certainly is: they are rough.
+const (
+	maybeLate  = 0.7
+	surelyLate = 1.3
+)
+
+// loss returns the part of its worth that an answer loses that is wrong with a chance and comes after a time.
+func loss(wrong, time float64) float64 { return wrong + (1-wrong)*lateLoss*late(time) }
+
+// late returns the chance that an answer comes late by the time in which it is expected.
+func late(time float64) float64 { return min(max((time-maybeLate)/(surelyLate-maybeLate), 0), 1) }
+
+// Keep decides whether an answer is passed on, or dropped and asked of a larger model, and learns from it.
+func (c *Chooser) Keep(route string, models []Model, a Answer, s Size, load float64) bool {
+	keep := a.Model == len(models)-1
+	if !keep {
+		_, next := c.next(route, models, a.Model, s, load)
+		keep = c.worth(route, s)*wrong(a.Confidence) <= next
+	}
 	if c.seen == nil {
 		c.seen = make(map[key]*record)
 	}
-	k := key{route, models[i].Name}
+	k := key{route, models[a.Model].Name, a.Second}
 	r := c.seen[k]
 	if r == nil {
 		r = &record{}
 		c.seen[k] = r
 	}
 	r.all++
-	r.doubt += wrong(confidence)
+	r.doubt += wrong(a.Confidence)
 	if keep {
 		r.kept++
-		r.wrong += wrong(confidence)
+		r.wrong += wrong(a.Confidence)
 	}
 	if r.all > memory {
 		f := memory / r.all
--- a/core/models/chooser_test.go
+++ b/core/models/chooser_test.go
@@ -2,12 +2,13 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"testing"
 
 	"gotest.tools/v3/assert"
 )
 
-var three = []Model{{"small", 0.02}, {"middle", 0.15}, {"large", 0.3}}
+var three = []Model{{"small", 0.02, 0}, {"middle", 0.15, 0}, {"large", 0.3, 0}}
 
 // answer plays a model: whether its answer is right, and its rough opinion of that.
 func answer(r *rand.Rand, quality float64) (right bool, confidence float64) {
@@ -31,7 +32,7 @@
 				i := start(ch)
 				right, sure := answer(r, qualities[i])
 				total += three[i].price(c.size)
-				if !ch.Keep("r", three, i, sure, c.size, 0) && escalate {
+				if !ch.Keep("r", three, Answer{Model: i, Confidence: sure}, c.size, 0) && escalate {
 					total += three[2].price(c.size)
 					right = true
 				}
@@ -56,9 +57,9 @@
 	for range 100 {
 		c.Start("r", three, Size{12000, 380}, 0, true)
 	}
-	assert.Check(t, !c.Keep("r", three, 0, 0.2, Size{12000, 380}, 0))
-	assert.Check(t, !c.Keep("r", three, 0, 0.2, Size{36000, 1100}, 0))
-	assert.Check(t, c.Keep("r", three, 0, 0.9, Size{36000, 1100}, 0))
+	assert.Check(t, !c.Keep("r", three, Answer{Model: 0, Confidence: 0.2}, Size{12000, 380}, 0))
+	assert.Check(t, !c.Keep("r", three, Answer{Model: 0, Confidence: 0.2}, Size{36000, 1100}, 0))
+	assert.Check(t, c.Keep("r", three, Answer{Model: 0, Confidence: 0.9}, Size{36000, 1100}, 0))
 }
 
 // Guards against an overload that the largest model keeps up: when first events come late, requests start small also if no second
@@ -68,8 +69,8 @@
 	s := Size{800, 290}
 	assert.Equal(t, c.Start("r", three, s, 0, false), 2)
 	assert.Equal(t, c.Start("r", three, s, 1.5, false), 0)
-	assert.Check(t, !c.Keep("r", three, 0, 0.7, s, 0))
-	assert.Check(t, c.Keep("r", three, 0, 0.7, s, 1.5))
+	assert.Check(t, !c.Keep("r", three, Answer{Model: 0, Confidence: 0.7}, s, 0))
+	assert.Check(t, c.Keep("r", three, Answer{Model: 0, Confidence: 0.7}, s, 1.5))
 }
 
 // Guards against a second run that is paid for although the small model's answers are as good as the largest's, and against
@@ -79,13 +80,13 @@
 	s := Size{800, 290}
 	assert.Equal(t, c.Start("r", three, s, 0, true), 0, "a small run costs little while a second attempt can follow")
 	for range 100 {
-		c.Keep("r", three, 0, 0.2, s, 0)
-		c.Keep("r", three, 0, 0.95, s, 0)
+		c.Keep("r", three, Answer{Model: 0, Confidence: 0.2}, s, 0)
+		c.Keep("r", three, Answer{Model: 0, Confidence: 0.95}, s, 0)
 	}
 	assert.Equal(t, c.Start("r", three, s, 0, true), 0)
 	assert.Equal(t, c.Start("r", three, s, 0, false), 2)
 	for range 1000 {
-		c.Keep("r", three, 0, 0.95, s, 0)
+		c.Keep("r", three, Answer{Model: 0, Confidence: 0.95}, s, 0)
 	}
 	assert.Equal(t, c.Start("r", three, s, 0, false), 0, "its answers are mostly right")
 }
@@ -93,9 +94,9 @@
 // Guards against an answer of the largest model that is dropped although no other can do better.
 func TestLargestIsKept(t *testing.T) {
 	c := &Chooser{Worth: 100}
-	assert.Check(t, c.Keep("r", three, 2, 0, Size{100, 100}, 0))
-	assert.Check(t, !c.Keep("r", three, 0, 0.5, Size{100, 100}, 0))
-	assert.Check(t, c.Keep("r", three, 0, 1, Size{100, 100}, 0))
+	assert.Check(t, c.Keep("r", three, Answer{Model: 2, Confidence: 0}, Size{100, 100}, 0))
+	assert.Check(t, !c.Keep("r", three, Answer{Model: 0, Confidence: 0.5}, Size{100, 100}, 0))
+	assert.Check(t, c.Keep("r", three, Answer{Model: 0, Confidence: 1}, Size{100, 100}, 0))
 }
 
 // Guards against short requests that start with a small model because the largest one is not sure of its answers: where no
@@ -104,8 +105,42 @@
 	c := &Chooser{Worth: 2}
 	s := Size{800, 290}
 	for range 50 {
-		assert.Check(t, c.Keep("r", three, 2, 0.6, s, 0))
-		c.Keep("r", three, 0, 0.3, s, 0)
+		assert.Check(t, c.Keep("r", three, Answer{Model: 2, Confidence: 0.6}, s, 0))
+		c.Keep("r", three, Answer{Model: 0, Confidence: 0.3}, s, 0)
 	}
 	assert.Equal(t, c.Start("r", three, s, 0, true), 2)
 }
+
+// Guards against long prompts that the largest model reads for longer than the objective, which also holds up the other requests of its
+// server, and against a middle model that is asked although it is mostly wrong where the small one was not sure.
+func TestLongPrompts(t *testing.T) {
+	s := Size{64000, 400}
+	for _, c := range []struct {
+		name  string
+		times [3]float64
+		start int
+		next  int
+	}{
+		{"all in time", [3]float64{0.05, 0.1, 0.2}, 0, 2},
+		{"the largest is late", [3]float64{0.2, 0.5, 1.6}, 0, 1},
+		{"all but the small one are late", [3]float64{0.3, 1.2, 2.5}, 0, 1},
+	} {
+		ch := &Chooser{Worth: 20}
+		models := slices.Clone(three)
+		for i := range models {
+			models[i].Time = c.times[i]
+		}
+		for range 200 {
+			ch.Start("r", models, s, 0, true)
+			ch.Keep("r", models, Answer{Model: 0, Confidence: 0.2}, s, 0)
+			ch.Keep("r", models, Answer{Model: 0, Confidence: 0.95}, s, 0)
+			ch.Keep("r", models, Answer{Model: 1, Confidence: 0.6, Second: true}, s, 0)
+		}
+		assert.Equal(t, ch.Start("r", models, s, 0, true), c.start, c.name)
+		assert.Equal(t, ch.Next("r", models, 0, s, 0), c.next, c.name)
+		for range 1000 {
+			ch.Keep("r", models, Answer{Model: 1, Confidence: 0, Second: true}, s, 0)
+		}
+		assert.Equal(t, ch.Next("r", models, 0, s, 0), 2, "%s: the middle one is always wrong", c.name)
+	}
+}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -31,6 +31,7 @@
 	rank    int
 	models  []models.Model // that the router chooses from, smallest first
 	choice  int            // index of the model
+	dropped bool           // an answer of a smaller model was dropped
 	size    models.Size
 	model   string
 	arrived clock.Time
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -20,6 +20,7 @@
 	}
 	x.pool.mu.Lock()
 	defer x.pool.mu.Unlock()
+	x.expect()
 	second := x.route.Attempts > 1 && x.pool.budget.Full(x.g.Clock.Now()) >= spareLeast
 	x.choice = x.pool.chooser.Start(x.route.Name, x.models, x.size, x.pool.pressure(x.route.Objective), second)
 	x.model = x.models[x.choice].Name
@@ -38,20 +39,39 @@
 	return min(x.models[x.choice].Cost/largest, 1)
 }
 
+// expect estimates the times in which the models give their first events of this request, as parts of the objective.
+func (x *exchange) expect() {
+	if x.route.Objective <= 0 {
+		return
+	}
+	largest := x.models[len(x.models)-1].Cost
+	for i := range x.models {
+		m := &x.models[i]
+		prior := readTime
+		if largest > 0 {
+			prior *= min(m.Cost/largest, 1)
+		}
+		m.Time = (x.pool.reading.of(m.Name, prior)*x.uncached() + x.pool.backlog) / float64(x.route.Objective)
+	}
+}
+
 // cachedPart is the part of the shared prompt tokens that the servers are taken to have in their caches.
 const cachedPart = 0.7
 
-// work returns the prompt tokens that an attempt probably makes a server read, as if the largest model read them.
-func (x *exchange) work() int {
+// uncached returns the prompt tokens that an attempt probably makes a server read.
+func (x *exchange) uncached() float64 {
 	n := float64(x.request.Prompt)
 	if len(x.request.Parts) > 1 {
 		for _, p := range x.request.Parts[:len(x.request.Parts)-1] {
 			n -= cachedPart * float64(p.Tokens)
 		}
 	}
-	return int(x.weight() * max(n, 0))
+	return max(n, 0)
 }
 
+// work returns the prompt tokens that an attempt probably makes a server read, as if the largest model read them.
+func (x *exchange) work() int { return int(x.weight() * x.uncached()) }
+
 // choices returns the models of the route with their costs.
 func (x *exchange) choices() []models.Model {
 	out := make([]models.Model, 0, len(x.route.Models))
@@ -74,19 +94,22 @@
 	return 0
 }
 
-// unsureAnswer reports whether an answer, of which the caller has nothing yet, is to be dropped for one of the largest
-// model.
+// unsureAnswer reports whether an answer, of which the caller has nothing yet, is to be dropped for one of a larger model.
 func (x *exchange) unsureAnswer(reply *Reply) bool {
 	if len(x.models) == 0 || reply.Confidence == NoConfidence {
 		return false
 	}
+	a := models.Answer{Model: x.choice, Confidence: float64(reply.Confidence) / 100, Second: x.dropped}
 	x.pool.mu.Lock()
-	keep := x.pool.chooser.Keep(x.route.Name, x.models, x.choice, float64(reply.Confidence)/100, x.size, x.pool.pressure(x.route.Objective))
+	x.expect()
+	load := x.pool.pressure(x.route.Objective)
+	keep := x.pool.chooser.Keep(x.route.Name, x.models, a, x.size, load)
+	next := x.pool.chooser.Next(x.route.Name, x.models, x.choice, x.size, load)
 	x.pool.mu.Unlock()
 	if keep || x.sent+2 > x.route.Attempts || !x.spare() {
 		return false
 	}
-	x.choice = len(x.models) - 1
+	x.choice, x.dropped = next, true
 	x.model = x.models[x.choice].Name
 	return true
 }
--- a/internal/gateway/outcome.go
+++ b/internal/gateway/outcome.go
@@ -127,6 +127,9 @@
 		v.Started = true
 		x.g.State.Report(x.service, v)
 	}
+	if len(x.models) > 0 {
+		x.pool.read(x.model, x.uncached(), x.first, readTime*x.weight())
+	}
 	if len(x.models) > 0 && x.route.Objective > 0 {
 		x.pool.late(float64(x.first) / float64(x.route.Objective))
 	}
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -24,6 +24,7 @@
 	budget  retry.Budget
 	chooser models.Chooser
 	paces   load.Paces
+	reading reading
 	load    float64         // how late first events come, as a part of the objective
 	backlog float64         // mean time that the servers need for the prompts they have yet to read, in milliseconds
 	use     map[string]*use // by server
@@ -47,12 +48,33 @@
 // limit, and the VMs do not know of each other's connections.
 const connPart = 4
 
-// readTime is the time in which a server reads a prompt token with the largest model, in milliseconds.
+// readTime is the time in which a server reads a prompt token with the largest model before any was seen, in milliseconds.
 const readTime = 0.05
 
+// reading learns the milliseconds in which the servers read a prompt token with each model, their queues included.
+type reading map[string]float64
+
+// readLeast is the number of tokens from which the time to the first event says how fast a prompt is read, and readMemory
+// the number of prompts that the mean follows.
+const (
+	readLeast  = 2000
+	readMemory = 20
+)
+
+func (r reading) of(model string, prior float64) float64 {
+	if ms, ok := r[model]; ok {
+		return ms
+	}
+	return prior
+}
+
+func (r reading) add(model string, ms, prior float64) {
+	r[model] = r.of(model, prior) + (ms-r.of(model, prior))/readMemory
+}
+
 func newPool(g *Gateway, service string) *pool {
 	return &pool{
-		g: g, service: service, use: make(map[string]*use),
+		g: g, service: service, use: make(map[string]*use), reading: make(reading),
 		placer: place.Placer{Domain: g.Domain, Policy: place.Affine{Prefill: readTime}, Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))},
 		budget: retry.Budget{Ratio: g.Retries}, chooser: models.Chooser{Worth: g.Worth},
 	}
@@ -203,6 +225,16 @@
 	p.paces.Add(p.g.Clock.Now(), server, model, ms)
 }
 
+// read records the time to the first event of a prompt.
+func (p *pool) read(model string, tokens float64, first clock.Span, prior float64) {
+	if tokens < readLeast {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.reading.add(model, float64(first)/tokens, prior)
+}
+
 // heard records bytes from a server.
 func (p *pool) heard(server string, now clock.Time) {
 	p.mu.Lock()
