follow: a VM without a good answer for a second asks the store meanwhile

From 1.0 s on 22 of 63 VMs were cut off from the others without a reset, those that others follow among them. Each silent VM took 0.5 s to be given up, up to three in a step and more in the search after it, and only then was the store asked. Change: a VM leaves the store to others for a second after its last good answer, whatever the search does meanwhile. Ruled out: shorter questions (a busy VM answers late, and giving it up costs calls); asking several at once (each answer has the loads of all servers).

--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -451,3 +451,35 @@
 	s.mu.Unlock()
 	waitFor(t, "one VM asks", func() bool { return leader(all) != nil })
 }
+
+// Guards against a VM that learns of a change too late because several VMs that it could follow fell silent together: each takes its
+// time to be given up.
+func TestSilentCandidates(t *testing.T) {
+	s := newStore()
+	all := fleet(t, s, "a", "b", "c", "e", "f", "g")
+	waitFor(t, "one VM asks", func() bool { return leader(all) != nil })
+	waitFor(t, "candidates are chosen", func() bool {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return len(s.members) >= candidates
+	})
+	// A VM follows when its members are known; those that come before it fall silent: they
+	// take connections and questions and answer nothing.
+	last := all[0]
+	for _, m := range all {
+		if len(m.follower.upstream(m.follower.Clock.Now())) > len(last.follower.upstream(last.follower.Clock.Now())) {
+			last = m
+		}
+	}
+	waitFor(t, "the VM follows", func() bool { return last.following() != "" })
+	for _, m := range all {
+		if m != last {
+			m.follower.mu.Lock() // questions wait for it
+			defer m.follower.mu.Unlock()
+		}
+	}
+	s.configure(9)
+	begun := time.Now()
+	waitFor(t, "the configuration is in force", func() bool { return last.feed.Config.Table().Config.Version == 9 })
+	assert.Check(t, time.Since(begun) < 1600*time.Millisecond, "it took %v", time.Since(begun))
+}
--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -33,6 +33,9 @@
 	secretBytes = 32
 	// setupRetry is the delay before a call to the store that is needed for the start is made again.
 	setupRetry = 500 * clock.Millisecond
+	// coverSpan is how long after its last good answer a VM still leaves the store to others. Several VMs in a row that do not answer
+	// take longer than that to be given up, and a change has to be in force meanwhile.
+	coverSpan = clock.Second
 	// tries is the number of VMs that are asked in one step, each after the one before gave no good answer.
 	tries = 3
 )
@@ -56,6 +59,7 @@
 	since   clock.Time            // when that began
 	covered bool                  // another VM is followed, or is being looked for
 	changed chan struct{}         // closed when covered changes
+	learnt  clock.Time            // when another VM answered well last
 	roster  roster
 	joining bool
 	turn    int // of the VMs that are asked when the store is silent to the one that is followed
@@ -128,6 +132,7 @@
 		}
 		err := f.ask(ctx, m)
 		if errors.Is(err, errQuiet) && !f.stands() {
+			f.learn()
 			return f.followSilent(ctx, upstream), true
 		}
 		if err == nil {
@@ -222,9 +227,17 @@
 	if d.Quiet > f.quiet() {
 		return errQuiet
 	}
+	f.learn()
 	return nil
 }
 
+// learn records a good answer.
+func (f *Follower) learn() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.learnt = f.Clock.Now()
+}
+
 // connectSpan is the time for the first connection to a VM.
 const connectSpan = 1500 * clock.Millisecond
 
@@ -301,19 +314,27 @@
 	return f.leader
 }
 
-// wait returns when this VM follows none, or ctx ends.
+// wait returns when this VM follows none, when the one that it follows has not answered for coverSpan, or when ctx ends.
 func (f *Follower) wait(ctx context.Context) {
 	for ctx.Err() == nil {
 		f.mu.Lock()
-		covered, changed := f.covered, f.changed
+		covered, changed, left := f.covered, f.changed, coverSpan-f.Clock.Now().Sub(f.learnt)
 		f.mu.Unlock()
-		if !covered {
+		switch {
+		case !covered:
+			return
+		case !f.Feed.Synchronised():
+			left = coverSpan // the search at the start has its own bound
+		case left <= 0:
 			return
 		}
+		t := time.NewTimer(left.Std())
 		select {
 		case <-ctx.Done():
 		case <-changed:
+		case <-t.C:
 		}
+		t.Stop()
 	}
 }
 
