--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -475,7 +475,7 @@
 	for _, m := range all {
 		if m != last {
 			m.follower.mu.Lock() // questions wait for it
-			defer m.follower.mu.Unlock()
+			t.Cleanup(m.follower.mu.Unlock)
 		}
 	}
 	s.configure(9)
