follow: a VM that others cannot follow looks sooner for one that hears the store

Such a VM left one to which the store was silent only after the bound less 0.5 s, 3.5 s here, as if it could ask the store next; instead it tries the other candidates, one in each step, after connecting to it in the step before. Change: it looks from 1.5 s on and connects to all others at once.

--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -163,10 +163,12 @@
 	if others := upstream[1:]; len(others) > 0 {
 		f.turn++
 		m := others[f.turn%len(others)]
-		f.transport.Connect(m.Name, m.Addr)
+		for _, o := range others {
+			f.transport.Connect(o.Name, o.Addr)
+		}
 		if f.transport.Reachable(m.Name) && f.ask(ctx, m) == nil {
 			f.avoid(first.Name, f.Clock.Now(), errQuiet)
-			f.drop(m.Name)
+			f.release(m.Name)
 			return m.Name
 		}
 	}
@@ -191,13 +193,14 @@
 }
 
 // quiet returns the time without an answer of the store after which a VM is no longer followed. The VM that comes next
-// after it stops first, so that the others find one that asks the store.
+// after it stops first, so that the others find one that asks the store. A VM that others cannot follow looks for that one from
+// then on, and needs some steps for it.
 func (f *Follower) quiet() clock.Span {
 	bound := f.Bound
 	if bound == 0 {
 		bound = 2 * clock.Second
 	}
-	if len(f.upstream(f.Clock.Now())) <= 1 {
+	if len(f.upstream(f.Clock.Now())) <= 1 || !f.stands() {
 		return quietLeast
 	}
 	return max(bound-quietReserve, quietLeast)
