gateway: log how far a failed answer was, and whether its server's process has ended

Cause: the lines of a failed attempt could not tell a request that ends servers from overload, from a broken connection or from its workspace: they had neither the parts of the prompt nor the state of the answer, and nothing said that a process had ended. Change: head, server_ended and parts in the line of the failed attempt, and a metric. After an attempt that failed between the head of its answer and the first event, one connection is opened to see whether the server refuses it. No decision uses it.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -39,6 +39,7 @@
 
 	pool          *pool
 	server        backend.Server // of the current attempt
+	headArrived   bool           // the head of an answer arrived in the current attempt
 	firstArrived  bool           // the first event of a stream, or all of another answer, arrived in the current attempt
 	pendingTokens int            // prompt tokens that the attempt adds to the server, weighted as if for the largest model
 	backlog       float64        // mean backlog of the servers when the attempt was placed, in milliseconds
@@ -145,6 +146,7 @@
 		}
 		reply, err := x.g.Backend.Send(x.newAttempt())
 		if err == nil {
+			x.headArrived = true
 			return reply, nil
 		}
 		var f *Fault
@@ -175,7 +177,8 @@
 	}
 	x.attempts++
 	x.g.metrics.attempts.Inc()
-	x.server, x.attemptStart, x.firstArrived, x.reported, x.timeToFirst, x.events = server, now, false, false, 0, 0
+	x.server, x.attemptStart, x.reported, x.timeToFirst, x.events = server, now, false, 0, 0
+	x.headArrived, x.firstArrived = false, false
 	x.overdue.Store(false)
 	x.startWaiting(x.giveUpTime(now))
 	return nil
--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -73,6 +73,7 @@
 	attempts    []Attempt
 	reports     int
 	unreachable bool // requests for load reports fail
+	ended       bool // servers whose connection breaks have ended
 }
 
 func (b *fakeBackend) Report(backend.Server) (work.Load, error) {
@@ -107,6 +108,8 @@
 	return r, nil
 }
 
+func (b *fakeBackend) Ended(backend.Server) bool { return b.ended }
+
 func (b *fakeBackend) sent() int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -18,6 +18,7 @@
 	attempts     prometheus.Counter
 	reports      prometheus.Counter
 	dropped      prometheus.Counter
+	serversEnded prometheus.Counter
 }
 
 func newMetrics(reg prometheus.Registerer) *metrics {
@@ -37,9 +38,13 @@
 		attempts: prometheus.NewCounter(prometheus.CounterOpts{Name: "shallot_gateway_attempts_total", Help: "Requests sent to backend servers."}),
 		reports:  prometheus.NewCounter(prometheus.CounterOpts{Name: "shallot_gateway_reports_total", Help: "Reports asked of suspected servers."}),
 		dropped:  prometheus.NewCounter(prometheus.CounterOpts{Name: "shallot_gateway_dropped_total", Help: "Answers dropped because the model was not sure."}),
+		serversEnded: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "shallot_gateway_servers_ended_total", Help: "Servers whose process ended as they began to answer a request of this VM."}),
 	}
 	if reg != nil {
-		reg.MustRegister(m.answers, m.faults, m.seconds, m.firstSeconds, m.retries, m.resumes, m.open, m.attempts, m.reports, m.dropped)
+		reg.MustRegister(
+			m.answers, m.faults, m.seconds, m.firstSeconds, m.retries, m.resumes, m.open, m.attempts, m.reports, m.dropped, m.serversEnded,
+		)
 	}
 	return m
 }
@@ -73,13 +78,16 @@
 }
 
 // recordFault logs a failed attempt and updates the metrics.
-func (x *exchange) recordFault(f *Fault, why endCause) {
+func (x *exchange) recordFault(f *Fault, why endCause, serverEnded bool) {
 	x.g.metrics.faults.WithLabelValues(f.Kind.String()).Inc()
 	l := x.g.Log.Warn()
 	if why == causeCallerGone {
 		l = x.g.Log.Info()
 	}
+	if x.headArrived && !x.firstArrived {
+		l.Bool("server_ended", serverEnded).Strs("parts", x.sharedParts())
+	}
 	l.Str("request", x.request.ID).Str("server", x.server.ID).Str("addr", x.server.Addr).Str("how", f.Kind.String()).
-		Stringer("ended", why).Err(f.Err).Int("try", x.attempts).Int64("event", x.lastEvent).
+		Stringer("ended", why).Bool("head", x.headArrived).Err(f.Err).Int("try", x.attempts).Int64("event", x.lastEvent).
 		Int64("ms", int64(x.g.Clock.Now().Sub(x.attemptStart))).Msg("gateway: attempt failed")
 }
--- a/internal/gateway/outcome.go
+++ b/internal/gateway/outcome.go
@@ -38,7 +38,7 @@
 		Failed: f.Kind != RefusedByServer, Refused: f.Kind == RefusedByServer, Unreachable: f.Kind == NotSent || f.Kind == Moved,
 	}, false)
 	x.failedServers = append(x.failedServers, x.server.ID)
-	x.recordFault(f, why)
+	x.recordFault(f, why, x.serverEnded(f, why))
 	if f.Kind != OutcomeUnknown {
 		x.notRunServers = append(x.notRunServers, x.server.ID)
 	}
--- a/internal/gateway/types.go
+++ b/internal/gateway/types.go
@@ -114,6 +114,8 @@
 	Send(a *Attempt) (*Reply, error)
 	// Report requests the load report of a server that runs models, on a new connection.
 	Report(v backend.Server) (work.Load, error)
+	// Ended reports whether the process of a server has ended. It is false for a server that cannot be reached.
+	Ended(v backend.Server) bool
 }
 
 // Kinds of failed attempts, by whether the request may have run.
--- a/io/conn/pool.go
+++ b/io/conn/pool.go
@@ -8,6 +8,7 @@
 	"net"
 	"strconv"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -218,15 +219,30 @@
 	if l := p.reuse(addr, now, newConn); l != nil {
 		return l, nil
 	}
+	c, err := p.dial(addr)
+	if err != nil {
+		return nil, err
+	}
+	return &link{conn: c, addr: addr}, nil
+}
+
+// dial opens a new connection.
+func (p *Pool) dial(addr string) (net.Conn, error) {
 	d := Dialer(p.SourceIP)
 	d.KeepAliveConfig = net.KeepAliveConfig{Enable: true, Idle: probeInterval, Interval: probeInterval, Count: maxUnansweredProbes}
 	d.Control = setUnackedTimeout
 	d.Timeout = orDefault(p.ConnectTimeout, 300).Std()
-	c, err := d.Dial("tcp", addr)
-	if err != nil {
-		return nil, err
+	return d.Dial("tcp", addr)
+}
+
+// Refuses reports whether an address refuses new connections, which it does when no process listens there. It is false for an
+// address that cannot be reached.
+func (p *Pool) Refuses(addr string) bool {
+	c, err := p.dial(addr)
+	if err == nil {
+		_ = c.Close()
 	}
-	return &link{conn: c, addr: addr}, nil
+	return errors.Is(err, syscall.ECONNREFUSED)
 }
 
 // reuse returns the most recently used idle connection that is still usable, nil for none. On the way it closes connections
