--- /dev/null
+++ b/internal/gateway/ended_test.go
@@ -0,0 +1,29 @@
+package gateway
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against requests that share a part of their prompts and end one server after another.
+func TestPartThatEndsServersIsRefused(t *testing.T) {
+	b := &fakeBackend{deadlyPart: "deadly", script: []step{{events: 5}}, ended: true}
+	g, _ := startGateway(t, b)
+	for i := range 40 {
+		last := PromptPart{ID: fmt.Sprint("own-", i), Tokens: 10}
+		r := newRequest("/resumable/1")
+		r.ID, r.Parts = fmt.Sprint("deadly-", i), []PromptPart{{"first", 10}, {"deadly", 10}, last}
+		a := g.Serve(r)
+		_, refused := a.(Refused)
+		assert.Assert(t, refused, "%+v", a)
+		r = newRequest("/resumable/1")
+		r.ID, r.Parts = fmt.Sprint("sound-", i), []PromptPart{{"first", 10}, {"other", 10}, last}
+		got, err := readStream(t, g.Serve(r))
+		assert.NilError(t, err)
+		assert.Equal(t, got, events(0, 5))
+	}
+	const crashes, later = 5, 3 // reached servers before the part has to be known, and after that
+	assert.Check(t, b.deadlySent() <= crashes+later, "%d requests with the part reached servers", b.deadlySent())
+}
--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -67,7 +68,8 @@
 
 // fakeBackend answers attempts by a script. The last step is repeated for all later attempts.
 type fakeBackend struct {
-	script []step
+	script     []step
+	deadlyPart string // part of a prompt on which every server ends between the head and the first event
 
 	mu          sync.Mutex
 	attempts    []Attempt
@@ -102,6 +104,10 @@
 		r.Body = strings.NewReader(fmt.Sprint("body of ", a.Server.ID))
 		return r, nil
 	}
+	if b.isDeadly(a) {
+		r.Events = &fakeEvents{next: 1, broken: true}
+		return r, nil
+	}
 	r.Events = &fakeEvents{
 		next: a.LastEventID + 1, last: s.events, broken: s.broken, stall: s.stall, ended: func() bool { return a.Abort.Aborted() },
 	}
@@ -110,6 +116,23 @@
 
 func (b *fakeBackend) Ended(backend.Server) bool { return b.ended }
 
+// isDeadly reports whether the prompt of an attempt has the deadly part.
+func (b *fakeBackend) isDeadly(a *Attempt) bool {
+	return slices.ContainsFunc(a.Request.Parts, func(p PromptPart) bool { return p.ID == b.deadlyPart })
+}
+
+// deadlySent returns the number of attempts with the deadly part.
+func (b *fakeBackend) deadlySent() (n int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for i := range b.attempts {
+		if b.isDeadly(&b.attempts[i]) {
+			n++
+		}
+	}
+	return n
+}
+
 func (b *fakeBackend) sent() int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
