--- a/core/quarantine/exchange.go
+++ b/core/quarantine/exchange.go
@@ -67,11 +67,16 @@
 			}
 			continue
 		}
-		if p.Cleared&^r.cleared != 0 || wanted.Sub(r.wanted) >= wantedStep {
-			r.cleared |= p.Cleared
-			r.wanted = max(r.wanted, wanted)
-			l.changed(r, m.Ledger)
+		if p.Cleared&^r.cleared == 0 && wanted.Sub(r.wanted) < wantedStep {
+			continue
+		}
+		source := m.Ledger
+		if r.cleared&^p.Cleared != 0 || r.wanted.Sub(wanted) >= wantedStep {
+			source = 0 // the sender lacks what this ledger had
 		}
+		r.cleared |= p.Cleared
+		r.wanted = max(r.wanted, wanted)
+		l.changed(r, source)
 	}
 }
 
