gateway: a stream that ends with its connection before any event is not taken for complete

What callers saw: a server that ends as it begins an answer without length or chunks gave an empty stream that looked complete. Cause: the end of the connection is the end of such an answer, and an end between two events was taken for a complete stream, also before the first one; the comment on the length had the two kinds of missing length the wrong way round. Change: without an event and without framing, the attempt is broken and follows the way of any broken attempt, with the check of the server's process. A stream that ends between two later events stays complete: nothing tells it from one that is. TestStreamThatEndsWithItsConnection: of four cases, 'before the first event' failed before (empty answer, one attempt); all pass.

--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -83,6 +83,9 @@
 	for {
 		err := s.nextEvent(&ev)
 		x.stopWaiting()
+		if errors.Is(err, io.EOF) && s.reply.Length == endsWithConnection && x.lastEvent == NoEvent {
+			err = io.ErrUnexpectedEOF // nothing shows that the server had finished
+		}
 		if errors.Is(err, io.EOF) {
 			s.err = io.EOF
 			x.firstAnswer()
--- a/internal/gateway/types.go
+++ b/internal/gateway/types.go
@@ -86,11 +86,14 @@
 	Fields     []Field
 	Confidence int              // of the model in its answer, in per cent, NoConfidence if the server gives none
 	Body       io.Reader        // nil if there is no body
-	Length     int              // length of the body in bytes, -1 if it ends with the connection, -2 if it is chunked
+	Length     int              // length of the body in bytes, -1 if it is chunked, or endsWithConnection
 	Events     Events           // events of a stream, nil for another answer
 	Close      func(whole bool) // whole: the answer was read to its end, so the connection can be reused
 }
 
+// endsWithConnection is the length of a body that has neither a length nor chunks.
+const endsWithConnection = -2
+
 // NoConfidence is the confidence of an answer for which the server gives none.
 const NoConfidence = -1
 
