quarantine: crashes that are minutes apart count together, and one more puts a quarantine in force again

Cause: a crash counted for as long as its quarantine stays in force, one minute. A part that ended a server every 40 s never had three crashes, and after a quiet minute three more servers were needed. Found by reading. Change: crashes count for ten minutes; a quarantine is in force while the last crash or refused request is less than a minute old. Two cases of TestRules and TestQuarantineEnds failed before and pass.

--- a/core/quarantine/doc.go
+++ b/core/quarantine/doc.go
@@ -10,7 +10,8 @@
 // A quarantine needs crashes of several servers, at different moments, under different prompts, because many servers can end at
 // the same moment for another reason while they answer requests that have a part in common. If all crashes are those of one
 // workspace, only its requests are refused, so that a workspace cannot have the parts of another one refused. The quarantine
-// ends when an answer to a request with the part is started, or when no such request has come for a while.
+// ends when an answer to a request with the part is started, or when no such request has come for a while. While the crashes are
+// remembered, one more is enough to put it in force again.
 //
 // Ledgers are merged by [Message]s between a VM and the one that it follows. Only changes are sent. Records are merged by
 // maximum and union, so the order and number of merges does not matter. Times are sent as ages.
--- a/core/quarantine/ledger.go
+++ b/core/quarantine/ledger.go
@@ -13,7 +13,7 @@
 	maxRecords = 96
 	// maxParts is the number of shared parts of a prompt that are kept: the bits of record.cleared.
 	maxParts = 16
-	// quietTime is how long after the last request that is refused because of it a crash counts no more.
+	// quietTime is how long a quarantine stays in force after the last crash, or the last request that was refused because of it.
 	quietTime = clock.Minute
 	// maxAge is the age at which a crash counts no more, even if such requests still come: the servers may have been mended.
 	maxAge = 10 * clock.Minute
@@ -179,10 +179,7 @@
 }
 
 // active reports whether a crash still counts.
-func (r *record) active(now clock.Time) bool { return now < r.activeUntil() }
-
-// activeUntil returns the time at which a crash counts no more.
-func (r *record) activeUntil() clock.Time { return min(r.wanted.Add(quietTime), r.at.Add(maxAge)) }
+func (r *record) active(now clock.Time) bool { return now.Sub(r.at) < maxAge }
 
 func (r *record) isCleared(i int) bool { return r.cleared&(1<<i) != 0 }
 
--- a/core/quarantine/quarantine_test.go
+++ b/core/quarantine/quarantine_test.go
@@ -70,6 +70,9 @@
 		{"the part that the crashes share", threeCrashes("d"), "w", []string{"a", "d"}, true},
 		{"the part at another position", threeCrashes("d"), "w", []string{"d", "x", "a"}, true},
 		{"a part that sound requests share", threeCrashes("d"), "w", []string{"a", "b"}, false},
+		{"crashes that are minutes apart", []event{
+			crash(1000, 1, "w", 1, "d"), crash(150_000, 2, "w", 2, "d"), crash(300_000, 3, "w", 3, "d"),
+		}, "w", []string{"d"}, true},
 		{"two servers", threeCrashes("d")[:2], "w", []string{"a", "d"}, false},
 		{"many servers at one moment", sameMoment(40), "w", []string{"a", "b"}, false},
 		{"one prompt at many servers", []event{
@@ -99,7 +102,8 @@
 		{"another service", threeCrashes("d"), "w", []string{"a"}, false},
 	} {
 		l := newLedger(1, c.events...)
-		assert.Equal(t, l.refused(5000, c.workspace, c.parts...), c.want, c.name)
+		now := max(5000, c.events[len(c.events)-1].at+1)
+		assert.Equal(t, l.refused(now, c.workspace, c.parts...), c.want, c.name)
 	}
 	l := newLedger(1, threeCrashes("d")...)
 	assert.Assert(t, l.Check(5000, Request{Service: "t", Workspace: "w", Parts: []string{"a", "d"}}) == nil, "another service")
@@ -131,6 +135,9 @@
 		assert.Equal(t, l.refused(last.Add(c.at), "w", "a", "d"), c.want, c.name)
 	}
 	l := newLedger(1, threeCrashes("d")...)
+	l.apply(crash(last.Add(2*clock.Minute), 4, "w", 4, "d"))
+	assert.Assert(t, l.refused(last.Add(2*clock.Minute+1), "w", "a", "d"), "one more crash after the quiet time")
+	l = newLedger(1, threeCrashes("d")...)
 	for s := clock.Span(0); s < maxAge-clock.Second; s += 30 * clock.Second {
 		assert.Assert(t, l.refused(last.Add(s), "w", "a", "d"))
 	}
--- a/core/quarantine/rules.go
+++ b/core/quarantine/rules.go
@@ -29,7 +29,7 @@
 	for _, r := range l.records {
 		if r.active(now) {
 			open = append(open, r)
-			l.rulesUntil = min(l.rulesUntil, r.activeUntil())
+			l.rulesUntil = min(l.rulesUntil, r.at.Add(maxAge))
 		}
 	}
 	for len(l.rules) < maxRules {
@@ -37,7 +37,10 @@
 		if !ok {
 			break
 		}
-		l.rules = append(l.rules, rule)
+		if end := rule.end(); now < end {
+			l.rules = append(l.rules, rule)
+			l.rulesUntil = min(l.rulesUntil, end)
+		}
 		// The other requests at the servers whose end is explained are no evidence against anything else.
 		open = slices.DeleteFunc(open, func(r *record) bool {
 			return slices.ContainsFunc(rule.crashes, func(o *record) bool { return o.Server == r.Server })
@@ -120,6 +123,12 @@
 	return n
 }
 
+// end returns the time at which the quarantine ends if there are no more crashes and requests.
+func (r *Rule) end() clock.Time {
+	last := slices.MaxFunc(r.crashes, func(a, b *record) int { return cmp.Compare(a.wanted, b.wanted) })
+	return last.wanted.Add(quietTime)
+}
+
 // distinct returns the values of a field of the crashes, sorted.
 func distinct[T cmp.Ordered](crashes []*record, field func(*record) T) (out []T) {
 	for _, r := range crashes {
