gateway: a server that ends after its answer was dropped counts as a crash

Cause: an answer of low confidence is dropped after its head. Change: half a second after such a drop the VM looks whether the server refuses connections, if a shared part of the prompt is not known to be sound. TestServerThatEndsAfterItsAnswerWasDropped failed before (1 crash recorded of 2) and passes.

--- a/core/quarantine/ledger.go
+++ b/core/quarantine/ledger.go
@@ -71,6 +71,14 @@
 	}
 }
 
+// Proven reports whether an answer with each of the parts was started on this VM a short time ago, so none of them ends servers.
+func (l *Ledger) Proven(now clock.Time, service string, parts []string) bool {
+	return !slices.ContainsFunc(parts, func(p string) bool {
+		at, ok := l.started.get(service, p)
+		return !ok || now.Sub(at) >= startedWindow
+	})
+}
+
 // Check returns why a request must not be sent now, nil if it may be sent.
 func (l *Ledger) Check(now clock.Time, q Request) *Refusal {
 	if len(l.records) == 0 {
--- a/internal/feed/quarantine.go
+++ b/internal/feed/quarantine.go
@@ -40,6 +40,13 @@
 	q.logRules(now)
 }
 
+// Proven reports whether an answer with each of the parts was started on this VM a short time ago.
+func (q *Quarantine) Proven(now clock.Time, service string, parts []string) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.ledger.Proven(now, service, parts)
+}
+
 // Check returns why a request must not be sent now, nil if it may be sent.
 func (q *Quarantine) Check(now clock.Time, r quarantine.Request) *quarantine.Refusal {
 	q.mu.Lock()
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"sync"
@@ -188,15 +189,19 @@
 	return m.follower.upstream
 }
 
-func fleet(t *testing.T, s *store, names ...string) (out []*vm) {
+func fleet(t *testing.T, s *store, names ...string) []*vm { return fleetIn(t, s, "d", names...) }
+
+// fleetIn starts VMs of a failure domain.
+func fleetIn(t *testing.T, s *store, domain string, names ...string) (out []*vm) {
 	for _, name := range names {
 		v := &view{store: s}
 		f := &feed.Feed{Store: v}
+		f.Quarantine.Init(rand.Uint64())
 		f.Freshness.MaxAge = 5000
 		if s.addrs[name] == "" {
 			s.addrs[name] = loopback.Addr()
 		}
-		w := &Follower{Self: feed.Member{Name: name, Domain: "d", Addr: s.addrs[name]}, Incarnation: 1, Feed: f}
+		w := &Follower{Self: feed.Member{Name: name, Domain: domain, Addr: s.addrs[name]}, Incarnation: 1, Feed: f}
 		w.Init()
 		ctx, cancel := context.WithCancel(context.Background())
 		var wg sync.WaitGroup
--- a/internal/front/state.go
+++ b/internal/front/state.go
@@ -35,6 +35,10 @@
 	s.Quarantine.RecordStart(now, service, parts)
 }
 
+func (s *state) Proven(now clock.Time, service string, parts []string) bool {
+	return s.Quarantine.Proven(now, service, parts)
+}
+
 func (s *state) Check(now clock.Time, q quarantine.Request) *quarantine.Refusal {
 	return s.Quarantine.Check(now, q)
 }
--- a/internal/gateway/ended.go
+++ b/internal/gateway/ended.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/prometheus/client_golang/prometheus"
@@ -46,15 +47,46 @@
 	return true
 }
 
+// crash returns the crash of the server under this request.
+func (x *exchange) crash() quarantine.Crash {
+	return quarantine.Crash{
+		Service: x.service, Server: x.server.ID + "/" + strconv.FormatInt(x.server.Born, 10), Workspace: x.workspaceName(),
+		Prompt: x.promptHash(), Parts: x.sharedParts(),
+	}
+}
+
 // recordCrash records that the server ended under this request.
 func (x *exchange) recordCrash() {
-	parts := x.sharedParts()
-	if len(parts) == 0 {
+	if c := x.crash(); len(c.Parts) > 0 {
+		x.g.State.RecordCrash(x.g.Clock.Now(), c)
+	}
+}
+
+const (
+	// dropCheckDelay is how long after an answer was dropped its server is checked. A server that ends under a prompt does so soon
+	// after the head of the answer.
+	dropCheckDelay = 500 * clock.Millisecond
+	// maxDropChecks is the number of such checks that may be pending at a time.
+	maxDropChecks = 32
+)
+
+// checkAfterDrop finds out later whether the server ended as it began the answer, which was dropped after its head. It does so
+// only for a prompt with a part that is not known to be sound, as a check takes a connection.
+func (x *exchange) checkAfterDrop() {
+	g, c, v, id := x.g, x.crash(), x.server, x.request.ID
+	if len(c.Parts) == 0 || g.State.Proven(g.Clock.Now(), x.service, c.Parts) || g.dropChecks.Load() >= maxDropChecks {
 		return
 	}
-	x.g.State.RecordCrash(x.g.Clock.Now(), quarantine.Crash{
-		Service: x.service, Server: x.server.ID + "/" + strconv.FormatInt(x.server.Born, 10), Workspace: x.workspaceName(),
-		Prompt: x.promptHash(), Parts: parts,
+	g.dropChecks.Add(1)
+	time.AfterFunc(dropCheckDelay.Std(), func() {
+		defer g.dropChecks.Add(-1)
+		if !g.Backend.Ended(v) {
+			return
+		}
+		g.metrics.serversEnded.Inc()
+		g.State.RecordCrash(g.Clock.Now(), c)
+		g.Log.Warn().Str("request", id).Str("server", v.ID).Bool("server_ended", true).Strs("parts", c.Parts).
+			Msg("gateway: server ended after its answer was dropped")
 	})
 }
 
--- a/internal/gateway/ended_test.go
+++ b/internal/gateway/ended_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -31,3 +32,21 @@
 	const crashes, later = 5, 3 // reached servers before the part has to be known, and after that
 	assert.Check(t, b.deadlySent() <= crashes+later, "%d requests with the part reached servers", b.deadlySent())
 }
+
+// Guards against a server that ends under an answer that was dropped for its model's low confidence, and that nobody noticed.
+func TestServerThatEndsAfterItsAnswerWasDropped(t *testing.T) {
+	b := &fakeBackend{deadlyPart: "deadly", script: []step{{events: 5}}, ended: true}
+	g, s := startGateway(t, b)
+	r := newRequest("/sized/1")
+	r.Parts = []PromptPart{{"first", 10}, {"deadly", 10}, {"own", 10}}
+	g.Serve(r)
+	servers := make(map[string]bool)
+	for _, a := range b.attempts {
+		servers[a.Server.ID] = true
+	}
+	assert.Assert(t, len(servers) > 1, "no answer was dropped")
+	time.Sleep(2 * dropCheckDelay.Std())
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	assert.Equal(t, len(s.ledger.Query(g.Clock.Now()).Reports), len(servers))
+}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -285,6 +285,7 @@
 	x.g.metrics.dropped.Inc()
 	x.g.Log.Info().Str("request", x.request.ID).Str("server", x.server.ID).Int("confidence", reply.Confidence).
 		Str("next", x.model).Int64("ms", int64(x.timeToFirst)).Msg("gateway: answer dropped because of low confidence")
+	x.checkAfterDrop()
 	x.usedAttempts++
 	x.mayHaveRun = true
 	x.attemptEnded(work.Result{}, false)
--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -46,6 +46,12 @@
 	s.ledger.RecordStart(now, service, parts)
 }
 
+func (s *fakeState) Proven(now clock.Time, service string, parts []string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.ledger.Proven(now, service, parts)
+}
+
 func (s *fakeState) Check(now clock.Time, q quarantine.Request) *quarantine.Refusal {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -131,6 +137,7 @@
 		return r, nil
 	}
 	if b.isDeadly(a) {
+		r.Confidence = 0
 		r.Events = &fakeEvents{next: 1, broken: true}
 		return r, nil
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -41,6 +41,8 @@
 	RecordCrash(now clock.Time, c quarantine.Crash)
 	// RecordStart records that the answer to a request with these shared parts of its prompt was started.
 	RecordStart(now clock.Time, service string, parts []string)
+	// Proven reports whether an answer with each of the parts was started on this VM a short time ago.
+	Proven(now clock.Time, service string, parts []string) bool
 	// Check returns why a request must not be sent because of its prompt, nil if it may be sent.
 	Check(now clock.Time, q quarantine.Request) *quarantine.Refusal
 	// Rules returns the parts of prompts with which requests are refused.
@@ -63,6 +65,7 @@
 
 	metrics    *metrics
 	bodyMemory *memoryLimit
+	dropChecks atomic.Int64 // pending checks of servers whose answer was dropped
 	stopStart  atomic.Int64 // time at which the planned stop began, 0 before
 
 	mu    sync.Mutex
