quarantine: a crash that is noticed late does not accuse parts that were started since

Change: the crash has the time of the drop, and parts started since then are cleared when it is recorded. A new case of TestRules failed before and passes.

--- a/core/quarantine/ledger.go
+++ b/core/quarantine/ledger.go
@@ -50,13 +50,16 @@
 	source  uint64     // ledger from which the last change came, 0 for this VM
 }
 
-// RecordCrash adds a crash that this VM saw.
-func (l *Ledger) RecordCrash(now clock.Time, c Crash) {
+// RecordCrash adds a crash that this VM saw, which may be in the past. Parts with which this VM has started an answer since then
+// are cleared.
+func (l *Ledger) RecordCrash(at clock.Time, c Crash) {
 	c.Parts = c.Parts[:min(len(c.Parts), maxParts)]
-	if r := l.find(c); r != nil {
+	if l.find(c) != nil {
 		return
 	}
-	l.add(now, &record{Crash: c, at: now, wanted: now})
+	r := &record{Crash: c, at: at, wanted: at}
+	l.add(at, r)
+	l.clearStarted(r)
 }
 
 // RecordStart records that the answer to a request with these shared parts was started. It clears the parts of earlier crashes.
--- a/core/quarantine/quarantine_test.go
+++ b/core/quarantine/quarantine_test.go
@@ -83,6 +83,9 @@
 		}, "w", []string{"d"}, false},
 		{"a part with which an answer was started between the crashes", append(
 			threeCrashes("d")[:2], start(1500, "a", "d"), crash(1800, 3, "w", 3, "a", "d")), "w", []string{"a", "d"}, false},
+		{"a part with which an answer was started before a crash was noticed", []event{
+			start(2000, "d"), crash(1000, 1, "w", 1, "d"), crash(1400, 2, "w", 2, "d"), crash(1800, 3, "w", 3, "d"),
+		}, "w", []string{"d"}, false},
 		{"a part with which an answer was started before the crashes", append([]event{start(900, "d")}, threeCrashes("d")...),
 			"w", []string{"a", "d"}, true},
 		{"parts that were only seen together, both", threeCrashes("d")[:3], "w", []string{"a", "d"}, true},
--- a/internal/gateway/ended.go
+++ b/internal/gateway/ended.go
@@ -73,8 +73,8 @@
 // checkAfterDrop finds out later whether the server ended as it began the answer, which was dropped after its head. It does so
 // only for a prompt with a part that is not known to be sound, as a check takes a connection.
 func (x *exchange) checkAfterDrop() {
-	g, c, v, id := x.g, x.crash(), x.server, x.request.ID
-	if len(c.Parts) == 0 || g.State.Proven(g.Clock.Now(), x.service, c.Parts) || g.dropChecks.Load() >= maxDropChecks {
+	g, c, v, id, at := x.g, x.crash(), x.server, x.request.ID, x.g.Clock.Now()
+	if len(c.Parts) == 0 || g.State.Proven(at, x.service, c.Parts) || g.dropChecks.Load() >= maxDropChecks {
 		return
 	}
 	g.dropChecks.Add(1)
@@ -84,7 +84,7 @@
 			return
 		}
 		g.metrics.serversEnded.Inc()
-		g.State.RecordCrash(g.Clock.Now(), c)
+		g.State.RecordCrash(at, c)
 		g.Log.Warn().Str("request", id).Str("server", v.ID).Bool("server_ended", true).Strs("parts", c.Parts).
 			Msg("gateway: server ended after its answer was dropped")
 	})
