quarantine: a request that was at a server when another workspace's request ended it does not widen the quarantine

Cause: two workspaces among the crashes made a part refused for all. A sound request of a second workspace that the VM had at one of these servers, with a part that nobody had started since, was enough. Change: only workspaces with a crash at a server where no other workspace has one count. A new case of TestRules failed before and passes.

--- a/core/quarantine/quarantine_test.go
+++ b/core/quarantine/quarantine_test.go
@@ -98,6 +98,8 @@
 		{"two parts at once, the second", append(threeCrashes("d"),
 			crash(2000, 4, "w", 4, "e"), crash(2400, 5, "w", 5, "e"), crash(2800, 6, "w", 6, "e")), "w", []string{"e"}, true},
 		{"the crashes of one workspace, another workspace", threeCrashes("d"), "other", []string{"a", "d"}, false},
+		{"the crashes of one workspace, another one had a request with the part there", append(threeCrashes("d"),
+			crash(1900, 3, "other", 4, "d")), "other", []string{"a", "d"}, false},
 		{"the crashes of two workspaces, a third one", append(threeCrashes("d"), crash(2200, 4, "v", 4, "d")), "other", []string{"d"}, true},
 		{"a request that waited at the servers that ended", append(threeCrashes("d"),
 			crash(1000, 1, "v", 11, "q"), crash(1400, 2, "v", 12, "q"), crash(1800, 3, "v", 13, "q"), crash(2200, 4, "w", 4, "d")),
--- a/core/quarantine/rules.go
+++ b/core/quarantine/rules.go
@@ -72,12 +72,21 @@
 		}
 	}
 	slices.Sort(rule.Parts)
-	if n := distinct(first.crashes, func(r *record) string { return r.Workspace }); len(n) == 1 {
+	if n := accusing(first.crashes); len(n) == 1 {
 		rule.Workspaces = n
 	}
 	return rule, true
 }
 
+// accusing returns the workspaces whose requests alone ended a server. A request that another workspace had at a server when it
+// ended is no evidence of its own.
+func accusing(crashes []*record) []string {
+	alone := slices.DeleteFunc(slices.Clone(crashes), func(r *record) bool {
+		return slices.ContainsFunc(crashes, func(o *record) bool { return o.Server == r.Server && o.Workspace != r.Workspace })
+	})
+	return distinct(alone, func(r *record) string { return r.Workspace })
+}
+
 // findSuspects returns the suspects, the one in the crashes of the most servers first.
 func findSuspects(crashes []*record) (out []suspect) {
 	index := make(map[[2]string]int)
