--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -217,15 +217,11 @@
 
 // newAttempt returns the attempt at the selected server and starts its span.
 func (x *exchange) newAttempt() *Attempt {
-	a := &Attempt{
+	return &Attempt{
 		Request: x.request, Server: x.server, Model: x.model, Urgency: x.rank, TimeLeft: x.deadline.Sub(x.g.Clock.Now()),
 		Trace: x.startAttemptSpan(), LastEventID: x.lastEvent, NewConn: x.attempts > 1, Stream: x.route.Kind == catalog.Streaming,
-		Abort: &x.abort,
+		Workspace: x.workspaceName(), Abort: &x.abort,
 	}
-	if x.workspace != nil {
-		a.Workspace = x.workspace.Name
-	}
-	return a
 }
 
 // giveUpTime returns the time at which an attempt of an idempotent request is aborted for another one, 0 for never.
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"strings"
+
 	"github.com/prometheus/client_golang/prometheus"
 
 	"shallotrun/core/work"
@@ -95,3 +97,22 @@
 		Stringer("ended", why).Bool("head", x.headArrived).Err(f.Err).Int("try", x.attempts).Int64("event", x.lastEvent).
 		Int64("ms", int64(x.g.Clock.Now().Sub(x.attemptStart))).Msg("gateway: attempt failed")
 }
+
+// ruleCollector exports the rules in force. Their number is bounded, so that of the label values is too.
+type ruleCollector struct{ g *Gateway }
+
+var ruleDesc = prometheus.NewDesc(
+	"shallot_gateway_refused_part_servers", "Servers that ended under prompts with the parts, requests with which are refused.",
+	[]string{"service", "parts"}, nil,
+)
+
+// Describe sends the description of the metric.
+func (c *ruleCollector) Describe(ch chan<- *prometheus.Desc) { ch <- ruleDesc }
+
+// Collect sends one value for each rule in force.
+func (c *ruleCollector) Collect(ch chan<- prometheus.Metric) {
+	for _, r := range c.g.State.Rules(c.g.Clock.Now()) {
+		parts := strings.ToValidUTF8(strings.Join(r.Parts, ","), "?")
+		ch <- prometheus.MustNewConstMetric(ruleDesc, prometheus.GaugeValue, float64(r.Servers), r.Service, parts)
+	}
+}
