gateway: long parts of prompts with the same beginning stay different

Cause: identifiers of parts were cut at 64 bytes, so a workspace could have had parts refused that only begin alike. Found by reading. Change: the end of a longer identifier is replaced by a hash. TestLongPartsStayDistinct failed before and passes.

--- a/internal/gateway/ended_test.go
+++ b/internal/gateway/ended_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -33,6 +34,19 @@
 	assert.Check(t, b.deadlySent() <= crashes+later, "%d requests with the part reached servers", b.deadlySent())
 }
 
+// Guards against long parts of prompts that are taken for the same part, and against parts that grow without bound.
+func TestLongPartsStayDistinct(t *testing.T) {
+	long := strings.Repeat("x", 10*maxPartLength)
+	x := &exchange{request: &Request{Parts: []PromptPart{{ID: long + "1"}, {ID: long + "2"}, {ID: "short"}, {ID: "own"}}}}
+	parts := x.sharedParts()
+	assert.Equal(t, len(parts), 3)
+	assert.Check(t, parts[0] != parts[1])
+	assert.Equal(t, parts[2], "short")
+	for _, p := range parts {
+		assert.Check(t, len(p) <= maxPartLength, "%d bytes", len(p))
+	}
+}
+
 // Guards against a server that ends under an answer that was dropped for its model's low confidence, and that nobody noticed.
 func TestServerThatEndsAfterItsAnswerWasDropped(t *testing.T) {
 	b := &fakeBackend{deadlyPart: "deadly", script: []step{{events: 5}}, ended: true}
--- a/internal/gateway/prompt.go
+++ b/internal/gateway/prompt.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strconv"
 	"strings"
 
 	"github.com/cespare/xxhash/v2"
@@ -26,11 +27,21 @@
 	}
 	out := make([]string, 0, n)
 	for _, p := range x.request.Parts[:n] {
-		out = append(out, p.ID[:min(len(p.ID), maxPartLength)])
+		out = append(out, shorten(p.ID))
 	}
 	return out
 }
 
+// shorten returns the identifier of a part with at most maxPartLength bytes. The end of a longer one is replaced by a hash, so that
+// different parts stay different.
+func shorten(id string) string {
+	if len(id) <= maxPartLength {
+		return id
+	}
+	hash := strconv.FormatUint(xxhash.Sum64String(id), 16)
+	return id[:maxPartLength-len(hash)] + hash
+}
+
 // recordStart records that the answer to this request was started: its prompt does not end servers.
 func (x *exchange) recordStart() {
 	if parts := x.sharedParts(); len(parts) > 0 {
