--- a/core/quarantine/exchange.go
+++ b/core/quarantine/exchange.go
@@ -45,7 +45,7 @@
 func (l *Ledger) changesSince(now clock.Time, rev, receiver uint64) (out []Report) {
 	for _, r := range l.records {
 		if r.rev > rev && r.active(now) && (r.source == 0 || r.source != receiver) {
-			out = append(out, Report{Crash: r.Crash, Cleared: r.cleared, Age: now.Sub(r.at), Wanted: now.Sub(r.wanted)})
+			out = append(out, Report{Crash: r.Crash, Cleared: r.cleared, Age: now.Sub(r.at), SinceRefusal: now.Sub(r.lastRefusal)})
 		}
 	}
 	return out
@@ -57,25 +57,25 @@
 		if len(p.Parts) > maxParts || p.Age < 0 {
 			continue
 		}
-		wanted := now.Add(-min(max(p.Wanted, 0), p.Age))
+		refusal := now.Add(-min(max(p.SinceRefusal, 0), p.Age))
 		r := l.find(p.Crash)
 		if r == nil {
-			r = &record{Crash: p.Crash, at: now.Add(-p.Age), wanted: wanted, cleared: p.Cleared, source: m.Ledger}
+			r = &record{Crash: p.Crash, at: now.Add(-p.Age), lastRefusal: refusal, cleared: p.Cleared, source: m.Ledger}
 			if r.active(now) {
 				l.add(now, r)
 				l.clearStarted(r)
 			}
 			continue
 		}
-		if p.Cleared&^r.cleared == 0 && wanted.Sub(r.wanted) < wantedStep {
+		if p.Cleared&^r.cleared == 0 && refusal.Sub(r.lastRefusal) < refusalStep {
 			continue
 		}
 		source := m.Ledger
-		if r.cleared&^p.Cleared != 0 || r.wanted.Sub(wanted) >= wantedStep {
+		if r.cleared&^p.Cleared != 0 || r.lastRefusal.Sub(refusal) >= refusalStep {
 			source = 0 // the sender lacks what this ledger had
 		}
 		r.cleared |= p.Cleared
-		r.wanted = max(r.wanted, wanted)
+		r.lastRefusal = max(r.lastRefusal, refusal)
 		l.changed(r, source)
 	}
 }
--- a/core/quarantine/ledger.go
+++ b/core/quarantine/ledger.go
@@ -9,7 +9,7 @@
 )
 
 const (
-	// maxRecords is the number of crashes that are kept. The one that was wanted least recently is dropped first.
+	// maxRecords is the number of crashes that are kept. The one whose last refusal is oldest is dropped first.
 	maxRecords = 96
 	// maxParts is the number of shared parts of a prompt that are kept: the bits of record.cleared.
 	maxParts = 16
@@ -17,8 +17,8 @@
 	quietTime = clock.Minute
 	// maxAge is the age at which a crash counts no more, even if such requests still come: the servers may have been mended.
 	maxAge = 10 * clock.Minute
-	// wantedStep is the least change of the time of the last refused request that is told to others.
-	wantedStep = 5 * clock.Second
+	// refusalStep is the least change of the time of the last refused request that is told to others.
+	refusalStep = 5 * clock.Second
 	// startedWindow is how long the start of an answer shows that a part does not end servers.
 	startedWindow = 10 * clock.Second
 	// repeatDelay is how long a prompt that ended one server is refused, unless all its parts are cleared. It doubles with each
@@ -43,11 +43,11 @@
 // record is one crash with what is known about it since.
 type record struct {
 	Crash
-	at      clock.Time
-	wanted  clock.Time // time of the crash, or when a request was last refused because of it
-	cleared uint64     // bit i is set if an answer to a request with Parts[i] was started after the crash
-	rev     uint64     // of the last change
-	source  uint64     // ledger from which the last change came, 0 for this VM
+	at          clock.Time
+	lastRefusal clock.Time // time of the crash, or when a request was last refused because of it
+	cleared     uint64     // bit i is set if an answer to a request with Parts[i] was started after the crash
+	rev         uint64     // of the last change
+	source      uint64     // ledger from which the last change came, 0 for this VM
 }
 
 // RecordCrash adds a crash that this VM saw, which may be in the past. Parts with which this VM has started an answer since then
@@ -57,7 +57,7 @@
 	if l.find(c) != nil {
 		return
 	}
-	r := &record{Crash: c, at: at, wanted: at}
+	r := &record{Crash: c, at: at, lastRefusal: at}
 	l.add(at, r)
 	l.clearStarted(r)
 }
@@ -89,7 +89,7 @@
 	}
 	for _, rule := range l.Rules(now) {
 		if rule.applies(q) {
-			l.want(now, rule.crashes)
+			l.recordRefusal(now, rule.crashes)
 			return &Refusal{Parts: rule.Parts, Servers: rule.Servers, Retry: quietTime}
 		}
 	}
@@ -139,11 +139,11 @@
 	return out
 }
 
-// want records that a request was refused because of crashes, so that these count for quietTime more.
-func (l *Ledger) want(now clock.Time, crashes []*record) {
+// recordRefusal records that a request was refused because of crashes, so that the quarantine stays in force.
+func (l *Ledger) recordRefusal(now clock.Time, crashes []*record) {
 	for _, r := range crashes {
-		if now.Sub(r.wanted) >= wantedStep {
-			r.wanted = now
+		if now.Sub(r.lastRefusal) >= refusalStep {
+			r.lastRefusal = now
 			l.changed(r, 0)
 		}
 	}
@@ -160,11 +160,11 @@
 	return l.records[i]
 }
 
-// add adds a record. It drops records that count no more, and beyond maxRecords the one that was wanted least recently.
+// add adds a record. It drops records that count no more, and beyond maxRecords the one whose last refusal is oldest.
 func (l *Ledger) add(now clock.Time, r *record) {
 	l.records = append(slices.DeleteFunc(l.records, func(r *record) bool { return !r.active(now) }), r)
 	if len(l.records) > maxRecords {
-		oldest := slices.MinFunc(l.records, func(a, b *record) int { return cmp.Compare(a.wanted, b.wanted) })
+		oldest := slices.MinFunc(l.records, func(a, b *record) int { return cmp.Compare(a.lastRefusal, b.lastRefusal) })
 		l.records = slices.DeleteFunc(l.records, func(r *record) bool { return r == oldest })
 	}
 	l.changed(r, r.source)
--- a/core/quarantine/rules.go
+++ b/core/quarantine/rules.go
@@ -134,8 +134,8 @@
 
 // end returns the time at which the quarantine ends if there are no more crashes and requests.
 func (r *Rule) end() clock.Time {
-	last := slices.MaxFunc(r.crashes, func(a, b *record) int { return cmp.Compare(a.wanted, b.wanted) })
-	return last.wanted.Add(quietTime)
+	last := slices.MaxFunc(r.crashes, func(a, b *record) int { return cmp.Compare(a.lastRefusal, b.lastRefusal) })
+	return last.lastRefusal.Add(quietTime)
 }
 
 // distinct returns the values of a field of the crashes, sorted.
--- a/core/quarantine/types.go
+++ b/core/quarantine/types.go
@@ -40,9 +40,9 @@
 // Report is one crash in a Message.
 type Report struct {
 	Crash
-	Cleared uint64     // bit i is set if Parts[i] is cleared
-	Age     clock.Span // since the crash
-	Wanted  clock.Span // since the crash, or since a request was last refused because of it
+	Cleared      uint64     // bit i is set if Parts[i] is cleared
+	Age          clock.Span // since the crash
+	SinceRefusal clock.Span // since the crash, or since a request was last refused because of it
 }
 
 // Message carries the records that changed from one ledger to another.
--- a/internal/gateway/ended_test.go
+++ b/internal/gateway/ended_test.go
@@ -66,9 +66,7 @@
 			continue // the largest model was chosen at random, whose answer is not dropped
 		}
 		time.Sleep(2 * dropCheckDelay.Std())
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		assert.Equal(t, len(s.ledger.Query(g.Clock.Now()).Reports), len(servers))
+		assert.Equal(t, len(s.Query(g.Clock.Now()).Reports), len(servers))
 		return
 	}
 	t.Error("no answer was dropped")
--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -19,49 +19,19 @@
 	"shallotrun/core/catalog"
 	"shallotrun/core/clock"
 	"shallotrun/core/load"
-	"shallotrun/core/quarantine"
 	"shallotrun/core/work"
+	"shallotrun/internal/feed"
 )
 
 // fakeState is a State with fixed servers that records the reported results.
 type fakeState struct {
+	feed.Quarantine
 	table   atomic.Pointer[catalog.Table]
 	stale   atomic.Bool
 	others  atomic.Pointer[load.Totals]
 	servers []backend.Server
 	mu      sync.Mutex
 	results []canary.Result
-	ledger  quarantine.Ledger
-}
-
-func (s *fakeState) RecordCrash(now clock.Time, c quarantine.Crash) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.ledger.RecordCrash(now, c)
-}
-
-func (s *fakeState) RecordStart(now clock.Time, service string, parts []string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.ledger.RecordStart(now, service, parts)
-}
-
-func (s *fakeState) Proven(now clock.Time, service string, parts []string) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.ledger.Proven(now, service, parts)
-}
-
-func (s *fakeState) Check(now clock.Time, q quarantine.Request) *quarantine.Refusal {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.ledger.Check(now, q)
-}
-
-func (s *fakeState) Rules(now clock.Time) []quarantine.Rule {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.ledger.Rules(now)
 }
 
 func (s *fakeState) Table() *catalog.Table { return s.table.Load() }
