gateway: a part of a prompt that is not valid UTF-8 does not stop the exchange between VMs

Cause: identifiers of parts come from callers and go to other VMs as CBOR text; a peer rejects a message with invalid text, so after one crash under such a prompt the VM's queries would have failed and it would have read the store itself. Found by reading the change. Change: such an identifier is made valid and gets a hash, as a long one does. TestPartsStayDistinct (renamed, with two more cases) failed before and passes. New: TestRefusedPartsAreExported reads the metric that names the parts; it passed at once.

--- a/internal/gateway/doc.go
+++ b/internal/gateway/doc.go
@@ -7,5 +7,6 @@
 // with a key that is proved to be still valid. A request that must not be repeated is sent again only if the failed attempt
 // certainly did not run. A refusal with [work.NotRun] is given only if no attempt may have run. A stream is resumed at another
 // server within the same answer, with each event once and in order, or it is aborted so that it does not look complete. Every
-// request has its final answer by its deadline, which is the earlier of the caller's deadline and the route's timeout.
+// request has its final answer by its deadline, which is the earlier of the caller's deadline and the route's timeout. A request
+// whose prompt has a part under which servers end is refused at once, see package quarantine.
 package gateway
--- a/internal/gateway/ended_test.go
+++ b/internal/gateway/ended_test.go
@@ -5,10 +5,13 @@
 	"strings"
 	"testing"
 	"time"
+	"unicode/utf8"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"gotest.tools/v3/assert"
 
 	"shallotrun/core/clock"
+	"shallotrun/core/quarantine"
 )
 
 // Guards against requests that share a part of their prompts and end one server after another.
@@ -37,19 +40,49 @@
 	assert.Check(t, b.deadlySent() <= crashes+later, "%d requests with the part reached servers", b.deadlySent())
 }
 
-// Guards against long parts of prompts that are taken for the same part, and against parts that grow without bound.
-func TestLongPartsStayDistinct(t *testing.T) {
+// Guards against long or malformed parts of prompts that are taken for the same part, that grow without bound, or that other VMs
+// and the metrics cannot read.
+func TestPartsStayDistinct(t *testing.T) {
 	long := strings.Repeat("x", 10*maxPartLength)
-	x := &exchange{request: &Request{Parts: []PromptPart{{ID: long + "1"}, {ID: long + "2"}, {ID: "short"}, {ID: "own"}}}}
+	x := &exchange{request: &Request{Parts: []PromptPart{
+		{ID: "short"}, {ID: long + "1"}, {ID: long + "2"}, {ID: "a\xff"}, {ID: "a\xfe"}, {ID: strings.Repeat("\u00e9", maxPartLength)}, {ID: "own"},
+	}}}
 	parts := x.sharedParts()
-	assert.Equal(t, len(parts), 3)
-	assert.Check(t, parts[0] != parts[1])
-	assert.Equal(t, parts[2], "short")
+	assert.Equal(t, len(parts), 6)
+	assert.Equal(t, parts[0], "short")
+	seen := make(map[string]bool)
 	for _, p := range parts {
 		assert.Check(t, len(p) <= maxPartLength, "%d bytes", len(p))
+		assert.Check(t, utf8.ValidString(p), "%q", p)
+		assert.Check(t, !seen[p], "%q twice", p)
+		seen[p] = true
 	}
 }
 
+// Guards against metrics that cannot be read while parts are refused.
+func TestRefusedPartsAreExported(t *testing.T) {
+	now := clock.NewManual(1000)
+	reg := prometheus.NewRegistry()
+	s := &fakeState{}
+	g := &Gateway{State: s, Clock: now, Registry: reg}
+	g.Init()
+	for i := range 6 {
+		now.Advance(400 * clock.Millisecond)
+		s.RecordCrash(now.Now(), quarantine.Crash{Service: "s", Server: fmt.Sprint(i), Prompt: uint64(i), Parts: []string{fmt.Sprint("p", i%2)}})
+	}
+	families, err := reg.Gather()
+	assert.NilError(t, err)
+	got := make(map[string]float64)
+	for _, f := range families {
+		for _, m := range f.GetMetric() {
+			if f.GetName() == "shallot_gateway_refused_part_servers" {
+				got[m.GetLabel()[0].GetValue()] = m.GetGauge().GetValue()
+			}
+		}
+	}
+	assert.DeepEqual(t, got, map[string]float64{"p0": 3, "p1": 3})
+}
+
 // Guards against a server that ends under an answer that was dropped for its model's low confidence, and that nobody noticed.
 func TestServerThatEndsAfterItsAnswerWasDropped(t *testing.T) {
 	for range 50 {
--- a/internal/gateway/prompt.go
+++ b/internal/gateway/prompt.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"strconv"
 	"strings"
+	"unicode/utf8"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -32,14 +33,15 @@
 	return out
 }
 
-// shorten returns the identifier of a part with at most maxPartLength bytes. The end of a longer one is replaced by a hash, so that
-// different parts stay different.
+// shorten returns the identifier of a part as valid UTF-8 of at most maxPartLength bytes, as peers reject other text. The end of one
+// that is longer or not valid is replaced by a hash, so that different parts stay different.
 func shorten(id string) string {
-	if len(id) <= maxPartLength {
+	if len(id) <= maxPartLength && utf8.ValidString(id) {
 		return id
 	}
 	hash := strconv.FormatUint(xxhash.Sum64String(id), 16)
-	return id[:maxPartLength-len(hash)] + hash
+	start := id[:min(len(id), maxPartLength-len(hash))]
+	return strings.ToValidUTF8(start, "?") + hash
 }
 
 // recordStart records that the answer to this request was started: its prompt does not end servers.
