delta: the exchange of changed records between VMs is a package of its own

What servers say of themselves will travel along the tree of VMs like the records of crashes. The numbering of changes, and which of them a message has to carry, moves out of core/quarantine.

--- a/core/quarantine/exchange.go
+++ b/core/quarantine/exchange.go
@@ -1,50 +1,34 @@
 package quarantine
 
-import "shallotrun/core/clock"
-
-// peer is the ledger of the VM that this one follows.
-type peer struct {
-	id    uint64 // 0 for none
-	rev   uint64 // revision up to which this ledger has its records
-	acked uint64 // revision up to which it has the records of this ledger
-}
+import (
+	"shallotrun/core/clock"
+	"shallotrun/core/delta"
+)
 
 // Query returns the message to the VM that this one follows.
 func (l *Ledger) Query(now clock.Time) Message {
-	return Message{
-		Ledger: l.ID, Rev: l.rev, PeerLedger: l.upstream.id, PeerRev: l.upstream.rev,
-		Reports: l.changesSince(now, l.upstream.acked, l.upstream.id),
-	}
+	h, to := l.log.Query()
+	return Message{Header: h, Reports: l.changes(now, to)}
 }
 
 // Reply merges the query of a VM that follows this one and returns the reply.
 func (l *Ledger) Reply(now clock.Time, q Message) Message {
 	l.merge(now, q)
-	since := uint64(0)
-	if q.PeerLedger == l.ID {
-		since = q.PeerRev
-	}
-	return Message{Ledger: l.ID, Rev: l.rev, PeerLedger: q.Ledger, PeerRev: q.Rev, Reports: l.changesSince(now, since, q.Ledger)}
+	h, to := l.log.Reply(q.Header)
+	return Message{Header: h, Reports: l.changes(now, to)}
 }
 
-// Accept merges the reply of the VM that this one follows. A ledger that did not reply before gets all records with the next
-// query.
+// Accept merges the reply of the VM that this one follows.
 func (l *Ledger) Accept(now clock.Time, m Message) {
-	if m.Ledger == 0 {
-		return // of a VM without a ledger
-	}
-	acked := m.PeerRev
-	if m.Ledger != l.upstream.id {
-		acked = 0
+	if l.log.Accept(m.Header) {
+		l.merge(now, m)
 	}
-	l.upstream = peer{id: m.Ledger, rev: m.Rev, acked: acked}
-	l.merge(now, m)
 }
 
-// changesSince returns the records that changed after a revision, except those whose last change came from the receiver.
-func (l *Ledger) changesSince(now clock.Time, rev, receiver uint64) (out []Report) {
+// changes returns the records that the receiver of a message lacks.
+func (l *Ledger) changes(now clock.Time, to delta.Receiver) (out []Report) {
 	for _, r := range l.records {
-		if r.rev > rev && r.active(now) && (r.source == 0 || r.source != receiver) {
+		if to.Lacks(r.rev, r.source) && r.active(now) {
 			out = append(out, Report{Crash: r.Crash, Cleared: r.cleared, Age: now.Sub(r.at), SinceRefusal: now.Sub(r.lastRefusal)})
 		}
 	}
--- a/core/quarantine/ledger.go
+++ b/core/quarantine/ledger.go
@@ -6,6 +6,7 @@
 	"slices"
 
 	"shallotrun/core/clock"
+	"shallotrun/core/delta"
 )
 
 const (
@@ -26,20 +27,20 @@
 	repeatDelay = 5 * clock.Second
 )
 
-// Ledger holds the crashes that this VM and others saw. ID is set before the first call, to a random number that is not 0.
+// Ledger holds the crashes that this VM and others saw. Init is called before any other method.
 type Ledger struct {
-	ID uint64 // identifies the ledger to others
-
-	records  []*record
-	started  startTimes
-	rev      uint64
-	upstream peer
+	records []*record
+	started startTimes
+	log     delta.Log
 
 	rules      []Rule
 	rulesRev   uint64     // revision of the ledger for which rules was computed
 	rulesUntil clock.Time // time at which rules has to be computed again
 }
 
+// Init sets the number that identifies the ledger to others: a random one that is not 0.
+func (l *Ledger) Init(id uint64) { l.log.ID = id }
+
 // record is one crash with what is known about it since.
 type record struct {
 	Crash
@@ -185,8 +186,7 @@
 
 // changed gives a record the next revision.
 func (l *Ledger) changed(r *record, source uint64) {
-	l.rev++
-	r.rev, r.source = l.rev, source
+	r.rev, r.source = l.log.Next(), source
 }
 
 // active reports whether a crash still counts.
--- a/core/quarantine/quarantine_test.go
+++ b/core/quarantine/quarantine_test.go
@@ -25,7 +25,8 @@
 func start(at clock.Time, parts ...string) event { return event{at: at, parts: parts} }
 
 func newLedger(id uint64, events ...event) *Ledger {
-	l := &Ledger{ID: id}
+	l := &Ledger{}
+	l.Init(id)
 	for _, e := range events {
 		l.apply(e)
 	}
--- a/core/quarantine/rules.go
+++ b/core/quarantine/rules.go
@@ -21,10 +21,10 @@
 
 // Rules returns the quarantines in force, the one with the most crashes first.
 func (l *Ledger) Rules(now clock.Time) []Rule {
-	if l.rulesRev == l.rev && now < l.rulesUntil {
+	if l.rulesRev == l.log.Rev && now < l.rulesUntil {
 		return l.rules
 	}
-	l.rules, l.rulesRev, l.rulesUntil = nil, l.rev, noTime
+	l.rules, l.rulesRev, l.rulesUntil = nil, l.log.Rev, noTime
 	var open []*record
 	for _, r := range l.records {
 		if r.active(now) {
--- a/core/quarantine/types.go
+++ b/core/quarantine/types.go
@@ -1,6 +1,9 @@
 package quarantine
 
-import "shallotrun/core/clock"
+import (
+	"shallotrun/core/clock"
+	"shallotrun/core/delta"
+)
 
 // Crash is a request under which the process of a backend server ended as it began the answer.
 type Crash struct {
@@ -47,9 +50,6 @@
 
 // Message carries the records that changed from one ledger to another.
 type Message struct {
-	Ledger     uint64 // identifies the sender's ledger
-	Rev        uint64 // revision of the sender's ledger up to which the receiver has its records after this message
-	PeerLedger uint64 // ledger of the receiver as the sender knows it, 0 for none
-	PeerRev    uint64 // revision of that ledger up to which the sender has its records
-	Reports    []Report
+	delta.Header
+	Reports []Report
 }
--- a/internal/feed/quarantine.go
+++ b/internal/feed/quarantine.go
@@ -22,7 +22,7 @@
 }
 
 // Init sets the number that identifies this VM's records to others; it must differ from that of every other process.
-func (q *Quarantine) Init(id uint64) { q.ledger.ID = max(id, 1) }
+func (q *Quarantine) Init(id uint64) { q.ledger.Init(max(id, 1)) }
 
 // RecordCrash records a request under which a server ended.
 func (q *Quarantine) RecordCrash(now clock.Time, c quarantine.Crash) {
