gateway: the limit that a server names in its answers is read, logged and counted

No line and no metric said that an answer named a limit, so the hypotheses on the incident could not be told apart. The platform's adapter reads the header of every answer, of rejections and load reports too; core/limit keeps the newest answer of each incarnation of a server; a line says when a VM learns of a change, a metric counts the servers by service. Requests are placed as before. Tests: TestRecord, TestTablesConverge, TestMergeIsBounded, TestReadLimit.

--- a/cmd/shallotfront/main.go
+++ b/cmd/shallotfront/main.go
@@ -54,7 +54,7 @@
 	d := &front.Daemon{
 		SettingsFile: file, Settings: s, Log: log,
 		Store: &platform.Store{Addr: s.Store, Log: log, Pool: &conn.Pool{MaxIdleTime: storeMaxIdle, ReadBuffer: headerBuffer}},
-		Backend: &platform.Backend{Pool: &conn.Pool{
+		Backend: &platform.Backend{Log: log, Pool: &conn.Pool{
 			MaxIdleTime: backendMaxIdle, ReadBuffer: headerBuffer, ConnectTimeout: platform.ConnectTimeout,
 		}},
 		Dialect: func(g *gateway.Gateway, ready func() bool) front.Dialect {
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -45,6 +45,7 @@
 	Orders     Rollouts
 	Loads      Loads
 	Quarantine Quarantine
+	Limits     Limits
 
 	applying [kinds]sync.Mutex // held while a batch of the kind is applied
 
--- a/internal/front/daemon.go
+++ b/internal/front/daemon.go
@@ -90,6 +90,8 @@
 	d.feed.Loads.Usage, d.feed.Loads.LinkMbps = d.gateway.Usage, s.Link
 	d.feed.Quarantine.Log = d.Log
 	d.feed.Quarantine.Init(rand.Uint64())
+	d.feed.Limits.Log = d.Log
+	d.feed.Limits.Init(rand.Uint64())
 	stop, err := d.trace(ctx)
 	if err != nil {
 		return err
--- a/internal/front/state.go
+++ b/internal/front/state.go
@@ -5,6 +5,7 @@
 	"shallotrun/core/canary"
 	"shallotrun/core/catalog"
 	"shallotrun/core/clock"
+	"shallotrun/core/limit"
 	"shallotrun/core/load"
 	"shallotrun/core/quarantine"
 	"shallotrun/internal/feed"
@@ -43,6 +44,12 @@
 	return s.Quarantine.Check(now, q)
 }
 
+func (s *state) RecordLimit(now, sent clock.Time, v backend.Server, n limit.Notice) {
+	s.Limits.RecordLimit(now, sent, v, n)
+}
+
+func (s *state) Limited() map[string]int { return s.Limits.Limited(s.Clock.Boot()) }
+
 func (s *state) Rules(now clock.Time) []quarantine.Rule { return s.Quarantine.Rules(now) }
 
 func (s *state) Report(service string, v canary.Result) { s.Orders.Record(service, v) }
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -13,6 +13,7 @@
 	"shallotrun/core/canary"
 	"shallotrun/core/catalog"
 	"shallotrun/core/clock"
+	"shallotrun/core/limit"
 	"shallotrun/core/models"
 	"shallotrun/core/place"
 	"shallotrun/core/work"
@@ -45,6 +46,7 @@
 	backlog       float64        // mean backlog of the servers when the attempt was placed, in milliseconds
 	usageAge      clock.Span     // age of the other VMs' usage at that time, unknownAge if there was none
 	attemptStart  clock.Time     // start of the current attempt
+	sentAt        clock.Time     // the same by Clock.Boot
 	timeToFirst   clock.Span     // time from attemptStart until firstArrived was set, 0 before
 	events        int            // events received in the current attempt
 	overdue       atomic.Bool    // the current attempt was counted as late before its first answer
@@ -147,18 +149,25 @@
 		reply, err := x.g.Backend.Send(x.newAttempt())
 		if err == nil {
 			x.headArrived = true
+			x.recordLimit(reply.Limit)
 			return reply, nil
 		}
 		var f *Fault
 		if !errors.As(err, &f) {
 			f = &Fault{Kind: OutcomeUnknown, Err: err}
 		}
+		x.recordLimit(f.Limit)
 		if refusal := x.attemptFailed(f); refusal != nil {
 			return nil, refusal
 		}
 	}
 }
 
+// recordLimit records what the answer to the current attempt says about the limit of its server.
+func (x *exchange) recordLimit(n limit.Notice) {
+	x.g.State.RecordLimit(x.g.Clock.Boot(), x.sentAt, x.server, n)
+}
+
 // startAttempt checks that the request can still be sent, selects a server and resets the state of the attempt.
 func (x *exchange) startAttempt() *work.Refusal {
 	now := x.g.Clock.Now()
@@ -181,7 +190,7 @@
 	x.attempts++
 	x.g.metrics.attempts.Inc()
 	x.server, x.attemptStart, x.reported, x.timeToFirst, x.events = server, now, false, 0, 0
-	x.headArrived, x.firstArrived = false, false
+	x.headArrived, x.firstArrived, x.sentAt = false, false, x.g.Clock.Boot()
 	x.overdue.Store(false)
 	x.startWaiting(x.giveUpTime(now))
 	return nil
--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -26,6 +26,7 @@
 // fakeState is a State with fixed servers that records the reported results.
 type fakeState struct {
 	feed.Quarantine
+	feed.Limits
 	table   atomic.Pointer[catalog.Table]
 	stale   atomic.Bool
 	others  atomic.Pointer[load.Totals]
@@ -45,6 +46,8 @@
 	return out
 }
 
+func (s *fakeState) Limited() map[string]int { return s.Limits.Limited(clock.Clock{}.Boot()) }
+
 func (s *fakeState) Overdue(string, canary.Result) bool    { return false }
 func (s *fakeState) UsageByOthers(clock.Time) *load.Totals { return s.others.Load() }
 func (s *fakeState) Choose(_ clock.Time, _, _ string, all []backend.Server) []backend.Server {
@@ -80,14 +83,14 @@
 	ended       bool // servers whose connection breaks have ended
 }
 
-func (b *fakeBackend) Report(backend.Server) (work.Load, error) {
+func (b *fakeBackend) Report(backend.Server) (LoadReport, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.reports++
 	if b.unreachable {
-		return work.Load{}, errors.New("no answer")
+		return LoadReport{}, errors.New("no answer")
 	}
-	return work.Load{Running: 1, Waiting: 1}, nil
+	return LoadReport{Load: work.Load{Running: 1, Waiting: 1}}, nil
 }
 
 func (b *fakeBackend) Send(a *Attempt) (*Reply, error) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -16,6 +16,7 @@
 	"shallotrun/core/canary"
 	"shallotrun/core/catalog"
 	"shallotrun/core/clock"
+	"shallotrun/core/limit"
 	"shallotrun/core/load"
 	"shallotrun/core/quarantine"
 	"shallotrun/core/work"
@@ -45,6 +46,11 @@
 	Proven(now clock.Time, service string, parts []string) bool
 	// Check returns why a request must not be sent because of its prompt, nil if it may be sent.
 	Check(now clock.Time, q quarantine.Request) *quarantine.Refusal
+	// RecordLimit records what an answer says about the limit of its server: an answer that came now to a request that was sent at
+	// a time, both by Clock.Boot.
+	RecordLimit(now, sent clock.Time, v backend.Server, n limit.Notice)
+	// Limited returns the number of servers of each service that name a limit.
+	Limited() map[string]int
 	// Rules returns the parts of prompts with which requests are refused.
 	Rules(now clock.Time) []quarantine.Rule
 }
@@ -78,7 +84,7 @@
 	g.pools, g.open = make(map[string]*pool), make(map[*exchange]struct{})
 	g.metrics, g.bodyMemory = newMetrics(g.Registry), newMemoryLimit(g.Memory)
 	if g.Registry != nil {
-		g.Registry.MustRegister(&ruleCollector{g})
+		g.Registry.MustRegister(&ruleCollector{g}, &limitCollector{g})
 	}
 }
 
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -116,3 +116,20 @@
 		ch <- prometheus.MustNewConstMetric(ruleDesc, prometheus.GaugeValue, float64(r.Servers), r.Service, parts)
 	}
 }
+
+// limitCollector exports the number of servers that name a limit, by service.
+type limitCollector struct{ g *Gateway }
+
+var limitDesc = prometheus.NewDesc(
+	"shallot_gateway_limited_servers", "Servers that name a limit on the rate of requests from all VMs.", []string{"service"}, nil,
+)
+
+// Describe sends the description of the metric.
+func (c *limitCollector) Describe(ch chan<- *prometheus.Desc) { ch <- limitDesc }
+
+// Collect sends one value for each service with such a server.
+func (c *limitCollector) Collect(ch chan<- prometheus.Metric) {
+	for service, n := range c.g.State.Limited() {
+		ch <- prometheus.MustNewConstMetric(limitDesc, prometheus.GaugeValue, float64(n), service)
+	}
+}
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -285,19 +285,21 @@
 
 // fetchReport requests the load report of a server. A report also proves that the server is alive.
 func (p *pool) fetchReport(v backend.Server) {
-	load, err := p.g.Backend.Report(v)
+	sent := p.g.Clock.Boot()
+	r, err := p.g.Backend.Report(v)
 	p.g.metrics.reports.Inc()
+	p.g.State.RecordLimit(p.g.Clock.Boot(), sent, v, r.Limit)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	u := p.servers[v.ID]
 	if u == nil {
 		return
 	}
-	u.reportPending, u.unreachable, u.report = false, err != nil, load
+	u.reportPending, u.unreachable, u.report = false, err != nil, r.Load
 	if err == nil {
 		u.lastByte = p.g.Clock.Now()
 	}
-	p.g.Log.Info().Err(err).Str("server", v.ID).Int("running", load.Running).Int("waiting", load.Waiting).
+	p.g.Log.Info().Err(err).Str("server", v.ID).Int("running", r.Running).Int("waiting", r.Waiting).
 		Msg("gateway: load report of a suspect server")
 }
 
--- a/internal/gateway/types.go
+++ b/internal/gateway/types.go
@@ -5,6 +5,7 @@
 
 	"shallotrun/core/backend"
 	"shallotrun/core/clock"
+	"shallotrun/core/limit"
 	"shallotrun/core/work"
 	"shallotrun/io/conn"
 )
@@ -89,6 +90,7 @@
 	Length     int              // length of the body in bytes, -1 if it is chunked, or endsWithConnection
 	Events     Events           // events of a stream, nil for another answer
 	Close      func(whole bool) // whole: the answer was read to its end, so the connection can be reused
+	Limit      limit.Notice     // what the answer says about the server's limit
 }
 
 // endsWithConnection is the length of a body that has neither a length nor chunks.
@@ -116,11 +118,17 @@
 	// Send sends an attempt and reads the head of the answer.
 	Send(a *Attempt) (*Reply, error)
 	// Report requests the load report of a server that runs models, on a new connection.
-	Report(v backend.Server) (work.Load, error)
+	Report(v backend.Server) (LoadReport, error)
 	// Ended reports whether the process of a server has ended. It is false for a server that cannot be reached.
 	Ended(v backend.Server) bool
 }
 
+// LoadReport is a load report, with what the answer says about the server's limit.
+type LoadReport struct {
+	work.Load
+	Limit limit.Notice
+}
+
 // Kinds of failed attempts, by whether the request may have run.
 const (
 	NotSent         FaultKind = iota // nothing was sent to the server
@@ -134,8 +142,9 @@
 
 // Fault is the error of a failed attempt.
 type Fault struct {
-	Kind FaultKind
-	Err  error
+	Kind  FaultKind
+	Err   error
+	Limit limit.Notice // what the answer says about the server's limit, if there was one
 }
 
 // Error returns the kind and the cause.
