share: slots of a holder stay taken when a server of the pool goes

When a server left a pool, the owner took back slots of the others from a holder without recording that the holder may use them until it hears of it, and granted them again: 4 and 2 of 4 slots (TestSlotsOfOthersWhenAServerGoes failed so). The grant that was sent and the record of what may still be used were one map, and the branch for a removed server skipped the record. Each change now copies the grant and records the one before.

--- a/core/share/owner.go
+++ b/core/share/owner.go
@@ -258,19 +258,10 @@
 // shrink takes back the slots of removed servers, and then others until the target is met, those of the server with the most
 // unused ones first.
 func (h *holderState) shrink(target int, servers map[string]int) bool {
-	changed := false
-	for s := range h.grant {
-		if servers[s] == 0 {
-			delete(h.grant, s)
-			changed = true
-		}
-	}
+	before := h.grant
+	h.grant = maps.Clone(before)
+	maps.DeleteFunc(h.grant, func(s string, _ int) bool { return servers[s] == 0 })
 	for n := sum(h.grant); n > target; n-- {
-		if !changed {
-			h.maxHeld = maxPerServer(h.maxHeld, h.grant)
-			h.grant = maps.Clone(h.grant)
-			changed = true
-		}
 		best := ""
 		for _, s := range slices.Sorted(maps.Keys(h.grant)) {
 			if h.grant[s] > 0 && (best == "" || h.grant[s]-h.running[s] > h.grant[best]-h.running[best]) {
@@ -279,7 +270,12 @@
 		}
 		h.grant[best]--
 	}
-	return changed
+	if maps.Equal(before, h.grant) {
+		h.grant = before
+		return false
+	}
+	h.maxHeld = maxPerServer(h.maxHeld, before)
+	return true
 }
 
 // grow adds free slots until the target is met, at the server with the most free ones first.
--- a/core/share/share_test.go
+++ b/core/share/share_test.go
@@ -116,3 +116,30 @@
 	}
 	assert.Equal(t, len(owners), 3)
 }
+
+// Guards against slots that are granted twice because another server of the pool has gone.
+func TestSlotsOfOthersWhenAServerGoes(t *testing.T) {
+	o := &Owner{Name: "o", Servers: map[string]int{"s1": 4, "s2": 4}, Members: []string{"a", "b"}}
+	a, b := &Holder{VM: "a"}, &Holder{VM: "b"}
+	now := clock.Time(1000)
+	report := func(h *Holder, waiting int) (out []Grant) {
+		now = now.Add(50)
+		return o.Report(now, h.Report(now, "o", Report{Waiting: [work.Ranks]int{0, 0, waiting}}))
+	}
+	grant := func(h *Holder, in []Grant) {
+		for _, g := range in {
+			if g.VM == h.VM {
+				h.Grant(now, g)
+			}
+		}
+	}
+	for range 3 {
+		grant(b, report(b, 0))
+		grant(a, report(a, 20))
+	}
+	assert.Check(t, a.slots["s2"] > 2)
+	o.Servers = map[string]int{"s2": 4}
+	grant(b, report(b, 20)) // the messages to a are lost
+	grant(b, report(b, 20))
+	assert.Check(t, a.slots["s2"]+b.slots["s2"] <= 4, "%d and %d of 4 slots", a.slots["s2"], b.slots["s2"])
+}
