--- a/core/share/holder.go
+++ b/core/share/holder.go
@@ -50,6 +50,17 @@
 	return true
 }
 
+// accept applies the answer to the last report. The owner that answered is the holder's owner from then on.
+func (h *Holder) accept(now clock.Time, g Grant) bool {
+	if g.Num != h.num {
+		return false // the answer to an earlier report, which the owner does not expect to be used any more
+	}
+	if g.Owner != h.owner {
+		h.owner, h.seq = g.Owner, 0
+	}
+	return h.Grant(now, g)
+}
+
 // Report fills in the holder's fields of a report to the current owner.
 func (h *Holder) Report(now clock.Time, owner string, r Report) Report {
 	if owner != h.owner {
--- a/core/share/owner.go
+++ b/core/share/owner.go
@@ -4,6 +4,9 @@
 	"cmp"
 	"maps"
 	"slices"
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
 
 	"shallotrun/core/clock"
 	"shallotrun/core/work"
@@ -16,12 +19,19 @@
 	Name    string
 	Servers map[string]int // slots of each server
 	Members []string       // entry VMs that use the pool
+	// Polled means that a grant reaches its holder only with the answer to the holder's own report, so a report says exactly what
+	// its holder has until it is answered. Members are then all that report, and whoever sets Servers waits until every grant of
+	// another owner has expired.
+	Polled bool
+	Until  clock.Time // when the owner's own right to the slots ends, 0 for never; no grant lasts longer
 
 	holders   map[string]*holderState
 	holdFrom  work.Rank
 	startTime clock.Time
 	started   bool
 	seq       uint64
+	changed   bool       // Servers changed since the last division
+	dividedAt clock.Time // time of the last division
 }
 
 // holderState is the owner's state of one entry VM.
@@ -44,35 +54,105 @@
 	if !o.started {
 		o.started, o.startTime, o.holders = true, now, make(map[string]*holderState)
 	}
+	if o.record(now, r) == nil {
+		return nil
+	}
+	changed := o.regrant(now)
+	changed[r.VM] = true
+	var out []Grant
+	for _, name := range slices.Sorted(maps.Keys(changed)) {
+		out = append(out, o.send(now, o.holders[name]))
+	}
+	return out
+}
+
+const (
+	// divideInterval is the least time between two divisions by an owner that is polled: many holders report in that time.
+	divideInterval = 100 * clock.Millisecond
+	// rotateInterval is how long the same holders are first when there are fewer slots than holders that want one.
+	rotateInterval = 2 * clock.Second
+	// maxHolders bounds the holders of an owner whose members are all that report.
+	maxHolders = 4096
+)
+
+// Poll applies a holder's report and returns its grant, as an owner does that is polled. It returns false for an outdated report.
+func (o *Owner) Poll(now clock.Time, r Report) (Grant, bool) {
+	if o.holders == nil {
+		o.started, o.startTime, o.holders = true, now, make(map[string]*holderState)
+	}
+	h := o.record(now, r)
+	if h == nil {
+		return Grant{}, false
+	}
+	if o.changed || now.Sub(o.dividedAt) >= divideInterval {
+		o.changed, o.dividedAt = false, now
+		o.regrant(now)
+	}
+	return o.send(now, h), true
+}
+
+// setServers sets the slots of the servers.
+func (o *Owner) setServers(slots map[string]int) {
+	if !maps.Equal(o.Servers, slots) {
+		o.Servers, o.changed = slots, true
+	}
+}
+
+// sum returns a report with what all holders together use, want, and may still use.
+func (o *Owner) sum() Report {
+	out := Report{Running: make(map[string]int), Slots: make(map[string]int)}
+	for _, h := range o.holders {
+		for s := range o.Servers {
+			out.Running[s] += h.running[s]
+			out.Slots[s] += max(h.grant[s], h.maxHeld[s], h.running[s])
+		}
+		for r := range h.active {
+			out.Active[r] += h.active[r]
+			out.Waiting[r] += h.waiting[r]
+		}
+	}
+	return out
+}
+
+// record records a report. It returns nil for an outdated one and for a VM that is not a member.
+func (o *Owner) record(now clock.Time, r Report) *holderState {
 	o.expire(now)
 	h := o.holders[r.VM]
-	if h == nil && !slices.Contains(o.Members, r.VM) {
+	if h == nil && !o.isMember(r.VM) {
 		return nil // state of a VM that is not a member would use memory and slots
 	}
 	o.sanitize(&r)
 	if h == nil {
-		h = &holderState{name: r.VM, grant: maps.Clone(r.Slots)}
+		h = &holderState{name: r.VM}
+		if !o.Polled {
+			h.grant = maps.Clone(r.Slots)
+		}
 		o.holders[r.VM] = h
 	}
 	if r.Num <= h.num {
 		return nil // a later report arrived first
 	}
 	h.active, h.waiting, h.running, h.num = r.Active, r.Waiting, r.Running, r.Num
-	if r.Owner != o.Name || r.Seq != h.seq {
+	switch {
+	case o.Polled:
+		h.maxHeld = r.Slots
+	case r.Owner != o.Name || r.Seq != h.seq:
 		h.maxHeld = maxPerServer(h.maxHeld, r.Slots)
-	} else {
+	default:
 		// The holder may have given slots back.
 		h.grant = minPerServer(h.grant, r.Slots)
 		h.maxHeld = h.grant
 	}
 	h.expiresAt = now.Add(GrantValidity + GrantValidity/4)
-	changed := o.regrant(now)
-	changed[r.VM] = true
-	var out []Grant
-	for _, name := range slices.Sorted(maps.Keys(changed)) {
-		out = append(out, o.send(o.holders[name]))
+	return h
+}
+
+// isMember reports whether a VM may report to this owner.
+func (o *Owner) isMember(vm string) bool {
+	if o.Polled {
+		return len(o.holders) < maxHolders
 	}
-	return out
+	return slices.Contains(o.Members, vm)
 }
 
 // maxDemand bounds the demand that a holder may report. A higher demand makes no difference to the division.
@@ -83,6 +163,9 @@
 	limit := func(m map[string]int) map[string]int {
 		out := make(map[string]int, len(o.Servers))
 		for s, n := range o.Servers {
+			if o.Polled {
+				n = maxRateSlots * maxHolders // of a server whose slots were reduced, more may still be held
+			}
 			if v := m[s]; v > 0 {
 				out[s] = min(v, n)
 			}
@@ -99,12 +182,16 @@
 // Leave removes a holder that has stopped and has no requests left.
 func (o *Owner) Leave(vm string) { delete(o.holders, vm) }
 
-func (o *Owner) send(h *holderState) Grant {
+func (o *Owner) send(now clock.Time, h *holderState) Grant {
 	o.seq++
 	h.seq = o.seq
+	span := GrantValidity
+	if o.Until > 0 {
+		span = max(min(span, o.Until.Sub(now)), 0)
+	}
 	return Grant{
 		VM: h.name, Owner: o.Name, Seq: h.seq, Num: h.num, Slots: maps.Clone(h.grant),
-		HoldFrom: o.holdFrom, HoldLimit: h.holdLimit, Span: GrantValidity,
+		HoldFrom: o.holdFrom, HoldLimit: h.holdLimit, Span: span,
 	}
 }
 
@@ -119,7 +206,7 @@
 
 // settled reports whether the owner has a record of all slots that may be in use.
 func (o *Owner) settled(now clock.Time) bool {
-	if now.Sub(o.startTime) >= GrantValidity+GrantValidity/4 {
+	if o.Polled || now.Sub(o.startTime) >= GrantValidity+GrantValidity/4 {
 		return true
 	}
 	for _, name := range o.Members {
@@ -136,7 +223,8 @@
 	if !o.settled(now) {
 		return changed
 	}
-	names := slices.Sorted(maps.Keys(o.holders))
+	names := o.order(now)
+	o.takeBackExcess(names, changed)
 	total, wants := 0, make([][work.Ranks]int, len(names))
 	for s, n := range o.Servers {
 		total += n - o.fallbackSlots(s)
@@ -150,8 +238,7 @@
 		h := o.holders[name]
 		h.holdLimit = holdLimit[i]
 		target[i] = h.required(target[i], holdFrom)
-		// A surplus of one slot stays with its holder: moving it back and forth would cost more than it gains.
-		if (holdFrom > 0 || sum(h.grant) > target[i]+1) && h.shrink(target[i], o.Servers) || holdFrom != o.holdFrom && h.hasLowerRanks() {
+		if (holdFrom > 0 || sum(h.grant) > target[i]+o.surplus()) && h.shrink(target[i], o.Servers) || holdFrom != o.holdFrom && h.hasLowerRanks() {
 			changed[name] = true
 		}
 	}
@@ -166,6 +253,45 @@
 	return changed
 }
 
+// order returns the names of the holders in the order in which they get slots that cannot be divided equally. An owner that is
+// polled changes the order all the time, so that none of its holders is last for good.
+func (o *Owner) order(now clock.Time) []string {
+	names := slices.Sorted(maps.Keys(o.holders))
+	if !o.Polled {
+		return names
+	}
+	turn := strconv.FormatInt(int64(now)/int64(rotateInterval), 10)
+	slices.SortFunc(names, func(a, b string) int {
+		return cmp.Or(cmp.Compare(xxhash.Sum64String(turn+a), xxhash.Sum64String(turn+b)), cmp.Compare(a, b))
+	})
+	return names
+}
+
+// surplus returns how many slots a holder may keep beyond its part: moving one back and forth costs more than it gains, unless the
+// slots are few and another holder has none.
+func (o *Owner) surplus() int {
+	if o.Polled {
+		return 0
+	}
+	return 1
+}
+
+// takeBackExcess takes back slots of each server of which more are granted than it has now, from the last holders first.
+func (o *Owner) takeBackExcess(names []string, changed map[string]bool) {
+	for s, n := range o.Servers {
+		for _, name := range names {
+			h := o.holders[name]
+			if keep := min(h.grant[s], max(n, 0)); keep < h.grant[s] {
+				h.maxHeld = maxPerServer(h.maxHeld, h.grant)
+				h.grant = maps.Clone(h.grant)
+				h.grant[s] = keep
+				changed[name] = true
+			}
+			n -= h.grant[s]
+		}
+	}
+}
+
 // byUrgency returns the indices of the holders, those with the most urgent waiting work first.
 func (o *Owner) byUrgency(names []string) []int {
 	order := make([]int, len(names))
