gateway: all VMs together keep to the limits that servers name

Cause: nothing read the limit, and no VM sees the sum. Each attempt and each load report takes a slot; a request without one goes to a server that names no limit, or is refused at once with 503, code limited, and the time after which this VM expects a slot.

Why it works: no VM sends without a part, parts are granted by one VM, end with what they come from, and a slot stays taken for its hold wherever it moves.

--- a/core/work/refusal.go
+++ b/core/work/refusal.go
@@ -42,6 +42,7 @@
 	CodeClaimUnavailable = "claim-unavailable"
 	CodeBackendFailed    = "backend-failed"
 	CodePartRefused      = "part-refused"
+	CodeLimited          = "limited"
 )
 
 // Ran is whether a request that was refused ran at a backend server. A caller may repeat a request that did not run.
--- a/internal/feed/delta.go
+++ b/internal/feed/delta.go
@@ -26,6 +26,7 @@
 	Loads            []load.Usage       // of all other VMs at the backend servers, if HasLoads
 	HasLoads         bool               `cbor:"Counted"` // the reply contains loads; many loads are sent less often than the rest
 	Crashes          quarantine.Message // crashes of backend servers that the querying VM lacks
+	Limits           LimitReply         // limits that servers name, and the querying VM's part of them
 	ShouldJoin       bool               `cbor:"Stand"` // the querying VM should write its entry to the store, by which others find it
 }
 
@@ -36,13 +37,14 @@
 	Reports []OrderReport      // of the running orders, with the results of the querying VM and of those that follow it
 	Loads   []load.Usage       // of the same VMs at the backend servers
 	Crashes quarantine.Message // crashes of backend servers that the VM queried lacks
+	Limits  LimitQuery         // limits that servers name, and what the querying VM wants of them
 	VM      Member             // the querying VM
 }
 
-// Query returns this VM's query. The caller sets VM.
-func (f *Feed) Query() Query {
+// Query returns this VM's query to another VM. The caller sets VM.
+func (f *Feed) Query(to string) Query {
 	now := f.Clock.Now()
-	q := Query{Revs: f.Revisions(), Reports: f.Orders.Report(now), Loads: f.Loads.Report(now), Crashes: f.Quarantine.Query(now)}
+	q := Query{Limits: f.Limits.Query(f.Clock.Boot(), to), Revs: f.Revisions(), Reports: f.Orders.Report(now), Loads: f.Loads.Report(now), Crashes: f.Quarantine.Query(now)}
 	if t := f.Config.Table(); t != nil {
 		q.Config = t.Config.Version
 	}
@@ -64,6 +66,7 @@
 	d.Reports = f.Orders.Exchange(now, from, q.Reports)
 	d.Loads, d.HasLoads = f.Loads.Exchange(now, from, q.Loads)
 	d.Crashes = f.Quarantine.Reply(now, q.Crashes)
+	d.Limits = f.Limits.Reply(f.Clock.Boot(), q.VM, q.Limits)
 	if t := f.Config.Table(); t != nil && q.Config < t.Config.Version {
 		d.Config = t.Config.Version
 		f.mu.Lock()
@@ -210,10 +213,10 @@
 	return d, nil
 }
 
-// Apply applies the reply of the VM that this one follows. sent is the time by Clock.Boot at which the query was sent. It
+// Apply applies the reply of another VM, which this one follows or may follow. sent is the time by Clock.Boot at which the query was sent. It
 // returns ErrUnready if that VM is not synchronised. Any other error means that a part could not be decoded; the other parts
 // are applied.
-func (f *Feed) Apply(sent clock.Time, d Delta) error {
+func (f *Feed) Apply(sent clock.Time, from string, d Delta) error {
 	if d.Unready {
 		return ErrUnready
 	}
@@ -240,6 +243,7 @@
 	now := f.Clock.Now()
 	f.Orders.SetUpstream(now, d.Reports)
 	f.Quarantine.Accept(now, d.Crashes)
+	f.Limits.Accept(f.Clock.Boot(), from, d.Limits)
 	if d.HasLoads {
 		f.Loads.SetUpstream(now, d.Loads)
 	}
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -68,9 +68,18 @@
 		g.Go(func() error { f.syncKind(ctx, k); return nil })
 	}
 	g.Go(func() error { f.decideOrders(ctx); return nil })
+	g.Go(func() error { f.refreshLimits(ctx); return nil })
 	_ = g.Wait() // the functions return no errors
 }
 
+// refreshLimits keeps this VM's part of the limits up to date until ctx ends.
+func (f *Feed) refreshLimits(ctx context.Context) {
+	for ctx.Err() == nil {
+		f.Limits.Refresh(f.Clock.Boot())
+		sleep(ctx, 3*limitRefresh)
+	}
+}
+
 // Synchronised reports whether every kind has been listed, here or at a VM that this one follows.
 func (f *Feed) Synchronised() bool {
 	f.mu.Lock()
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -205,15 +205,15 @@
 			})
 		}
 		a, b := synchronised(t, c), synchronised(t, &catalog.Config{Version: 3})
-		d, err := a.Reply("b", b.Query())
+		d, err := a.Reply("b", b.Query("a"))
 		assert.NilError(t, err)
-		assert.NilError(t, b.Apply(8900, d))
+		assert.NilError(t, b.Apply(8900, "a", d))
 		got := b.Config.Table()
 		assert.Equal(t, got.Config.Version, uint64(4))
 		assert.DeepEqual(t, got.Config.Routes, c.Routes)
 		assert.Check(t, b.Fresh())
 		assert.Check(t, len(d.PackedConfig) < 1000+40*routes, "%d routes are encoded in %d bytes", routes, len(d.PackedConfig))
-		d, err = a.Reply("b", b.Query())
+		d, err = a.Reply("b", b.Query("a"))
 		assert.NilError(t, err)
 		assert.Equal(t, len(d.PackedConfig), 0, "the configuration is sent to a VM that has it")
 	}
@@ -227,12 +227,12 @@
 	a.applyChanges(Members, Batch{Rev: 8, Objects: []Object{{Name: "m", Member: &Member{Name: "m"}}}})
 	a.applyChanges(Orders, Batch{Rev: 9, Objects: []Object{{Name: "s", Order: &canary.Order{Service: "s", Target: "v2", CreateRevision: 9}}}})
 	b := &Feed{Clock: clock.NewManual(9000)}
-	d, err := b.Reply("a", a.Query())
+	d, err := b.Reply("a", a.Query("b"))
 	assert.NilError(t, err)
-	assert.Check(t, errors.Is(a.Apply(8900, d), ErrUnready))
-	d, err = a.Reply("b", b.Query())
+	assert.Check(t, errors.Is(a.Apply(8900, "b", d), ErrUnready))
+	d, err = a.Reply("b", b.Query("a"))
 	assert.NilError(t, err)
-	assert.NilError(t, b.Apply(8900, d))
+	assert.NilError(t, b.Apply(8900, "a", d))
 	assert.Check(t, b.Synchronised())
 	assert.Check(t, b.Fresh())
 	assert.Equal(t, len(b.Servers(9000, "s")), 1)
@@ -246,11 +246,11 @@
 	a, b := synchronised(t, &catalog.Config{Version: 4}), synchronised(t, &catalog.Config{Version: 3})
 	before := b.Freshness.Age(9000)
 	a.applyChanges(Servers, Batch{Rev: 7, Objects: []Object{{Name: "x", Server: &backend.Server{ID: "x", Service: "s"}}}})
-	d, err := a.Reply("b", b.Query())
+	d, err := a.Reply("b", b.Query("a"))
 	assert.NilError(t, err)
 	for _, body := range []Packed{{1, 2, 3}, d.PackedConfig[:len(d.PackedConfig)/2], bomb(t)} {
 		d.PackedConfig = body
-		assert.Check(t, b.Apply(9000, d) != nil, "%d bytes are decoded as a configuration", len(body))
+		assert.Check(t, b.Apply(9000, "a", d) != nil, "%d bytes are decoded as a configuration", len(body))
 	}
 	assert.Equal(t, len(b.Servers(9000, "s")), 1)
 	assert.Equal(t, b.Config.Table().Config.Version, uint64(3))
@@ -311,9 +311,9 @@
 	}
 	// Two levels: other follows lead, a and b follow other.
 	query := func(from, to *Feed, name string) {
-		d, err := to.Reply(name, from.Query())
+		d, err := to.Reply(name, from.Query("to"))
 		assert.NilError(t, err)
-		assert.NilError(t, from.Apply(0, d))
+		assert.NilError(t, from.Apply(0, "to", d))
 	}
 	for range 2 {
 		query(&a, &other, "a")
@@ -357,7 +357,7 @@
 	assert.NilError(t, err)
 	assert.Equal(t, len(d.Kinds[Servers].Snapshot), 0)
 	assert.Equal(t, len(d.Kinds[Servers].Objects), 3, "only the changes are passed on")
-	assert.NilError(t, b.Apply(0, d))
+	assert.NilError(t, b.Apply(0, "a", d))
 	for _, f := range []*Feed{a, b} {
 		got := f.Servers(99, "s")
 		assert.Equal(t, len(got), 2)
@@ -391,7 +391,7 @@
 	d, err := a.ChangesSince(b.Revisions())
 	assert.NilError(t, err)
 	assert.Check(t, d.Kinds[Members].Snapshot != nil)
-	assert.NilError(t, b.Apply(0, d))
+	assert.NilError(t, b.Apply(0, "a", d))
 	assert.Equal(t, len(b.Members()), 2)
 	d, err = a.ChangesSince(b.Revisions())
 	assert.NilError(t, err)
--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -217,7 +217,7 @@
 	defer cancel()
 	sent := f.Clock.Boot()
 	var d feed.Delta
-	q := f.Feed.Query()
+	q := f.Feed.Query(m.Name)
 	q.VM = f.Self
 	if err := f.transport.Request(bounded, m.Name, peer.KindFeed, q, &d); err != nil {
 		return err
@@ -225,7 +225,7 @@
 	if d.ShouldJoin {
 		f.join(ctx)
 	}
-	if err := f.Feed.Apply(sent, d); err != nil {
+	if err := f.Feed.Apply(sent, m.Name, d); err != nil {
 		return err
 	}
 	if d.SinceStoreAnswer > f.maxStoreSilence() {
--- a/internal/front/daemon.go
+++ b/internal/front/daemon.go
@@ -16,6 +16,7 @@
 	"github.com/valyala/fasthttp"
 	"github.com/valyala/fasthttp/fasthttpadaptor"
 
+	"shallotrun/core/backend"
 	"shallotrun/core/clock"
 	"shallotrun/core/work"
 	"shallotrun/internal/feed"
@@ -90,7 +91,9 @@
 	d.feed.Loads.Usage, d.feed.Loads.LinkMbps = d.gateway.Usage, s.Link
 	d.feed.Quarantine.Log = d.Log
 	d.feed.Quarantine.Init(rand.Uint64())
-	d.feed.Limits.Log = d.Log
+	d.feed.Limits.VM, d.feed.Limits.Domain, d.feed.Limits.Log = s.Name, s.Domain, d.Log
+	d.feed.Limits.Servers = func(service string) []backend.Server { return d.feed.Servers(d.clock.Now(), service) }
+	d.feed.Limits.Members = d.feed.Members
 	d.feed.Limits.Init(rand.Uint64())
 	stop, err := d.trace(ctx)
 	if err != nil {
--- a/internal/front/state.go
+++ b/internal/front/state.go
@@ -48,6 +48,22 @@
 	s.Limits.RecordLimit(now, sent, v, n)
 }
 
+func (s *state) FreeSlots(service string) map[string]bool {
+	return s.Limits.FreeSlots(s.Clock.Boot(), service)
+}
+
+func (s *state) MayTake(service, workspace string) bool {
+	return s.Limits.MayTake(s.Clock.Boot(), service, workspace)
+}
+
+func (s *state) TakeSlot(v backend.Server, workspace string) bool {
+	return s.Limits.TakeSlot(s.Clock.Boot(), v, workspace)
+}
+
+func (s *state) RefuseForLimits(service, workspace string) clock.Span {
+	return s.Limits.Refuse(s.Clock.Boot(), service, workspace)
+}
+
 func (s *state) Limited() map[string]int { return s.Limits.Limited(s.Clock.Boot()) }
 
 func (s *state) Rules(now clock.Time) []quarantine.Rule { return s.Quarantine.Rules(now) }
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -180,9 +180,12 @@
 	if refusal := x.checkPrompt(now); refusal != nil {
 		return refusal
 	}
-	server, ok := x.pool.pick(now, x)
-	if !ok {
-		return x.giveUp(work.CodeNoServer, "no backend server can take the request")
+	server, err := x.pool.pick(now, x)
+	if errors.Is(err, errLimited) {
+		return x.giveUpForLimits()
+	}
+	if err != nil {
+		return x.giveUp(work.CodeNoServer, err.Error())
 	}
 	if x.attempts == 0 {
 		x.pool.countRequest(now)
--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -18,6 +18,7 @@
 	"shallotrun/core/canary"
 	"shallotrun/core/catalog"
 	"shallotrun/core/clock"
+	"shallotrun/core/limit"
 	"shallotrun/core/load"
 	"shallotrun/core/work"
 	"shallotrun/internal/feed"
@@ -26,7 +27,8 @@
 // fakeState is a State with fixed servers that records the reported results.
 type fakeState struct {
 	feed.Quarantine
-	feed.Limits
+	limits  feed.Limits
+	clock   clock.Clock
 	table   atomic.Pointer[catalog.Table]
 	stale   atomic.Bool
 	others  atomic.Pointer[load.Totals]
@@ -46,7 +48,27 @@
 	return out
 }
 
-func (s *fakeState) Limited() map[string]int { return s.Limits.Limited(clock.Clock{}.Boot()) }
+func (s *fakeState) Limited() map[string]int { return s.limits.Limited(s.clock.Boot()) }
+
+func (s *fakeState) RecordLimit(now, sent clock.Time, v backend.Server, n limit.Notice) {
+	s.limits.RecordLimit(now, sent, v, n)
+}
+
+func (s *fakeState) FreeSlots(service string) map[string]bool {
+	return s.limits.FreeSlots(s.clock.Boot(), service)
+}
+
+func (s *fakeState) MayTake(service, workspace string) bool {
+	return s.limits.MayTake(s.clock.Boot(), service, workspace)
+}
+
+func (s *fakeState) TakeSlot(v backend.Server, workspace string) bool {
+	return s.limits.TakeSlot(s.clock.Boot(), v, workspace)
+}
+
+func (s *fakeState) RefuseForLimits(service, workspace string) clock.Span {
+	return s.limits.Refuse(s.clock.Boot(), service, workspace)
+}
 
 func (s *fakeState) Overdue(string, canary.Result) bool    { return false }
 func (s *fakeState) UsageByOthers(clock.Time) *load.Totals { return s.others.Load() }
@@ -69,6 +91,15 @@
 	broken     bool      // the connection breaks after the events
 	stall      bool      // after the events nothing comes until the attempt is ended
 	confidence int
+	limit      float64 // that the answer or rejection names, 0 for none
+}
+
+// notice returns what the answer says about the limit of the server.
+func (s *step) notice() limit.Notice {
+	if s.limit > 0 {
+		return limit.Notice{Kind: limit.Named, Rate: s.limit}
+	}
+	return limit.Notice{Kind: limit.None}
 }
 
 // fakeBackend answers attempts by a script. The last step is repeated for all later attempts.
@@ -99,9 +130,13 @@
 	s := b.script[min(len(b.attempts), len(b.script))-1]
 	b.mu.Unlock()
 	if s.fail {
-		return nil, &Fault{Kind: s.kind, Err: errors.New("scripted")}
+		f := &Fault{Kind: s.kind, Err: errors.New("scripted")}
+		if s.kind == RefusedByServer {
+			f.Limit = s.notice()
+		}
+		return nil, f
 	}
-	r := &Reply{Status: s.status, Confidence: s.confidence, Close: func(bool) {}}
+	r := &Reply{Limit: s.notice(), Status: s.status, Confidence: s.confidence, Close: func(bool) {}}
 	if r.Status == 0 {
 		r.Status = 200
 	}
@@ -198,7 +233,9 @@
 }
 
 func startGatewayAt(t *testing.T, b *fakeBackend, c clock.Clock) (*Gateway, *fakeState) {
-	s := &fakeState{}
+	s := &fakeState{clock: c}
+	s.limits.VM, s.limits.Servers = "vm", func(service string) []backend.Server { return s.Servers(0, service) }
+	s.limits.Init(1)
 	s.table.Store(testTable(7, "k"))
 	for i := range 4 {
 		s.servers = append(s.servers, backend.Server{ID: fmt.Sprint("s", i), Service: "s", Version: "v1", Slots: 8})
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -10,18 +10,19 @@
 
 // metrics are the metrics of the request path. Label values are never chosen by a caller.
 type metrics struct {
-	answers      *prometheus.CounterVec   // label code: "served" or the code of the refusal
-	faults       *prometheus.CounterVec   // label how: kind of the failure
-	seconds      *prometheus.HistogramVec // label outcome: "served" or "failed"
-	firstSeconds prometheus.Histogram
-	retries      prometheus.Counter
-	resumes      prometheus.Counter
-	open         prometheus.Gauge
-	attempts     prometheus.Counter
-	reports      prometheus.Counter
-	dropped      prometheus.Counter
-	serversEnded prometheus.Counter
-	partsRefused prometheus.Counter
+	answers       *prometheus.CounterVec   // label code: "served" or the code of the refusal
+	faults        *prometheus.CounterVec   // label how: kind of the failure
+	seconds       *prometheus.HistogramVec // label outcome: "served" or "failed"
+	firstSeconds  prometheus.Histogram
+	retries       prometheus.Counter
+	resumes       prometheus.Counter
+	open          prometheus.Gauge
+	attempts      prometheus.Counter
+	reports       prometheus.Counter
+	dropped       prometheus.Counter
+	serversEnded  prometheus.Counter
+	partsRefused  prometheus.Counter
+	limitRefusals prometheus.Counter
 }
 
 func newMetrics(reg prometheus.Registerer) *metrics {
@@ -45,11 +46,13 @@
 			Name: "shallot_gateway_servers_ended_total", Help: "Servers whose process ended as they began to answer a request of this VM."}),
 		partsRefused: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "shallot_gateway_parts_refused_total", Help: "Attempts that were refused because servers end under prompts with the same part."}),
+		limitRefusals: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "shallot_gateway_limit_refusals_total", Help: "Attempts that were not made because of the limits that servers name."}),
 	}
 	if reg != nil {
 		reg.MustRegister(
 			m.answers, m.faults, m.seconds, m.firstSeconds, m.retries, m.resumes, m.open, m.attempts, m.reports, m.dropped, m.serversEnded,
-			m.partsRefused,
+			m.partsRefused, m.limitRefusals,
 		)
 	}
 	return m
--- a/internal/gateway/outcome.go
+++ b/internal/gateway/outcome.go
@@ -96,6 +96,17 @@
 	return &work.Refusal{Code: code, Status: status, Ran: work.RunUnknown, Detail: detail}
 }
 
+// giveUpForLimits returns the refusal of a request that the limits of the servers leave no room for.
+func (x *exchange) giveUpForLimits() *work.Refusal {
+	retry := x.g.State.RefuseForLimits(x.service, x.workspaceName())
+	x.g.metrics.limitRefusals.Inc()
+	refusal := x.giveUp(work.CodeLimited, errLimited.Error())
+	if refusal.Ran == work.NotRun {
+		refusal.Retry = max(retry, retryAfter) + jitter(retryAfter)
+	}
+	return refusal
+}
+
 // startWaiting tells the watching goroutine that the exchange waits for bytes of a backend server from now on. At giveUpTime the
 // attempt is aborted for another one, 0 for never.
 func (x *exchange) startWaiting(giveUpTime clock.Time) {
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"errors"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -86,10 +87,10 @@
 	}
 }
 
-// pick selects a server among those of the allowed versions and adds the attempt to its usage. It returns false if no server
-// can take the request.
-func (p *pool) pick(now clock.Time, x *exchange) (backend.Server, bool) {
-	all := p.g.State.Choose(now, p.service, x.request.Session, p.g.State.Servers(now, p.service))
+// pick selects a server among those of the allowed versions and adds the attempt to its usage. It returns an error if no server can
+// take the request: errLimited if one could but for the limits that servers name.
+func (p *pool) pick(now clock.Time, x *exchange) (backend.Server, error) {
+	all, limited := p.withinLimits(x, p.g.State.Choose(now, p.service, x.request.Session, p.g.State.Servers(now, p.service)))
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.candidates = p.candidates[:0]
@@ -120,8 +121,15 @@
 		req.Exclude = x.notRunServers
 		name, ok = p.placer.Pick(now, req, p.candidates)
 	}
-	if !ok {
-		return backend.Server{}, false
+	switch {
+	case !ok && limited:
+		return backend.Server{}, errLimited
+	case !ok:
+		return backend.Server{}, errNoServer
+	}
+	i := slices.IndexFunc(all, func(v backend.Server) bool { return v.ID == name })
+	if !p.g.State.TakeSlot(all[i], x.workspaceName()) {
+		return backend.Server{}, errLimited // the VM's part of the limit has just become smaller
 	}
 	u := p.servers[name]
 	if u == nil {
@@ -132,8 +140,36 @@
 	u.awaitingFirst++
 	x.pendingTokens = x.prefillTokens()
 	u.pendingTokens += x.pendingTokens
-	i := slices.IndexFunc(all, func(v backend.Server) bool { return v.ID == name })
-	return all[i], true
+	return all[i], nil
+}
+
+// Reasons why pick selects no server.
+var (
+	errNoServer = errors.New("no backend server can take the request")
+	errLimited  = errors.New("the limits that the backend servers name are used up")
+)
+
+// withinLimits returns the servers that the limits which they name allow this VM to send the request to, and reports whether others
+// were left out. If all servers name limits, the workspaces take turns.
+func (p *pool) withinLimits(x *exchange, all []backend.Server) (out []backend.Server, limited bool) {
+	slots := p.g.State.FreeSlots(p.service)
+	if len(slots) == 0 {
+		return all, false
+	}
+	unlimited := 0
+	for _, v := range all {
+		free, named := slots[v.ID]
+		if !named {
+			unlimited++
+		}
+		if free || !named {
+			out = append(out, v)
+		}
+	}
+	if unlimited == 0 && !p.g.State.MayTake(p.service, x.workspaceName()) {
+		return nil, true
+	}
+	return out, len(out) < len(all)
 }
 
 // backlog returns the mean time that the servers need for their pending prompt tokens, in milliseconds.
@@ -273,7 +309,7 @@
 		}
 	}
 	suspicious := silent >= limit || waited >= lostFactor*limit
-	if suspicious && waited >= limit && !u.reportPending && now.Sub(u.reportRequested) >= limit {
+	if suspicious && waited >= limit && !u.reportPending && now.Sub(u.reportRequested) >= limit && p.g.State.TakeSlot(v, "") {
 		u.reportPending, u.reportRequested = true, now
 		go p.fetchReport(v)
 	}
