feed: the era of the store's revisions is read and logged, and objects that are ignored are logged

After the store came back from an older copy no line told the two counts of revisions apart, or that a list was dropped. The adapter reads the era in every answer; lines name a change of it and the first batch in a row that is ignored. What is read is applied as before.

--- a/internal/feed/apply.go
+++ b/internal/feed/apply.go
@@ -17,13 +17,27 @@
 func (f *Feed) applyBatch(k Kind, b Batch, update func(Kind, Batch), record func(*history, Batch)) {
 	f.applying[k].Lock()
 	defer f.applying[k].Unlock()
-	if b.Rev < f.Revisions()[k] {
+	if known := f.Revisions()[k]; b.Rev < known {
+		f.logIgnored(k, b, known)
 		return
 	}
 	update(k, b)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	record(&f.histories[k], b)
+	f.ignoring[k] = false
+}
+
+// logIgnored logs that a batch is ignored because it is older than what is known: the first one in a row.
+func (f *Feed) logIgnored(k Kind, b Batch, known uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.ignoring[k] {
+		return
+	}
+	f.ignoring[k] = true
+	f.Log.Info().Stringer("kind", k).Uint64("revision", b.Rev).Uint64("era", b.Era).Uint64("known", known).
+		Msg("feed: objects are ignored because they are older than the known ones")
 }
 
 // replaceObjects replaces all objects of a kind.
@@ -54,7 +68,7 @@
 	f.mu.Lock()
 	f.listed[k] = true
 	f.mu.Unlock()
-	f.Log.Info().Stringer("kind", k).Int("objects", len(b.Objects)).Uint64("revision", b.Rev).Msg("feed: listed")
+	f.Log.Info().Stringer("kind", k).Int("objects", len(b.Objects)).Uint64("revision", b.Rev).Uint64("era", b.Era).Msg("feed: listed")
 }
 
 // updateObjects applies changed objects of a kind.
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -53,7 +53,9 @@
 	servers      backend.Set
 	listed       [kinds]bool
 	failing      [kinds]bool
+	ignoring     [kinds]bool // the last batch was ignored because it was older than what is known
 	histories    [kinds]history
+	era          uint64            // of the store as of its last answer, here; 0 before the first answer that names one
 	emptyWatch   [kinds]revision   // returned by a watch without changes, used only after maxWatchLag
 	lastOutage   clock.Time        // when the store last failed to answer, here or at the VM that is followed; 0 for never
 	answeredAt   [kinds]clock.Time // by Clock.Boot: when the store last answered a call about the kind
@@ -158,6 +160,7 @@
 	if err != nil {
 		return err
 	}
+	f.recordEra(k, b)
 	b.Rev = f.nextRevision(k, b)
 	f.applyChanges(k, b)
 	f.recordAnswer(k)
@@ -187,6 +190,7 @@
 	if err != nil {
 		return err
 	}
+	f.recordEra(k, b)
 	f.applyList(k, b)
 	f.recordAnswer(k)
 	if k == Configs {
@@ -238,6 +242,22 @@
 	at  clock.Time
 }
 
+// recordEra records the era of the store in an answer and logs a change.
+func (f *Feed) recordEra(k Kind, b Batch) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if b.Era == 0 || b.Era == f.era {
+		return
+	}
+	l := f.Log.Info()
+	if f.era != 0 {
+		l = f.Log.Warn()
+	}
+	l.Stringer("kind", k).Uint64("era", b.Era).Uint64("before", f.era).Uint64("revision", b.Rev).Uint64("known", f.histories[k].rev).
+		Msg("feed: the store has another era; if there was one before, it came back from an older copy")
+	f.era = b.Era
+}
+
 // recordAnswer records that the store has just answered a call about a kind.
 func (f *Feed) recordAnswer(k Kind) {
 	f.mu.Lock()
--- a/internal/feed/store.go
+++ b/internal/feed/store.go
@@ -52,6 +52,7 @@
 type Batch struct {
 	Objects []Object
 	Rev     uint64
+	Era     uint64 // of the revision, 0 if it is not known
 }
 
 // Values of Consistency.
