--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -24,15 +25,38 @@
 
 // store is the platform's store for several VMs. Each VM has its own view of it, which can be disconnected.
 type store struct {
-	mu      sync.Mutex
+	mu sync.Mutex
+	contents
+	era    uint64
+	hidden bool              // reads of the secret fail
+	addrs  map[string]string // by VM; a VM that starts again keeps its address
+}
+
+// contents is what the store loses when it comes back from an older copy.
+type contents struct {
 	rev     uint64
 	config  uint64
 	servers map[string]backend.Server
 	members map[string]feed.Member
 	changes []change
 	secret  []byte
-	hidden  bool              // reads of the secret fail
-	addrs   map[string]string // by VM; a VM that starts again keeps its address
+}
+
+// copy returns a copy of the present contents.
+func (s *store) copy() contents {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := s.contents
+	c.servers, c.members, c.changes = maps.Clone(c.servers), maps.Clone(c.members), slices.Clone(c.changes)
+	return c
+}
+
+// restore puts an earlier copy in place of the contents: the revisions since then are given out again.
+func (s *store) restore(c contents) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.contents = c
+	s.era++
 }
 
 type change struct {
@@ -104,7 +128,7 @@
 	}
 	v.store.mu.Lock()
 	defer v.store.mu.Unlock()
-	b := feed.Batch{Rev: v.rev}
+	b := feed.Batch{Rev: v.rev, Era: v.era}
 	switch k {
 	case feed.Configs:
 		b.Objects = []feed.Object{{Name: "main", Config: &catalog.Config{Version: v.config}}}
@@ -130,13 +154,17 @@
 	end := time.Now().Add(wait.Std())
 	for {
 		v.store.mu.Lock()
-		b := feed.Batch{Rev: v.rev}
+		b := feed.Batch{Rev: v.rev, Era: v.era}
+		gone := rev > v.rev
 		for _, c := range v.changes {
 			if c.kind == k && c.rev > rev {
 				b.Objects = append(b.Objects, c.o)
 			}
 		}
 		v.store.mu.Unlock()
+		if gone {
+			return feed.Batch{}, feed.ErrHistoryDropped
+		}
 		if len(b.Objects) > 0 || time.Now().After(end) || ctx.Err() != nil {
 			return b, ctx.Err()
 		}
@@ -228,7 +256,10 @@
 const applyBound = 4 * time.Second
 
 func newStore() *store {
-	return &store{config: 1, rev: 1, servers: map[string]backend.Server{}, members: map[string]feed.Member{}, addrs: map[string]string{}}
+	return &store{
+		contents: contents{config: 1, rev: 1, servers: map[string]backend.Server{}, members: map[string]feed.Member{}},
+		era:      1, addrs: map[string]string{},
+	}
 }
 
 // storeReader returns the only VM that follows no other, nil while there is none or several.
