feed: a revision of the store counts only with its era

Cause: revisions were compared as numbers, and the store gives them out again. A position is now an era and a revision: a list of a later era replaces what is known whatever its revision, changes of another era are not applied and their kind is listed, answers of an earlier era are late ones, and a VM in an earlier era gets all objects from its upstream, since the changes between two eras depend on what was known before.

--- a/internal/feed/apply.go
+++ b/internal/feed/apply.go
@@ -6,18 +6,27 @@
 	"shallotrun/core/clock"
 )
 
-// applyChanges applies changes that were read from the store or another VM.
-func (f *Feed) applyChanges(k Kind, b Batch) { f.applyBatch(k, b, f.updateObjects, (*history).add) }
+// applyChanges applies changes that were read from the store or another VM. It ignores those of another era than the known objects,
+// whose kind has to be listed first.
+func (f *Feed) applyChanges(k Kind, b Batch) {
+	f.applyBatch(k, b, func(known Position) bool { return b.Era == known.Era }, f.updateObjects, (*history).add)
+}
 
 // applyList replaces all objects of a kind by those that were read from the store or another VM.
-func (f *Feed) applyList(k Kind, b Batch) { f.applyBatch(k, b, f.replaceObjects, (*history).replace) }
+func (f *Feed) applyList(k Kind, b Batch) {
+	f.applyBatch(k, b, func(Position) bool { return true }, f.replaceObjects, (*history).replace)
+}
 
-// applyBatch applies a batch and records it in the history for other VMs. It ignores a batch that is older than the known
-// revision: answers of the store and replies of another VM can arrive out of order.
-func (f *Feed) applyBatch(k Kind, b Batch, update func(Kind, Batch), record func(*history, Batch)) {
+// applyBatch applies a batch that fits the known position, and records it in the history for other VMs. It ignores a batch that is
+// older: answers of the store and replies of another VM can arrive out of order.
+func (f *Feed) applyBatch(k Kind, b Batch, fits func(known Position) bool, update func(Kind, Batch), record func(*history, Batch)) {
 	f.applying[k].Lock()
 	defer f.applying[k].Unlock()
-	if known := f.Revisions()[k]; b.Rev < known {
+	known := f.positions()[k]
+	if b.Era == 0 {
+		b.Era = known.Era // of a store without eras, or a VM of an earlier build
+	}
+	if b.position().Before(known) || !fits(known) {
 		f.logIgnored(k, b, known)
 		return
 	}
@@ -28,16 +37,16 @@
 	f.ignoring[k] = false
 }
 
-// logIgnored logs that a batch is ignored because it is older than what is known: the first one in a row.
-func (f *Feed) logIgnored(k Kind, b Batch, known uint64) {
+// logIgnored logs that a batch is ignored because of its position: the first one in a row.
+func (f *Feed) logIgnored(k Kind, b Batch, known Position) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.ignoring[k] {
 		return
 	}
 	f.ignoring[k] = true
-	f.Log.Info().Stringer("kind", k).Uint64("revision", b.Rev).Uint64("era", b.Era).Uint64("known", known).
-		Msg("feed: objects are ignored because they are older than the known ones")
+	f.Log.Info().Stringer("kind", k).Uint64("revision", b.Rev).Uint64("era", b.Era).Uint64("known", known.Rev).Uint64("known_era", known.Era).
+		Msg("feed: objects are ignored because they are older than the known ones, or changes of another era")
 }
 
 // replaceObjects replaces all objects of a kind.
--- a/internal/feed/delta.go
+++ b/internal/feed/delta.go
@@ -33,6 +33,7 @@
 // Query is sent to the VM that this one follows.
 type Query struct {
 	Revs    Revisions
+	Eras    Eras               // of Revs; 0 from a VM of an earlier build
 	Config  uint64             // version of the configuration in use, 0 for none
 	Reports []OrderReport      // of the running orders, with the results of the querying VM and of those that follow it
 	Loads   []load.Usage       // of the same VMs at the backend servers
@@ -44,7 +45,10 @@
 // Query returns this VM's query to another VM. The caller sets VM.
 func (f *Feed) Query(to string) Query {
 	now := f.Clock.Now()
-	q := Query{Limits: f.Limits.Query(f.Clock.Boot(), to), Revs: f.Revisions(), Reports: f.Orders.Report(now), Loads: f.Loads.Report(now), Crashes: f.Quarantine.Query(now)}
+	q := Query{Limits: f.Limits.Query(f.Clock.Boot(), to), Reports: f.Orders.Report(now), Loads: f.Loads.Report(now), Crashes: f.Quarantine.Query(now)}
+	for k, p := range f.positions() {
+		q.Revs[k], q.Eras[k] = p.Rev, p.Era
+	}
 	if t := f.Config.Table(); t != nil {
 		q.Config = t.Config.Version
 	}
@@ -59,7 +63,7 @@
 	if !f.Synchronised() {
 		return Delta{Unready: true}, nil
 	}
-	if d, err = f.ChangesSince(q.Revs); err != nil {
+	if d, err = f.ChangesSince(q.Revs, q.Eras); err != nil {
 		return d, err
 	}
 	now := f.Clock.Now()
@@ -83,17 +87,15 @@
 	Snapshot Packed `cbor:"Whole"` // all objects as []Object, if some of the changes are no longer kept; nil otherwise
 	Objects  []Object
 	Rev      uint64
+	Era      uint64 // of Rev; 0 from a VM of an earlier build
 }
 
-// Revisions holds the revision of the store up to which a VM has the changes of each kind, 0 for none.
-type Revisions [kinds]uint64
-
 // history holds the objects of one kind and their last changes in order, for the VMs that follow this one.
 type history struct {
-	droppedRev uint64 // changes up to this revision are not kept
-	rev        uint64
+	droppedAt  Position // changes up to here are not kept
+	at         Position
 	batches    []Batch
-	objects    map[string]Object // as of rev, nil before the first list
+	objects    map[string]Object // as of at, nil before the first list
 	generation uint64            // number of batches applied to objects
 	snapshot   packedCache       // of objects
 }
@@ -102,12 +104,12 @@
 // one need only those, even if the store dropped the changes in between.
 func (h *history) replace(b Batch) {
 	if h.objects == nil {
-		h.droppedRev, h.objects = b.Rev, make(map[string]Object)
+		h.droppedAt, h.objects = b.position(), make(map[string]Object)
 		h.put(b.Objects)
-		h.rev = b.Rev
+		h.at = b.position()
 		return
 	}
-	d := Batch{Rev: b.Rev}
+	d := Batch{Rev: b.Rev, Era: b.Era}
 	listed := make(map[string]bool, len(b.Objects))
 	for _, o := range b.Objects {
 		listed[o.Name] = true
@@ -125,14 +127,16 @@
 
 // add appends a batch of changes, drops the oldest one beyond maxBatches, and updates the objects.
 func (h *history) add(b Batch) {
-	h.rev = max(h.rev, b.Rev)
+	if h.at.Before(b.position()) {
+		h.at = b.position()
+	}
 	if len(b.Objects) == 0 {
 		return
 	}
 	h.put(b.Objects)
 	h.batches = append(h.batches, b)
 	if n := len(h.batches); n > maxBatches {
-		h.droppedRev = h.batches[n-maxBatches-1].Rev
+		h.droppedAt = h.batches[n-maxBatches-1].position()
 		h.batches = append([]Batch(nil), h.batches[n-maxBatches:]...)
 	}
 }
@@ -167,33 +171,27 @@
 	return a == b
 }
 
-// since returns the changes after a revision, or all objects if some of those changes are not kept.
-func (h *history) since(rev uint64) (c Changes, err error) {
-	c.Rev = h.rev
-	if rev == 0 || rev < h.droppedRev { // 0 is the revision of a VM that has not listed the kind
+// since returns the changes after a position, or all objects if some of those changes are not kept. The changes between two eras
+// depend on what was known in the earlier one, so a VM that is in an earlier era gets all objects.
+func (h *history) since(p Position) (c Changes, err error) {
+	c.Rev, c.Era = h.at.Rev, h.at.Era
+	if p.Era == 0 {
+		p.Era = h.at.Era // of a VM of an earlier build
+	}
+	if p.Rev == 0 || p.Era < h.at.Era || p.Before(h.droppedAt) { // revision 0 is that of a VM that has not listed the kind
 		c.Snapshot, err = h.snapshot.get(h.generation, func() any { return slices.Collect(maps.Values(h.objects)) })
 		return c, err
 	}
 	for _, b := range h.batches {
-		if b.Rev > rev {
+		if p.Before(b.position()) {
 			c.Objects = append(c.Objects, b.Objects...)
 		}
 	}
 	return c, nil
 }
 
-// Revisions returns the revisions up to which this VM has the changes.
-func (f *Feed) Revisions() (out Revisions) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	for k := range out {
-		out[k] = f.histories[k].rev
-	}
-	return out
-}
-
-// ChangesSince returns the changes after the given revisions, except those of the configuration.
-func (f *Feed) ChangesSince(revs Revisions) (d Delta, err error) {
+// ChangesSince returns the changes after the given revisions of the given eras, except those of the configuration.
+func (f *Feed) ChangesSince(revs Revisions, eras Eras) (d Delta, err error) {
 	d.ConfigAge = f.Freshness.Age(f.Clock.Boot())
 	if t := f.Config.Table(); t != nil {
 		d.Config = t.Config.Version
@@ -203,10 +201,10 @@
 	d.SinceStoreAnswer = f.Clock.Boot().Sub(min(f.answeredAt[Configs], f.answeredAt[Servers]))
 	for k := range kinds {
 		if k == Configs {
-			d.Kinds[k].Rev = f.histories[k].rev
+			d.Kinds[k].Rev, d.Kinds[k].Era = f.histories[k].at.Rev, f.histories[k].at.Era
 			continue
 		}
-		if d.Kinds[k], err = f.histories[k].since(revs[k]); err != nil {
+		if d.Kinds[k], err = f.histories[k].since(Position{Era: eras[k], Rev: revs[k]}); err != nil {
 			return d, err
 		}
 	}
@@ -230,7 +228,7 @@
 		}
 		c := d.Kinds[k]
 		if c.Snapshot == nil {
-			f.applyChanges(k, Batch{Objects: c.Objects, Rev: c.Rev})
+			f.applyChanges(k, Batch{Objects: c.Objects, Rev: c.Rev, Era: c.Era})
 			continue
 		}
 		var all []Object
@@ -238,7 +236,7 @@
 			faults = append(faults, err)
 			continue
 		}
-		f.applyList(k, Batch{Objects: all, Rev: c.Rev})
+		f.applyList(k, Batch{Objects: all, Rev: c.Rev, Era: c.Era})
 	}
 	now := f.Clock.Now()
 	f.Orders.SetUpstream(now, d.Reports)
@@ -268,7 +266,8 @@
 	if err := d.PackedConfig.unpack(&c); err != nil {
 		return err
 	}
-	f.updateConfig(&c, d.Kinds[Configs].Rev)
-	f.applyList(Configs, Batch{Objects: []Object{{Name: "main", Config: &c}}, Rev: d.Kinds[Configs].Rev})
+	k := d.Kinds[Configs]
+	f.updateConfig(&c, k.Rev)
+	f.applyList(Configs, Batch{Objects: []Object{{Name: "main", Config: &c}}, Rev: k.Rev, Era: k.Era})
 	return nil
 }
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -56,7 +56,7 @@
 	ignoring     [kinds]bool // the last batch was ignored because it was older than what is known
 	histories    [kinds]history
 	era          uint64            // of the store as of its last answer, here; 0 before the first answer that names one
-	emptyWatch   [kinds]revision   // returned by a watch without changes, used only after maxWatchLag
+	emptyWatch   [kinds]emptyWatch // returned by a watch without changes, used only after maxWatchLag
 	lastOutage   clock.Time        // when the store last failed to answer, here or at the VM that is followed; 0 for never
 	answeredAt   [kinds]clock.Time // by Clock.Boot: when the store last answered a call about the kind
 	members      map[string]Member
@@ -156,11 +156,15 @@
 	if !listed {
 		return f.Relist(ctx, k)
 	}
-	b, err := f.Store.Watch(ctx, k, f.Revisions()[k], watchTimeout[k])
+	known := f.positions()[k]
+	b, err := f.Store.Watch(ctx, k, known.Rev, watchTimeout[k])
 	if err != nil {
 		return err
 	}
 	f.recordEra(k, b)
+	if b.Era != 0 && b.Era != known.Era {
+		return ErrHistoryDropped // the store has the revision again, but what came before it is not known
+	}
 	b.Rev = f.nextRevision(k, b)
 	f.applyChanges(k, b)
 	f.recordAnswer(k)
@@ -222,23 +226,27 @@
 	defer f.mu.Unlock()
 	now := f.Clock.Now()
 	if len(b.Objects) > 0 {
-		f.emptyWatch[k] = revision{}
+		f.emptyWatch[k] = emptyWatch{}
 		return b.Rev
 	}
-	rev, old := f.histories[k].rev, f.emptyWatch[k]
+	rev, old := f.histories[k].at.Rev, f.emptyWatch[k]
+	if old.era != f.histories[k].at.Era {
+		old = emptyWatch{}
+	}
 	if old.rev != 0 && now.Sub(old.at) >= maxWatchLag {
-		rev, old = max(rev, old.rev), revision{}
+		rev, old = max(rev, old.rev), emptyWatch{}
 	}
 	if old.rev == 0 {
-		old = revision{b.Rev, now}
+		old = emptyWatch{b.Rev, f.histories[k].at.Era, now}
 	}
 	f.emptyWatch[k] = old
 	return rev
 }
 
-// revision is a revision of the store and the time at which it was returned.
-type revision struct {
+// emptyWatch is the revision that a watch without changes returned, with its era and the time.
+type emptyWatch struct {
 	rev uint64
+	era uint64
 	at  clock.Time
 }
 
@@ -253,7 +261,7 @@
 	if f.era != 0 {
 		l = f.Log.Warn()
 	}
-	l.Stringer("kind", k).Uint64("era", b.Era).Uint64("before", f.era).Uint64("revision", b.Rev).Uint64("known", f.histories[k].rev).
+	l.Stringer("kind", k).Uint64("era", b.Era).Uint64("before", f.era).Uint64("revision", b.Rev).Uint64("known", f.histories[k].at.Rev).
 		Msg("feed: the store has another era; if there was one before, it came back from an older copy")
 	f.era = b.Era
 }
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -237,7 +237,7 @@
 	assert.Check(t, b.Fresh())
 	assert.Equal(t, len(b.Servers(9000, "s")), 1)
 	assert.Equal(t, len(b.Members()), 1)
-	assert.Equal(t, b.Revisions(), a.Revisions())
+	assert.Equal(t, b.positions(), a.positions())
 }
 
 // Guards against a reply whose configuration cannot be decoded: it must not prove that the old configuration is fresh, and its
@@ -353,7 +353,7 @@
 	}
 	s.lists[Servers] = Batch{Rev: 20, Objects: []Object{server("y", true), server("z", false), server("u", false)}}
 	assert.NilError(t, a.Relist(t.Context(), Servers))
-	d, err := a.ChangesSince(b.Revisions())
+	d, err := a.ChangesSince(b.Query("a").Revs, Eras{})
 	assert.NilError(t, err)
 	assert.Equal(t, len(d.Kinds[Servers].Snapshot), 0)
 	assert.Equal(t, len(d.Kinds[Servers].Objects), 3, "only the changes are passed on")
@@ -388,12 +388,12 @@
 	assert.NilError(t, b.Relist(t.Context(), Members))
 	s.lists[Members] = Batch{Rev: 8, Objects: []Object{member("a"), member("b")}}
 	assert.NilError(t, a.Relist(t.Context(), Members))
-	d, err := a.ChangesSince(b.Revisions())
+	d, err := a.ChangesSince(b.Query("a").Revs, Eras{})
 	assert.NilError(t, err)
 	assert.Check(t, d.Kinds[Members].Snapshot != nil)
 	assert.NilError(t, b.Apply(0, "a", d))
 	assert.Equal(t, len(b.Members()), 2)
-	d, err = a.ChangesSince(b.Revisions())
+	d, err = a.ChangesSince(b.Query("a").Revs, Eras{})
 	assert.NilError(t, err)
 	assert.Check(t, d.Kinds[Members].Snapshot == nil && len(d.Kinds[Members].Objects) == 0)
 }
--- /dev/null
+++ b/internal/feed/restored_test.go
@@ -0,0 +1,69 @@
+package feed
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"shallotrun/core/backend"
+	"shallotrun/core/catalog"
+	"shallotrun/core/clock"
+)
+
+// serverBatch returns a batch with servers of service s, at a position.
+func serverBatch(era, rev uint64, names ...string) Batch {
+	b := Batch{Era: era, Rev: rev}
+	for _, n := range names {
+		b.Objects = append(b.Objects, Object{Name: n, Server: &backend.Server{ID: n, Service: "s", Born: 1}})
+	}
+	return b
+}
+
+// names returns the servers of service s that may get requests once all grace periods have passed.
+func names(f *Feed) (out []string) {
+	for _, v := range f.Servers(f.Clock.Now().Add(clock.Minute), "s") {
+		out = append(out, v.ID)
+	}
+	return out
+}
+
+// Guards against VMs that keep objects which the store lost, or miss those that it has since, because a revision that was given out
+// twice is taken for the first one.
+func TestChangesOfAnotherEra(t *testing.T) {
+	tests := []struct {
+		name    string
+		follows Batch // what the VM that follows knew, in era 1
+		leads   Batch // what its upstream knew, in era 1
+		list    Batch // what the upstream lists in era 2
+		changes []Batch
+		want    []string
+	}{
+		{"lower revision", serverBatch(1, 30, "a", "lost"), serverBatch(1, 30, "a", "lost"), serverBatch(2, 20, "a"), nil, []string{"a"}},
+		{"same revision", serverBatch(1, 30, "a", "lost"), serverBatch(1, 30, "a", "lost"), serverBatch(2, 30, "a", "b"), nil, []string{"a", "b"}},
+		{"the upstream never knew what was lost", serverBatch(1, 30, "a", "lost"), serverBatch(1, 25, "a"), serverBatch(2, 20, "a"), nil, []string{"a"}},
+		{"changes up to the revision that is known", serverBatch(1, 30, "a"), serverBatch(1, 30, "a"), serverBatch(2, 20, "a"),
+			[]Batch{serverBatch(2, 25, "b"), serverBatch(2, 30, "c")}, []string{"a", "b", "c"}},
+		{"a list of the earlier era arrives late", serverBatch(1, 30, "a"), serverBatch(1, 30, "a"), serverBatch(2, 20, "a"),
+			[]Batch{serverBatch(1, 40, "late")}, []string{"a"}},
+	}
+	for _, tt := range tests {
+		a, b := synchronised(t, &catalog.Config{Version: 1}), synchronised(t, &catalog.Config{Version: 1})
+		a.applyList(Servers, tt.leads)
+		b.applyList(Servers, tt.follows)
+		a.applyList(Servers, tt.list)
+		for _, c := range tt.changes {
+			a.applyChanges(Servers, c)
+		}
+		d, err := a.Reply("b", b.Query("a"))
+		assert.NilError(t, err)
+		assert.NilError(t, b.Apply(9000, "a", d))
+		assert.Equal(t, fmt.Sprint(names(a)), fmt.Sprint(tt.want), tt.name)
+		assert.Equal(t, fmt.Sprint(names(b)), fmt.Sprint(tt.want), tt.name)
+		assert.Equal(t, a.positions(), b.positions(), tt.name)
+		d, err = b.Reply("a", a.Query("b"))
+		assert.NilError(t, err)
+		assert.Equal(t, len(d.Kinds[Servers].Objects), 0, tt.name)
+		assert.Check(t, d.Kinds[Servers].Snapshot == nil, "%s: all objects are sent again", tt.name)
+	}
+}
