feed: all kinds are listed as soon as one answer shows that the store came back from an older copy

A watch now ends when any answer shows another era, and its kind is listed. TestAllKindsAreListedInAnotherEra failed before: only the kind whose watch returned was listed within 5 s.

--- a/internal/feed/apply.go
+++ b/internal/feed/apply.go
@@ -22,6 +22,7 @@
 func (f *Feed) applyBatch(k Kind, b Batch, fits func(known Position) bool, update func(Kind, Batch), record func(*history, Batch)) {
 	f.applying[k].Lock()
 	defer f.applying[k].Unlock()
+	f.recordEra(k, b)
 	known := f.positions()[k]
 	if b.Era == 0 {
 		b.Era = known.Era // of a store without eras, or a VM of an earlier build
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -55,7 +55,7 @@
 	failing      [kinds]bool
 	ignoring     [kinds]bool // the last batch was ignored because it was older than what is known
 	histories    [kinds]history
-	era          uint64            // of the store as of its last answer, here; 0 before the first answer that names one
+	eras         eras
 	emptyWatch   [kinds]emptyWatch // returned by a watch without changes, used only after maxWatchLag
 	lastOutage   clock.Time        // when the store last failed to answer, here or at the VM that is followed; 0 for never
 	answeredAt   [kinds]clock.Time // by Clock.Boot: when the store last answered a call about the kind
@@ -156,15 +156,10 @@
 	if !listed {
 		return f.Relist(ctx, k)
 	}
-	known := f.positions()[k]
-	b, err := f.Store.Watch(ctx, k, known.Rev, watchTimeout[k])
+	b, err := f.watch(ctx, k)
 	if err != nil {
 		return err
 	}
-	f.recordEra(k, b)
-	if b.Era != 0 && b.Era != known.Era {
-		return ErrHistoryDropped // the store has the revision again, but what came before it is not known
-	}
 	b.Rev = f.nextRevision(k, b)
 	f.applyChanges(k, b)
 	f.recordAnswer(k)
@@ -178,6 +173,23 @@
 	return nil
 }
 
+// watch waits for changes of a kind. It returns ErrHistoryDropped if they do not follow on the known objects: the store has come back
+// from an older copy, so it may have the known revision again, and what it has up to there is not known.
+func (f *Feed) watch(ctx context.Context, k Kind) (Batch, error) {
+	known := f.positions()[k]
+	inEra, cancel := f.inEra(ctx, known.Era)
+	defer cancel()
+	b, err := f.Store.Watch(inEra, k, known.Rev, watchTimeout[k])
+	if err == nil {
+		f.recordEra(k, b)
+	}
+	switch {
+	case inEra.Err() != nil && ctx.Err() == nil, err == nil && b.Era != 0 && b.Era != known.Era:
+		return Batch{}, ErrHistoryDropped
+	}
+	return b, err
+}
+
 // Relist reads all objects of a kind from the store and replaces those that are known.
 func (f *Feed) Relist(ctx context.Context, k Kind) error {
 	return f.relist(ctx, k, f.listConsistency(k))
@@ -194,7 +206,6 @@
 	if err != nil {
 		return err
 	}
-	f.recordEra(k, b)
 	f.applyList(k, b)
 	f.recordAnswer(k)
 	if k == Configs {
@@ -250,22 +261,6 @@
 	at  clock.Time
 }
 
-// recordEra records the era of the store in an answer and logs a change.
-func (f *Feed) recordEra(k Kind, b Batch) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if b.Era == 0 || b.Era == f.era {
-		return
-	}
-	l := f.Log.Info()
-	if f.era != 0 {
-		l = f.Log.Warn()
-	}
-	l.Stringer("kind", k).Uint64("era", b.Era).Uint64("before", f.era).Uint64("revision", b.Rev).Uint64("known", f.histories[k].at.Rev).
-		Msg("feed: the store has another era; if there was one before, it came back from an older copy")
-	f.era = b.Era
-}
-
 // recordAnswer records that the store has just answered a call about a kind.
 func (f *Feed) recordAnswer(k Kind) {
 	f.mu.Lock()
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync"
 	"testing"
 	"time"
 
@@ -19,6 +20,7 @@
 
 // scriptedStore is a Store whose answers the test sets.
 type scriptedStore struct {
+	mu      sync.Mutex
 	lists   map[Kind]Batch
 	watches chan watchResult // one for each watch of the configuration; watches of the other kinds wait until ctx ends
 	orders  chan canary.Order
@@ -34,9 +36,18 @@
 	if s.listed != nil {
 		s.listed <- k
 	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	return s.lists[k], nil
 }
 
+// restore replaces the lists by those of a store that came back from an older copy.
+func (s *scriptedStore) restore(lists map[Kind]Batch) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lists = lists
+}
+
 func (s *scriptedStore) Watch(ctx context.Context, k Kind, _ uint64, _ clock.Span) (Batch, error) {
 	if k == Configs {
 		select {
--- a/internal/feed/restored_test.go
+++ b/internal/feed/restored_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -67,3 +68,28 @@
 		assert.Check(t, d.Kinds[Servers].Snapshot == nil, "%s: all objects are sent again", tt.name)
 	}
 }
+
+// Guards against a kind whose changes are missed for as long as its watch waits after the store came back from an older copy.
+func TestAllKindsAreListedInAnotherEra(t *testing.T) {
+	inEra := func(era uint64) map[Kind]Batch {
+		c := config(1)
+		c.Era = era
+		return map[Kind]Batch{Configs: c, Servers: {Era: era, Rev: 1}, Orders: {Era: era, Rev: 1}, Members: {Era: era, Rev: 1}}
+	}
+	s := &scriptedStore{lists: inEra(1), watches: make(chan watchResult), listed: make(chan Kind, 100)}
+	run(t, s)
+	for range kinds {
+		<-s.listed
+	}
+	s.restore(inEra(2))
+	s.watches <- watchResult{batch: Batch{Era: 2, Rev: 9}}
+	got := make(map[Kind]bool)
+	for range kinds {
+		select {
+		case k := <-s.listed:
+			got[k] = true
+		case <-time.After(5 * time.Second):
+		}
+	}
+	assert.Equal(t, len(got), int(kinds), "listed: %v", got)
+}
