feed: what is read from a store that came back older proves nothing until the lost configuration is written again

A VM that was cut off while a key was revoked, and the VMs that start then, read the older copy and took it for the newest configuration: a linearizable read is the proof of freshness by which keys are served, and the store had lost the revocation that it had acknowledged. Reads of the first two seconds of another era are no proofs any more, nor those of a VM that starts in an era after the first one without another VM to ask. Proofs of the era before and those of other VMs stay. What it costs: after an outage of three seconds requests with a key are refused for up to two more. TestRevokedKeyAfterTheStoreCameBackOlder and TestStartAfterTheStoreCameBackOlder failed before.

--- a/internal/feed/delta.go
+++ b/internal/feed/delta.go
@@ -250,7 +250,7 @@
 	}
 	// The other VM measured the ages after the query was sent, so counting them from then overestimates them at most.
 	if t := f.Config.Table(); t != nil && t.Config.Version >= d.Config {
-		f.Freshness.RecordRead(sent.Add(-d.ConfigAge))
+		f.Freshness.RecordProof(sent.Add(-d.ConfigAge))
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/feed/era.go
+++ b/internal/feed/era.go
@@ -36,6 +36,9 @@
 	if before != 0 {
 		l = f.Log.Warn()
 	}
+	if before != 0 || b.Era > firstEra {
+		f.Freshness.Distrust(f.Clock.Boot().Add(rewriteSpan))
+	}
 	l.Stringer("kind", k).Uint64("era", b.Era).Uint64("before", before).Uint64("revision", b.Rev).Uint64("known", f.histories[k].at.Rev).
 		Msg("feed: the store has another era; if there was one before, it came back from an older copy")
 }
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -153,7 +153,7 @@
 // readOnce lists or watches a kind once and applies the result.
 func (f *Feed) readOnce(ctx context.Context, k Kind, listed bool) error {
 	sent := f.Clock.Boot()
-	if !listed {
+	if !listed || k == Configs && f.Freshness.NeedsRead(sent) {
 		return f.Relist(ctx, k)
 	}
 	b, err := f.watch(ctx, k)
--- a/internal/feed/restored_test.go
+++ b/internal/feed/restored_test.go
@@ -93,3 +93,52 @@
 	}
 	assert.Equal(t, len(got), int(kinds), "listed: %v", got)
 }
+
+// Guards against a revoked key that is served again because the store lost the revocation: it came back from an older copy, and what
+// is read from it proves nothing until the operator has written again what it lost.
+func TestRevokedKeyAfterTheStoreCameBackOlder(t *testing.T) {
+	f := synchronised(t, &catalog.Config{Version: 6})
+	s, c := f.Store.(*scriptedStore), f.Clock
+	c.Advance(3000) // cut off; meanwhile the store accepts version 7, which revokes a key, and loses it
+	lost := config(6)
+	lost.Era, lost.Rev = 2, 5
+	f.eras.newest = 1
+	s.restore(map[Kind]Batch{Configs: lost})
+	assert.NilError(t, f.Relist(t.Context(), Configs))
+	c.Advance(1900)
+	assert.NilError(t, f.Relist(t.Context(), Configs))
+	assert.Check(t, !f.Fresh(), "a list of the older copy proves that the key is valid")
+
+	c.Advance(200)
+	written := config(7)
+	written.Era, written.Rev = 2, 6
+	s.restore(map[Kind]Batch{Configs: written})
+	assert.NilError(t, f.Relist(t.Context(), Configs))
+	assert.Check(t, f.Fresh())
+	assert.Equal(t, f.Config.Table().Config.Version, uint64(7))
+}
+
+// Guards against a VM that starts while the store has lost a revocation, and takes the copy for the newest configuration. A VM that
+// another one tells its proof does not wait.
+func TestStartAfterTheStoreCameBackOlder(t *testing.T) {
+	tests := []struct {
+		era  uint64
+		want bool
+	}{{0, true}, {firstEra, true}, {2, false}}
+	for _, tt := range tests {
+		b := config(6)
+		b.Era = tt.era
+		f := &Feed{Clock: clock.NewManual(9000), Store: &scriptedStore{lists: map[Kind]Batch{Configs: b}}}
+		f.Freshness.MaxAge = 5000
+		for k := range kinds {
+			assert.NilError(t, f.Relist(t.Context(), k))
+		}
+		assert.Equal(t, f.Fresh(), tt.want, "era %d", tt.era)
+
+		other := synchronised(t, &catalog.Config{Version: 6})
+		d, err := other.Reply("f", f.Query("other"))
+		assert.NilError(t, err)
+		assert.NilError(t, f.Apply(9000, "other", d))
+		assert.Check(t, f.Fresh(), "era %d", tt.era)
+	}
+}
