backend: what is known of a server outlives a store that came back from an older copy

The list of an older copy lacks servers that registered since, and shows those that announced their leave, or left, as ready; entries that are written again get a later revision, by which the oldest version of a service is found. After such a list a server that is missing has the grace period also if no call to the store had failed, one that is known to be leaving or gone gets no requests for 6 s unless it is written again, and a server keeps the revision of its first entry.

--- a/core/backend/set.go
+++ b/core/backend/set.go
@@ -1,12 +1,21 @@
 package backend
 
 import (
+	"maps"
 	"slices"
 	"strings"
 
 	"shallotrun/core/clock"
 )
 
+const (
+	// ghostSpan is how long after the store came back from an older copy an entry is not used whose server is known to be leaving or
+	// gone. A server that has ended is removed from the store after three missed heartbeats.
+	ghostSpan = 6 * clock.Second
+	// goneTTL is how long servers are remembered that were removed.
+	goneTTL = clock.Minute
+)
+
 // recoveryGrace is how long a server is kept whose entry expired during an outage of the store, from the end of the outage.
 const recoveryGrace = 1500 * clock.Millisecond
 
@@ -26,13 +35,29 @@
 // Set is the set of servers. The zero value is empty.
 type Set struct {
 	entries     map[string]*entry
-	unavailable bool       // the store does not answer
-	recoveredAt clock.Time // end of the last outage of the store, 0 before the first one
+	gone        map[string]removal // by server
+	unavailable bool               // the store does not answer
+	recoveredAt clock.Time         // end of the last outage of the store, 0 before the first one
+	restoredAt  clock.Time         // when the store last came back from an older copy, 0 for never
 }
 
 type entry struct {
 	Server
 	missingSince clock.Time // start of the grace period of an entry that is not listed, 0 while it is listed
+	hiddenUntil  clock.Time // the entry is older than what is known of the server, and not used before, 0 for always
+}
+
+// removal is a server that was removed.
+type removal struct {
+	Server
+	at clock.Time
+}
+
+// Restored records that the store came back from an older copy. The next list may lack servers that live, and show others as they
+// were before they left.
+func (s *Set) Restored(now clock.Time) {
+	s.restoredAt = now
+	s.StoreUnavailable() // servers that are not listed get the grace period
 }
 
 // Replace applies a complete list of the store: it puts the listed servers and removes all others.
@@ -41,7 +66,11 @@
 	listed := make(map[string]bool, len(list))
 	for _, v := range list {
 		listed[v.ID] = true
+		outdated := s.isOutdated(now, v)
 		s.Put(now, v)
+		if outdated {
+			s.entries[v.ID].hiddenUntil = s.restoredAt.Add(ghostSpan)
+		}
 	}
 	for id := range s.entries {
 		if !listed[id] {
@@ -56,9 +85,42 @@
 	if s.entries == nil {
 		s.entries = make(map[string]*entry)
 	}
+	v.Made = s.Made(v)
+	delete(s.gone, v.ID)
 	s.entries[v.ID] = &entry{Server: v}
 }
 
+// Made returns the revision at which a server registered, as far as this set knows: one whose entry was lost and written again keeps
+// that of its first entry. v is what the store has.
+func (s *Set) Made(v Server) uint64 {
+	if known, ok := s.last(v.ID); ok && known.Born == v.Born && v.Born != 0 {
+		return known.Made
+	}
+	return v.Made
+}
+
+// last returns what was last known of a server, also if it was removed.
+func (s *Set) last(id string) (Server, bool) {
+	if e := s.entries[id]; e != nil {
+		return e.Server, true
+	}
+	r, ok := s.gone[id]
+	return r.Server, ok
+}
+
+// isOutdated reports whether a listed entry is older than what is known of its server: the store has just come back from an older
+// copy, and the server is known to be leaving or gone.
+func (s *Set) isOutdated(now clock.Time, v Server) bool {
+	if s.restoredAt == 0 || now.Sub(s.restoredAt) >= ghostSpan || v.Leaving {
+		return false
+	}
+	if e := s.entries[v.ID]; e != nil {
+		return e.Born == v.Born && (e.Leaving || e.hiddenUntil != 0)
+	}
+	r, ok := s.gone[v.ID]
+	return ok && r.Born == v.Born
+}
+
 // Remove applies the removal of an entry from the store.
 func (s *Set) Remove(now clock.Time, id string) {
 	s.markAvailable(now)
@@ -76,10 +138,10 @@
 func (s *Set) Servers(now clock.Time, service string) (out []Server) {
 	for id, e := range s.entries {
 		if e.missingSince != 0 && now.Sub(e.missingSince) >= recoveryGrace {
-			delete(s.entries, id)
+			s.drop(now, id)
 			continue
 		}
-		if e.Service == service && !e.Leaving {
+		if e.Service == service && !e.Leaving && now >= e.hiddenUntil {
 			out = append(out, e.Server)
 		}
 	}
@@ -104,10 +166,20 @@
 		return
 	}
 	if s.recoveredAt == 0 || now.Sub(s.recoveredAt) >= recoveryGrace || e.Leaving {
-		delete(s.entries, id)
+		s.drop(now, id)
 		return
 	}
 	if e.missingSince == 0 {
 		e.missingSince = s.recoveredAt
 	}
 }
+
+// drop removes an entry and remembers its server for a while.
+func (s *Set) drop(now clock.Time, id string) {
+	maps.DeleteFunc(s.gone, func(_ string, r removal) bool { return now.Sub(r.at) >= goneTTL })
+	if s.gone == nil {
+		s.gone = make(map[string]removal)
+	}
+	s.gone[id] = removal{s.entries[id].Server, now}
+	delete(s.entries, id)
+}
--- a/internal/feed/apply.go
+++ b/internal/feed/apply.go
@@ -55,15 +55,7 @@
 	now := f.Clock.Now()
 	switch k {
 	case Servers:
-		var all []backend.Server
-		for _, o := range b.Objects {
-			if o.Server != nil {
-				all = append(all, *o.Server)
-			}
-		}
-		f.mu.Lock()
-		f.servers.Replace(now, all)
-		f.mu.Unlock()
+		f.replaceServers(now, b, f.inAnotherEra(k, b))
 	case Configs:
 		f.updateObjects(k, b)
 	case Orders:
@@ -81,6 +73,37 @@
 	f.Log.Info().Stringer("kind", k).Int("objects", len(b.Objects)).Uint64("revision", b.Rev).Uint64("era", b.Era).Msg("feed: listed")
 }
 
+// inAnotherEra reports whether a list is the first one after the store came back from an older copy.
+func (f *Feed) inAnotherEra(k Kind, b Batch) bool {
+	known := f.positions()[k]
+	return known.Era != 0 && b.Era != known.Era
+}
+
+// replaceServers replaces all backend servers. restored means that the store came back from an older copy.
+func (f *Feed) replaceServers(now clock.Time, b Batch, restored bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if restored {
+		f.servers.Restored(now)
+	}
+	var all []backend.Server
+	for _, o := range b.Objects {
+		if o.Server != nil {
+			f.keepMade(o.Server)
+			all = append(all, *o.Server)
+		}
+	}
+	f.servers.Replace(now, all)
+}
+
+// keepMade sets the revision at which a server registered to that of its first entry, also for the VMs that follow this one. f.mu is
+// held.
+func (f *Feed) keepMade(v *backend.Server) {
+	if made := f.servers.Made(*v); made != v.Made {
+		v.Made = made
+	}
+}
+
 // updateObjects applies changed objects of a kind.
 func (f *Feed) updateObjects(k Kind, b Batch) {
 	now := f.Clock.Now()
@@ -125,6 +148,7 @@
 		f.Log.Info().Str("server", o.Name).Uint64("revision", rev).Bool("removed", o.Removed).Msg("feed: backend server removed")
 		return
 	}
+	f.keepMade(o.Server)
 	f.servers.Put(now, *o.Server)
 	f.Log.Info().Str("server", o.Name).Str("addr", o.Server.Addr).Str("version", o.Server.Version).Uint64("revision", rev).
 		Bool("leaving", o.Server.Leaving).Msg("feed: backend server changed")
--- a/internal/feed/restored_test.go
+++ b/internal/feed/restored_test.go
@@ -142,3 +142,27 @@
 		assert.Check(t, f.Fresh(), "era %d", tt.era)
 	}
 }
+
+// Guards against requests to a server that is known to leave, and against VMs that drop servers whose entries the store lost, at the
+// VM that reads the store and at one that follows it.
+func TestServersOfAnOlderCopy(t *testing.T) {
+	a, b := synchronised(t, &catalog.Config{Version: 1}), synchronised(t, &catalog.Config{Version: 1})
+	copied := serverBatch(2, 20, "a", "leaves")
+	for _, f := range []*Feed{a, b} {
+		f.applyList(Servers, serverBatch(1, 30, "a", "leaves", "late"))
+		left := serverBatch(1, 31, "leaves")
+		left.Objects[0].Server.Leaving = true
+		f.applyChanges(Servers, left)
+	}
+	a.applyList(Servers, copied)
+	d, err := a.Reply("b", b.Query("a"))
+	assert.NilError(t, err)
+	assert.NilError(t, b.Apply(9000, "a", d))
+	for _, f := range []*Feed{a, b} {
+		got := []string{}
+		for _, v := range f.Servers(f.Clock.Now().Add(clock.Second), "s") {
+			got = append(got, v.ID)
+		}
+		assert.DeepEqual(t, got, []string{"a", "late"})
+	}
+}
