feed: an order outlives a store that came back from an older copy

An order that was created in the lost span was forgotten, and an order whose state was lost was carried out again: its rollout is found by the revision at which it was created, which differs when it is written again, so the results and the verdict on a bad version were gone, and a state that is written once was never written again. Reports between VMs name the era of their order, and a conditional write of an earlier era is not sent. TestOrderOfAnOlderCopy; with the list of the other era applied as before it fails at an order that is missing in the copy.

--- a/core/canary/types.go
+++ b/core/canary/types.go
@@ -22,6 +22,7 @@
 	Started        clock.Time // wall-clock time at which the first VM saw the order, 0 if unknown
 	Rev            uint64     // revision of the object in the store, for conditional updates
 	CreateRevision uint64     `cbor:"Made"` // revision of the store at which the order was created
+	Era            uint64     // of both revisions, 0 if it is not known
 }
 
 // Result is the result of one request to a backend server.
--- a/internal/feed/apply.go
+++ b/internal/feed/apply.go
@@ -59,6 +59,10 @@
 	case Configs:
 		f.updateObjects(k, b)
 	case Orders:
+		if f.inAnotherEra(k, b) {
+			f.Orders.restore(now, f.Clock.Wall(), b.Objects)
+			break
+		}
 		f.Orders.retain(b.Objects)
 		f.updateObjects(k, b)
 	default:
--- a/internal/feed/era.go
+++ b/internal/feed/era.go
@@ -36,6 +36,9 @@
 	if before != 0 {
 		l = f.Log.Warn()
 	}
+	if before != 0 {
+		f.lastOutage = f.Clock.Now()
+	}
 	if before != 0 || b.Era > firstEra {
 		f.Freshness.Distrust(f.Clock.Boot().Add(rewriteSpan))
 	}
--- a/internal/feed/restored_test.go
+++ b/internal/feed/restored_test.go
@@ -8,6 +8,7 @@
 	"gotest.tools/v3/assert"
 
 	"shallotrun/core/backend"
+	"shallotrun/core/canary"
 	"shallotrun/core/catalog"
 	"shallotrun/core/clock"
 )
@@ -166,3 +167,65 @@
 		assert.DeepEqual(t, got, []string{"a", "late"})
 	}
 }
+
+// Guards against an order that is forgotten, carried out again or finished without its results when the store comes back from an
+// older copy: a version that was found to be bad gets requests again.
+func TestOrderOfAnOlderCopy(t *testing.T) {
+	order := func(era, made, rev uint64, target string, s canary.State) canary.Order {
+		return canary.Order{
+			Service: "s", Target: target, Duration: clock.Minute, State: s, Started: 5000, Rev: rev, CreateRevision: made, Era: era,
+		}
+	}
+	list := func(era uint64, in ...canary.Order) Batch {
+		b := Batch{Era: era, Rev: 50 - 10*era}
+		for _, o := range in {
+			b.Objects = append(b.Objects, Object{Name: o.Service, Order: &o})
+		}
+		return b
+	}
+	const running, done, rolledBack = canary.Running, canary.Done, canary.RolledBack
+	known := order(1, 38, 39, "v2", running)
+	tests := []struct {
+		name   string
+		known  canary.Order
+		copied []canary.Order
+		event  *canary.Order // written after the list
+		after  clock.Span
+		want   string // target and state in force, and the state that is to be written with its condition
+		same   bool   // the rollout goes on with its results
+	}{
+		{"rolled back, lost", order(1, 10, 39, "v2", rolledBack), []canary.Order{order(2, 10, 12, "v2", running)}, nil, 0, "v2 rolled back, rolled back 12", true},
+		{"done, lost", order(1, 10, 39, "v2", done), []canary.Order{order(2, 10, 12, "v2", canary.New)}, nil, 0, "v2 done, done 12", true},
+		{"running, lost", order(1, 10, 39, "v2", running), []canary.Order{order(2, 10, 10, "v2", canary.New)}, nil, 0, "v2 running, running 10", true},
+		{"missing", known, nil, nil, rewriteSpan - 1, "v2 running, ", true},
+		{"missing for good", known, nil, nil, rewriteSpan, "", false},
+		{"missing and written again", known, nil, &canary.Order{Service: "s", Target: "v2", Duration: clock.Minute, Rev: 34, CreateRevision: 34, Era: 2}, 9000, "v2 running, running 34", true},
+		{"an earlier one in its place", known, []canary.Order{order(2, 5, 6, "v1", done)}, nil, rewriteSpan - 1, "v2 running, ", true},
+		{"an earlier one in its place for good", known, []canary.Order{order(2, 5, 6, "v1", done)}, nil, rewriteSpan, "v1 done, ", false},
+		{"another one is written", known, []canary.Order{order(2, 5, 6, "v1", done)}, &canary.Order{Service: "s", Target: "v3", Duration: clock.Minute, Rev: 34, CreateRevision: 34, Era: 2}, 0, "v3 new, running 34", false},
+		{"the revision is another order's now", known, nil, &canary.Order{Service: "s", Target: "v3", Duration: clock.Minute, Rev: 38, CreateRevision: 38, Era: 2}, 0, "v3 new, running 38", false},
+		{"final in the store", known, []canary.Order{order(2, 10, 12, "v2", rolledBack)}, nil, 0, "v2 rolled back, ", true},
+	}
+	for _, tt := range tests {
+		f := synchronised(t, &catalog.Config{Version: 1})
+		f.applyList(Orders, list(1, tt.known))
+		before := f.Orders.find("s")
+		f.applyList(Orders, list(2, tt.copied...))
+		if tt.event != nil {
+			f.applyChanges(Orders, Batch{Era: 2, Rev: 40, Objects: []Object{{Name: "s", Order: tt.event}}})
+		}
+		now := f.Clock.Now().Add(tt.after)
+		f.Orders.Choose(now, "s", "", nil)
+		got := ""
+		if r := f.Orders.find("s"); r != nil {
+			got = fmt.Sprintf("%s %s, ", r.Order.Target, r.Order.State)
+			assert.Equal(t, r == before, tt.same, tt.name)
+		}
+		orders, _ := f.Orders.due(now, f.Clock.Wall())
+		for _, o := range orders {
+			got += fmt.Sprint(o.State, " ", o.Rev)
+			assert.Equal(t, o.Era, uint64(2), tt.name)
+		}
+		assert.Equal(t, got, tt.want, tt.name)
+	}
+}
--- a/internal/feed/rollouts.go
+++ b/internal/feed/rollouts.go
@@ -20,8 +20,16 @@
 	Share float64
 
 	mu       sync.Mutex
-	rollouts map[string]*canary.Rollout // by object name
-	peers    map[string]peerReports     // by name of a VM that follows this one, and upstream
+	rollouts map[string]*heldOrder  // by object name
+	peers    map[string]peerReports // by name of a VM that follows this one, and upstream
+}
+
+// heldOrder is an order in force with its rollout. The store may have lost the order, or a later state of it.
+type heldOrder struct {
+	*canary.Rollout
+	stored    canary.State  // state in the store
+	keepUntil clock.Time    // until when an order that the store lost stays in force, 0 for one that the store has
+	next      *canary.Order // what the store has in place of an order that it lost, nil for nothing
 }
 
 // peerReports are the latest reports of another VM.
@@ -41,11 +49,17 @@
 type OrderReport struct {
 	Service        string
 	CreateRevision uint64 `cbor:"Made"` // revision of the store at which the order was created
+	Era            uint64 // of that revision, 0 if it is not known
 	Tallies        []canary.Tally
 	Times          []canary.Times // baseline times of the old version
 	Verdict        string         // why the new version is bad, "" if it is not known to be
 }
 
+// sameOrder reports whether two reports are of the same order. The store may give a revision out twice, in different eras.
+func (o OrderReport) sameOrder(p OrderReport) bool {
+	return o.Service == p.Service && o.CreateRevision == p.CreateRevision && (o.Era == p.Era || o.Era == 0 || p.Era == 0)
+}
+
 // Report returns the reports of the running orders, with the results of this VM and of those that follow it.
 func (b *Rollouts) Report(now clock.Time) []OrderReport {
 	b.mu.Lock()
@@ -57,7 +71,10 @@
 func (b *Rollouts) ownReports() (out []OrderReport) {
 	for _, r := range b.rollouts {
 		if r.Order.State == canary.Running {
-			out = append(out, OrderReport{r.Order.Service, r.Order.CreateRevision, r.Tallies(), r.Times(), r.Verdict()})
+			out = append(out, OrderReport{
+				Service: r.Order.Service, CreateRevision: r.Order.CreateRevision, Era: r.Order.Era,
+				Tallies: r.Tallies(), Times: r.Times(), Verdict: r.Verdict(),
+			})
 		}
 	}
 	return out
@@ -90,7 +107,7 @@
 		r := b.rollouts[own.Service]
 		r.Merge(b.sumTallies(now, own, nil, func(string) bool { return true }))
 		for _, p := range reports {
-			if p.Service == own.Service && p.CreateRevision == own.CreateRevision {
+			if p.sameOrder(own) {
 				r.AdoptTimes(p.Times)
 				r.AdoptVerdict(p.Verdict)
 			}
@@ -118,7 +135,7 @@
 			continue
 		}
 		for _, p := range peer.reports {
-			if p.Service == o.Service && p.CreateRevision == o.CreateRevision {
+			if p.sameOrder(o) {
 				series = append(series, p.Tallies)
 			}
 		}
@@ -130,6 +147,7 @@
 func (b *Rollouts) Choose(now clock.Time, service, session string, all []backend.Server) []backend.Server {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.dropLost(now)
 	r := b.find(service)
 	if r == nil {
 		return oldestVersion(all)
@@ -168,32 +186,61 @@
 func (b *Rollouts) find(service string) *canary.Rollout {
 	for _, r := range b.rollouts {
 		if r.Order.Service == service {
-			return r
+			return r.Rollout
 		}
 	}
 	return nil
 }
 
-// put stores an order as read from the store, and reports whether it is new or its state changed. The rollout of a new order that
-// another VM started begins at that start.
+// put stores an order as read from the store, and reports whether it is new or its state changed.
 func (b *Rollouts) put(now, wall clock.Time, o canary.Order) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	return b.putOrder(now, wall, o)
+}
+
+// putOrder is put with b.mu held. The rollout of a new order that another VM started begins at that start. An order that the store
+// lost and has again keeps its rollout and its state: the results of the new version still count, and a bad one stays rolled back.
+func (b *Rollouts) putOrder(now, wall clock.Time, o canary.Order) bool {
 	if b.rollouts == nil {
-		b.rollouts = make(map[string]*canary.Rollout)
+		b.rollouts = make(map[string]*heldOrder)
 	}
 	r := b.rollouts[o.Service]
-	if r == nil || r.Order.Target != o.Target || r.Order.CreateRevision != o.CreateRevision {
+	if r == nil || !continues(r.Order, o) {
 		seen := now
 		if age := wall.Sub(o.Started); o.Started != 0 && age > 0 && age < o.Duration {
 			seen = now.Add(-age)
 		}
-		b.rollouts[o.Service] = &canary.Rollout{Order: o, FirstSeen: seen, Share: b.Share}
+		b.rollouts[o.Service] = &heldOrder{Rollout: &canary.Rollout{Order: o, FirstSeen: seen, Share: b.Share}, stored: o.State}
 		return true
 	}
-	changed := r.Order.State != o.State
+	before := r.Order.State
+	r.stored, r.keepUntil, r.next = o.State, 0, nil
+	o.State = laterState(before, o.State)
+	if o.Started == 0 {
+		o.Started = r.Order.Started
+	}
 	r.Order = o
-	return changed
+	return before != o.State
+}
+
+// continues reports whether o is the order that is known: the same object, or the first one with its target in a later era.
+func continues(known, o canary.Order) bool {
+	if known.Target != o.Target {
+		return false
+	}
+	if known.Era == o.Era || known.Era == 0 || o.Era == 0 {
+		return known.CreateRevision == o.CreateRevision
+	}
+	return known.Era < o.Era
+}
+
+// laterState returns the later state of an order: that in the store if it is final, else the one that is known.
+func laterState(known, stored canary.State) canary.State {
+	if stored == canary.Done || stored == canary.RolledBack {
+		return stored
+	}
+	return max(known, stored)
 }
 
 func (b *Rollouts) remove(name string) {
@@ -217,13 +264,49 @@
 	}
 }
 
-// due returns the orders whose state has to change, with their new states, and the reason for each.
+// restore applies the list of a store that came back from an older copy. An order that it lost, or in place of which it has an earlier
+// one, stays in force for rewriteSpan: until then it is written again.
+func (b *Rollouts) restore(now, wall clock.Time, objects []Object) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	listed := make(map[string]*canary.Order)
+	for _, o := range objects {
+		if o.Order != nil {
+			listed[o.Order.Service] = o.Order
+		}
+	}
+	for name, r := range b.rollouts {
+		if o := listed[name]; o == nil || !continues(r.Order, *o) {
+			r.keepUntil, r.next = now.Add(rewriteSpan), o
+			delete(listed, name)
+		}
+	}
+	for _, o := range listed {
+		b.putOrder(now, wall, *o)
+	}
+}
+
+// dropLost ends the orders that the store lost and nobody has written again.
+func (b *Rollouts) dropLost(now clock.Time) {
+	for name, r := range b.rollouts {
+		if r.keepUntil == 0 || now < r.keepUntil {
+			continue
+		}
+		delete(b.rollouts, name)
+		if r.next != nil {
+			b.putOrder(now, 0, *r.next)
+		}
+	}
+}
+
+// due returns the orders whose state in the store has to change, with their new states, and the reason for each.
 func (b *Rollouts) due(now, wall clock.Time) (out []canary.Order, reasons []string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.dropLost(now)
 	for _, r := range b.rollouts {
 		state, reason := r.Decide(now)
-		if state == r.Order.State {
+		if state == r.stored || r.keepUntil != 0 {
 			continue
 		}
 		o := r.Order
@@ -231,6 +314,9 @@
 		if o.Started == 0 {
 			o.Started = wall
 		}
+		if state == r.Order.State {
+			reason = "the store lost this state"
+		}
 		out, reasons = append(out, o), append(reasons, reason)
 	}
 	return out, reasons
