feed: a VM that has everything from another one has its proof of freshness too

TestStartTogether failed once under the race detector: a VM had listed all kinds and was not fresh. Trace: Apply listed the last kind, by which the VM serves requests, and recorded the other VM's proof after the orders, loads, crashes and limits; requests with a key in between were refused as stale. A pause of 20 ms there made the test fail on three VMs, and pass with the order changed: the proof follows the configuration.

--- a/internal/feed/delta.go
+++ b/internal/feed/delta.go
@@ -222,6 +222,11 @@
 	if d.PackedConfig != nil {
 		faults = append(faults, f.applyConfig(d))
 	}
+	// The other VM measured the age after the query was sent, so counting it from then overestimates it at most. The proof is recorded
+	// before the other kinds: a VM that has listed them all serves requests.
+	if t := f.Config.Table(); t != nil && t.Config.Version >= d.Config {
+		f.Freshness.RecordProof(sent.Add(-d.ConfigAge))
+	}
 	for k := range kinds {
 		if k == Configs {
 			continue
@@ -248,10 +253,6 @@
 	if err := errors.Join(faults...); err != nil {
 		return err
 	}
-	// The other VM measured the ages after the query was sent, so counting them from then overestimates them at most.
-	if t := f.Config.Table(); t != nil && t.Config.Version >= d.Config {
-		f.Freshness.RecordProof(sent.Add(-d.ConfigAge))
-	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, k := range []Kind{Configs, Servers} {
