follow: the VMs' entries and secret outlive a store that came back from an older copy

A copy that is older than the VMs' entries made every VM read the store, since the list of VMs that can be followed was empty; one that is older than the secret left the fleet with a secret that the store lacks, and VMs that started wrote another one, with which no older VM lets them in. Stale reads of the secret are only made at a start. TestEntriesAndSecretOutliveAnOlderCopy failed before (the secret was never written again, 3 VMs read the store), and TestTwoSecretsAfterAnOlderCopy (VMs that started stayed alone).

--- a/internal/feed/apply.go
+++ b/internal/feed/apply.go
@@ -66,9 +66,7 @@
 		f.Orders.retain(b.Objects)
 		f.updateObjects(k, b)
 	default:
-		f.mu.Lock()
-		f.members = make(map[string]Member)
-		f.mu.Unlock()
+		f.replaceMembers(now, f.inAnotherEra(k, b))
 		f.updateObjects(k, b)
 	}
 	f.mu.Lock()
@@ -100,6 +98,21 @@
 	f.servers.Replace(now, all)
 }
 
+// replaceMembers removes the entries of all VMs, before those that are listed are added. If the store came back from an older copy,
+// they stay for rewriteSpan, in which they are written again.
+func (f *Feed) replaceMembers(now clock.Time, restored bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !restored {
+		f.members, f.lostMembers = make(map[string]Member), nil
+		return
+	}
+	f.lostMembers = make(map[string]clock.Time)
+	for name := range f.members {
+		f.lostMembers[name] = now.Add(rewriteSpan)
+	}
+}
+
 // keepMade sets the revision at which a server registered to that of its first entry, also for the VMs that follow this one. f.mu is
 // held.
 func (f *Feed) keepMade(v *backend.Server) {
@@ -165,6 +178,7 @@
 	if f.members == nil {
 		f.members = make(map[string]Member)
 	}
+	delete(f.lostMembers, o.Name)
 	if o.Removed || o.Member == nil {
 		delete(f.members, o.Name)
 		return
--- a/internal/feed/era.go
+++ b/internal/feed/era.go
@@ -46,6 +46,13 @@
 		Msg("feed: the store has another era; if there was one before, it came back from an older copy")
 }
 
+// Era returns the era of the store as of its last answer, here or at the VM that is followed, 0 before the first one.
+func (f *Feed) Era() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.eras.newest
+}
+
 // inEra returns a context that ends when the store has another era than the given one, unless that is not known: all kinds are listed
 // then, and a watch that waits for changes would delay that. The returned function must be called.
 func (f *Feed) inEra(ctx context.Context, era uint64) (context.Context, context.CancelFunc) {
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -60,7 +60,8 @@
 	lastOutage   clock.Time        // when the store last failed to answer, here or at the VM that is followed; 0 for never
 	answeredAt   [kinds]clock.Time // by Clock.Boot: when the store last answered a call about the kind
 	members      map[string]Member
-	packedConfig packedCache // of the configuration in use
+	lostMembers  map[string]clock.Time // by VM whose entry the store lost: until when it stays
+	packedConfig packedCache           // of the configuration in use
 }
 
 // Run keeps the objects up to date, and decides orders, until ctx ends.
@@ -270,8 +271,15 @@
 
 // Members returns the VMs that have an entry in the store, in no particular order.
 func (f *Feed) Members() (out []Member) {
+	now := f.Clock.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	for name, until := range f.lostMembers {
+		if now >= until {
+			delete(f.lostMembers, name)
+			delete(f.members, name)
+		}
+	}
 	for _, m := range f.members {
 		out = append(out, m)
 	}
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -68,9 +68,11 @@
 	return ErrConflict
 }
 
-func (s *scriptedStore) Join(context.Context, Member) error                 { return nil }
-func (s *scriptedStore) Leave(context.Context, string) error                { return nil }
-func (s *scriptedStore) Secret(_ context.Context, p []byte) ([]byte, error) { return p, nil }
+func (s *scriptedStore) Join(context.Context, Member) error  { return nil }
+func (s *scriptedStore) Leave(context.Context, string) error { return nil }
+func (s *scriptedStore) Secret(_ context.Context, p []byte, _ Consistency) ([]byte, error) {
+	return p, nil
+}
 
 func config(version uint64) Batch {
 	return Batch{Rev: version, Objects: []Object{{Name: "main", Config: &catalog.Config{Version: version}}}}
--- a/internal/feed/store.go
+++ b/internal/feed/store.go
@@ -77,8 +77,9 @@
 	// Join writes the entry of a VM, Leave removes it.
 	Join(ctx context.Context, m Member) error
 	Leave(ctx context.Context, name string) error
-	// Secret returns the secret that the VMs share. The first call of any VM stores its proposal as the secret.
-	Secret(ctx context.Context, proposal []byte) ([]byte, error)
+	// Secret returns the secret that the VMs share. The first call of any VM stores its proposal as the secret. The secret changes only
+	// when the store comes back from a copy that is older than it, so otherwise a stale one is valid.
+	Secret(ctx context.Context, proposal []byte, c Consistency) ([]byte, error)
 }
 
 // String returns the name of the kind for log lines.
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -190,7 +190,7 @@
 	return nil
 }
 
-func (v *view) Secret(_ context.Context, p []byte) ([]byte, error) {
+func (v *view) Secret(_ context.Context, p []byte, _ feed.Consistency) ([]byte, error) {
 	v.store.mu.Lock()
 	defer v.store.mu.Unlock()
 	if v.hidden {
--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -62,8 +62,9 @@
 	delegationChanged chan struct{}         // closed when delegated changes
 	lastAnswer        clock.Time            // when a poll last got a usable answer
 	followers         followerTable
-	joining           bool // the entry of this VM is being written, or was a moment ago
-	nextAlternative   int  // counts the polls of other VMs while the upstream gets no answer from the store
+	secretEra         uint64 // era of the store in which the secret was last known to be in it, 0 before the first one
+	joining           bool   // the entry of this VM is being written, or was a moment ago
+	nextAlternative   int    // counts the polls of other VMs while the upstream gets no answer from the store
 }
 
 // Init prepares the follower. It is called once, before the feed runs.
@@ -103,6 +104,7 @@
 		}
 		f.setUpstream(name)
 		f.Feed.Loads.Refresh(f.Clock.Now())
+		f.checkSecret(ctx)
 		f.maintainEntries(ctx)
 		select {
 		case <-ctx.Done():
--- a/internal/follow/restored_test.go
+++ b/internal/follow/restored_test.go
@@ -65,3 +65,57 @@
 		})
 	}
 }
+
+// Guards against a fleet that falls apart when the store comes back from a copy that is older than the VMs' entries and their secret:
+// all VMs would read the store, and VMs that start would not be let in.
+func TestEntriesAndSecretOutliveAnOlderCopy(t *testing.T) {
+	s := newStore()
+	before := s.copy()
+	all := fleet(t, s, "a", "b", "c", "e")
+	waitFor(t, "one VM reads the store", func() bool { return storeReader(all) != nil })
+	s.configure(6)
+	inForce(t, all, 6)
+	entries := len(s.copy().members)
+	secret := string(s.copy().secret)
+	assert.Check(t, entries > 0 && secret != "")
+	for range 2 {
+		s.restore(before)
+		for end := time.Now().Add(5 * time.Second); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+			assert.Assert(t, readers(all) <= 2, "%d VMs read the store", readers(all))
+		}
+		assert.Check(t, len(s.copy().members) >= entries, "%d of %d entries are written again", len(s.copy().members), entries)
+		assert.Equal(t, string(s.copy().secret), secret)
+	}
+	late := fleet(t, s, "f")
+	waitFor(t, "the VM that starts follows another one", func() bool { return late[0].following() != "" || storeReader(append(all, late...)) == late[0] })
+}
+
+// Guards against VMs that do not let each other in because one of them started while the store had lost the secret, and wrote its own.
+func TestTwoSecretsAfterAnOlderCopy(t *testing.T) {
+	s := newStore()
+	all := fleet(t, s, "a", "b", "c")
+	waitFor(t, "one VM reads the store", func() bool { return storeReader(all) != nil })
+	c := s.copy()
+	c.secret = []byte("the secret of a VM that started in between")
+	s.restore(c)
+	all = append(all, fleet(t, s, "e", "f")...)
+	since := time.Now()
+	waitFor(t, "one VM reads the store again, and goes on to be the only one", func() bool {
+		if readers(all) != 1 {
+			since = time.Now()
+		}
+		return time.Since(since) > 2*time.Second
+	})
+	s.configure(9)
+	inForce(t, all, 9)
+}
+
+// readers returns the number of VMs that follow no other.
+func readers(all []*vm) (n int) {
+	for _, m := range all {
+		if m.following() == "" {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/follow/start.go
+++ b/internal/follow/start.go
@@ -44,9 +44,10 @@
 	}
 	for ctx.Err() == nil {
 		found, err := f.discover(ctx)
+		f.setSecretEra(f.Feed.Era()) // before the secret is read
 		var secret []byte
 		if err == nil {
-			secret, err = f.Feed.Store.Secret(ctx, proposal)
+			secret, err = f.Feed.Store.Secret(ctx, proposal, feed.Stale)
 		}
 		if err == nil {
 			f.transport = &peer.Transport{
--- a/io/peer/handshake.go
+++ b/io/peer/handshake.go
@@ -106,7 +106,7 @@
 // proofs returns one proof for each of the sender's keys, because the receiver may hold only one of them.
 func (t *Transport) proofs(role string, dialler, acceptor endpoint) [][]byte {
 	var ps [][]byte
-	for _, k := range t.Keys {
+	for _, k := range t.keys() {
 		ps = append(ps, proof(k, role, dialler, acceptor))
 	}
 	return ps
@@ -114,10 +114,10 @@
 
 // verifyProofs reports whether one of the proofs was made with one of the accepted keys.
 func (t *Transport) verifyProofs(ps [][]byte, role string, dialler, acceptor endpoint) bool {
-	if len(ps) > 2 || len(dialler.nonce) != sha256.Size || len(acceptor.nonce) != sha256.Size {
+	if len(ps) > maxKeys || len(dialler.nonce) != sha256.Size || len(acceptor.nonce) != sha256.Size {
 		return false
 	}
-	for _, k := range t.Keys {
+	for _, k := range t.keys() {
 		for _, p := range ps {
 			if hmac.Equal(p, proof(k, role, dialler, acceptor)) {
 				return true
--- a/io/peer/transport.go
+++ b/io/peer/transport.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"bytes"
 	"context"
 	"math/rand/v2"
 	"strings"
@@ -44,7 +45,7 @@
 	Name              string
 	Source            string     // local IP address of outgoing connections, "" for any
 	Incarnation       uint64     // incarnation of this process
-	Keys              [][]byte   // the fleet's key, followed by the previous one while it is still accepted
+	Keys              [][]byte   // the fleet's key, followed by the previous one while it is still accepted; guarded by mu after Run
 	HeartbeatInterval clock.Span // time between heartbeats
 	Handler           Handler
 	Log               zerolog.Logger
@@ -71,6 +72,33 @@
 	conn       *connection // guarded by Transport.mu
 }
 
+// maxKeys is the number of keys that are accepted.
+const maxKeys = 2
+
+// Key returns the fleet's key.
+func (t *Transport) Key() []byte {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.Keys[0]
+}
+
+// AcceptKey makes a key the fleet's key, and goes on to accept the one before. Open connections stay.
+func (t *Transport) AcceptKey(key []byte) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if bytes.Equal(key, t.Keys[0]) {
+		return
+	}
+	t.Keys = [][]byte{key, t.Keys[0]}
+}
+
+// keys returns the accepted keys.
+func (t *Transport) keys() [][]byte {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.Keys
+}
+
 // Run starts the transport and returns at once. When ctx ends, all connections are closed; Wait waits for that.
 func (t *Transport) Run(ctx context.Context) {
 	t.ctx, t.links, t.incoming = ctx, map[string]*link{}, map[string]*connection{}
