feed: a configuration that only a VM below has travels up to the VM that reads the store

A VM sends its configuration down the tree, never up. A VM that read a change itself, shortly before the store lost it, kept it to itself and its followers: the VM that reads the store, and all others, served by the older one until the operator had written it again. A query now carries the configuration when the VM that is followed has said that it has an older one. TestNewestConfigurationTravelsUp failed before by construction: a query had no configuration.

--- a/internal/feed/delta.go
+++ b/internal/feed/delta.go
@@ -35,6 +35,7 @@
 	Revs    Revisions
 	Eras    Eras               // of Revs; 0 from a VM of an earlier build
 	Config  uint64             // version of the configuration in use, 0 for none
+	Newer   Packed             // that catalog.Config, if the VM queried has an older one
 	Reports []OrderReport      // of the running orders, with the results of the querying VM and of those that follow it
 	Loads   []load.Usage       // of the same VMs at the backend servers
 	Crashes quarantine.Message // crashes of backend servers that the VM queried lacks
@@ -49,12 +50,37 @@
 	for k, p := range f.positions() {
 		q.Revs[k], q.Eras[k] = p.Rev, p.Era
 	}
-	if t := f.Config.Table(); t != nil {
-		q.Config = t.Config.Version
+	t := f.Config.Table()
+	if t == nil {
+		return q
+	}
+	q.Config = t.Config.Version
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if have, ok := f.peerConfigs[to]; ok && have < q.Config {
+		p, err := f.packedConfig.get(q.Config, func() any { return t.Config })
+		if err != nil {
+			f.Log.Error().Err(err).Msg("feed: the configuration in use cannot be packed for the VM that is followed")
+		}
+		q.Newer = p
 	}
 	return q
 }
 
+// applyNewer applies the configuration of a VM that follows this one, if that is newer: this VM missed it, and the store may have lost
+// it since.
+func (f *Feed) applyNewer(from string, q Query) {
+	if q.Newer == nil {
+		return
+	}
+	var c catalog.Config
+	if err := q.Newer.unpack(&c); err != nil {
+		f.Log.Warn().Err(err).Str("vm", from).Msg("feed: the newer configuration of a VM that follows this one cannot be read")
+		return
+	}
+	f.updateConfig(&c, q.Revs[Configs])
+}
+
 // ErrUnready means that the VM that was queried is not synchronised.
 var ErrUnready = errors.New("the VM that was queried is not synchronised yet")
 
@@ -63,6 +89,7 @@
 	if !f.Synchronised() {
 		return Delta{Unready: true}, nil
 	}
+	f.applyNewer(from, q)
 	if d, err = f.ChangesSince(q.Revs, q.Eras); err != nil {
 		return d, err
 	}
@@ -218,6 +245,7 @@
 	if d.Unready {
 		return ErrUnready
 	}
+	f.recordPeerConfig(from, d.Config)
 	var faults []error
 	if d.PackedConfig != nil {
 		faults = append(faults, f.applyConfig(d))
@@ -261,6 +289,19 @@
 	return nil
 }
 
+// recordPeerConfig records the version of the configuration that another VM has.
+func (f *Feed) recordPeerConfig(vm string, version uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.peerConfigs == nil || len(f.peerConfigs) >= maxPeerConfigs {
+		f.peerConfigs = make(map[string]uint64)
+	}
+	f.peerConfigs[vm] = version
+}
+
+// maxPeerConfigs bounds the VMs whose configuration is remembered. A VM follows one of a few others.
+const maxPeerConfigs = 64
+
 // applyConfig applies the configuration in the reply of another VM.
 func (f *Feed) applyConfig(d Delta) error {
 	var c catalog.Config
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -62,6 +62,7 @@
 	members      map[string]Member
 	lostMembers  map[string]clock.Time // by VM whose entry the store lost: until when it stays
 	packedConfig packedCache           // of the configuration in use
+	peerConfigs  map[string]uint64     // version of the configuration by VM, as of its last reply
 }
 
 // Run keeps the objects up to date, and decides orders, until ctx ends.
--- a/internal/feed/restored_test.go
+++ b/internal/feed/restored_test.go
@@ -229,3 +229,17 @@
 		assert.Equal(t, got, tt.want, tt.name)
 	}
 }
+
+// Guards against a configuration that only a VM below has: the VM that reads the store missed it, and the store has lost it.
+func TestNewestConfigurationTravelsUp(t *testing.T) {
+	a, b := synchronised(t, &catalog.Config{Version: 6}), synchronised(t, &catalog.Config{Version: 7})
+	for range 2 {
+		d, err := a.Reply("b", b.Query("a"))
+		assert.NilError(t, err)
+		assert.NilError(t, b.Apply(9000, "a", d))
+	}
+	assert.Equal(t, a.Config.Table().Config.Version, uint64(7))
+	assert.Equal(t, b.Config.Table().Config.Version, uint64(7))
+	q := b.Query("a")
+	assert.Check(t, q.Newer == nil, "a configuration is sent again to a VM that has it")
+}
