--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -46,7 +46,10 @@
 func (s *store) copy() contents {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	c := s.contents
+	return s.clone()
+}
+
+func (c contents) clone() contents {
 	c.servers, c.members, c.changes = maps.Clone(c.servers), maps.Clone(c.members), slices.Clone(c.changes)
 	return c
 }
@@ -55,7 +58,7 @@
 func (s *store) restore(c contents) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.contents = c
+	s.contents = c.clone()
 	s.era++
 }
 
--- a/internal/follow/restored_test.go
+++ b/internal/follow/restored_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -119,3 +121,67 @@
 	}
 	return n
 }
+
+// Guards against faults that only a mix of moments shows: the store comes back from copies of any age, twice in a row too, while it is
+// changed, VMs are cut off from it, and VMs start again. No VM goes back to an older configuration, and all are up to date soon after.
+func TestFleetOverRestores(t *testing.T) {
+	for seed := range restoreSeeds {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			r := rand.New(rand.NewPCG(seed, 7))
+			s := newStore()
+			all := append(fleetIn(t, s, "d1", "a", "b", "c"), fleetIn(t, s, "d2", "x", "y", "z")...)
+			version := uint64(6)
+			s.configure(version)
+			inForce(t, all, version)
+			copies := []contents{s.copy()}
+			seen := make(map[*vm]uint64)
+			for range 25 {
+				switch i := r.IntN(len(all)); r.IntN(8) {
+				case 0:
+					copies = append(copies, s.copy())
+				case 1:
+					s.restore(copies[r.IntN(len(copies))])
+					copies = copies[:1]
+				case 2, 3:
+					version++
+					s.configure(version)
+				case 4:
+					s.put(backend.Server{ID: fmt.Sprint("s", r.IntN(9)), Service: "s", Born: 1, Leaving: r.IntN(3) == 0})
+				case 5:
+					all[i].view.setDisconnected(true)
+				case 6:
+					all[i].view.setDisconnected(false)
+				case 7:
+					all[i].stop()
+					all[i] = fleetIn(t, s, all[i].follower.Self.Domain, all[i].name)[0]
+				}
+				time.Sleep(time.Duration(r.IntN(300)) * time.Millisecond)
+				for _, m := range all {
+					table := m.feed.Config.Table()
+					if table == nil {
+						continue
+					}
+					assert.Check(t, table.Config.Version >= seen[m], "%s is back at version %d", m.name, table.Config.Version)
+					seen[m] = table.Config.Version
+				}
+			}
+			for _, m := range all {
+				m.view.setDisconnected(false)
+			}
+			version++
+			s.configure(version)
+			s.put(backend.Server{ID: "last", Service: "s", Born: 2})
+			inForce(t, all, version)
+			for _, m := range all {
+				waitFor(t, "the server is known", func() bool {
+					return slices.ContainsFunc(m.feed.Servers(m.follower.Clock.Now(), "s"), func(v backend.Server) bool { return v.ID == "last" })
+				})
+				waitFor(t, "the VM is fresh", m.feed.Fresh)
+			}
+		})
+	}
+}
+
+// restoreSeeds is the number of seeds of TestFleetOverRestores.
+const restoreSeeds = uint64(3)
