gateway: an answer is kept if the limits of the servers leave no other one

Callers got 502 where an answer was there: it was dropped for its low confidence, or an attempt was given up as slow, and the limits left no server for the next attempt.

--- a/internal/gateway/limit_test.go
+++ b/internal/gateway/limit_test.go
@@ -19,11 +19,16 @@
 	s.servers = s.servers[:1]
 	_, ok := g.Serve(newRequest("/safe/1")).(Buffered)
 	assert.Assert(t, ok)
+	pass(s, now)
+	return g, s, now
+}
+
+// pass lets takeoverSpan pass. The VM is not suspended meanwhile.
+func pass(s *fakeState, now clock.Clock) {
 	for range takeoverSpan / clock.Second {
 		now.Advance(clock.Second)
 		s.limits.Refresh(now.Boot())
 	}
-	return g, s, now
 }
 
 // Guards against attempts that do not count against the limit of their server: first ones, retries, those whose answer is
@@ -89,3 +94,34 @@
 	}
 	assert.Equal(t, sent, 1, "a VM that has no part of the limit yet sends requests")
 }
+
+// Guards against a caller that gets an error in place of an answer: the answer was dropped for a better one, or given up as late, and
+// the limits left no server for the next attempt.
+func TestAnswerIsKeptIfLimitsLeaveNoServer(t *testing.T) {
+	b := &fakeBackend{script: []step{{limit: 1}, {limit: 1, events: 3, confidence: 1}}}
+	g, s, now := startLimitedGateway(t, b)
+	for s.limits.FreeSlots(now.Boot(), "s")["s0"] {
+		assert.Assert(t, s.limits.TakeSlot(now.Boot(), s.servers[0], ""))
+	}
+	x := &exchange{g: g, request: newRequest("/safe/1"), service: "s", deadline: now.Now().Add(clock.Minute)}
+	w := waitState{canRetry: true, pool: g.pool("s")}
+	x.abortForRetry(now.Now(), w, causeSlow)
+	assert.Check(t, !x.retryTaken, "an attempt is given up although no other can be made")
+
+	pass(s, now)
+	x.abortForRetry(now.Now(), w, causeSlow)
+	assert.Check(t, x.retryTaken)
+
+	left := 0
+	for s.limits.FreeSlots(now.Boot(), "s")["s0"] {
+		assert.Assert(t, s.limits.TakeSlot(now.Boot(), s.servers[0], ""))
+		left++
+	}
+	pass(s, now)
+	for range left - 1 {
+		assert.Assert(t, s.limits.TakeSlot(now.Boot(), s.servers[0], ""))
+	}
+	got, err := readStream(t, g.Serve(newRequest("/sized/1")))
+	assert.NilError(t, err)
+	assert.Equal(t, got, events(0, 3))
+}
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -108,7 +108,7 @@
 	keep := x.pool.chooser.Keep(x.route.Name, x.models, a, x.size, load)
 	next := x.pool.chooser.Next(x.route.Name, x.models, x.modelIndex, x.size, load)
 	x.pool.mu.Unlock()
-	if keep || x.usedAttempts+2 > x.route.Attempts || !x.takeSpareRetry() {
+	if keep || x.usedAttempts+2 > x.route.Attempts || !x.pool.hasRoom(x) || !x.takeSpareRetry() {
 		return false
 	}
 	x.modelIndex, x.escalated = next, true
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -149,6 +149,12 @@
 	errLimited  = errors.New("the limits that the backend servers name are used up")
 )
 
+// hasRoom reports whether the limits that the servers name leave one for another attempt of a request.
+func (p *pool) hasRoom(x *exchange) bool {
+	in, limited := p.withinLimits(x, p.g.State.Servers(p.g.Clock.Now(), p.service))
+	return len(in) > 0 || !limited
+}
+
 // withinLimits returns the servers that the limits which they name allow this VM to send the request to, and reports whether others
 // were left out. If all servers name limits, the workspaces take turns.
 func (p *pool) withinLimits(x *exchange, all []backend.Server) (out []backend.Server, limited bool) {
