share: parts of limits last 1.5 s, so that a fleet whose first VM ended divides limits again after 3 s

After the VM at the top of the tree ended or was started again, servers that name limits got nothing for 4.5 s, which is the time in which every part that it granted has expired. Parts are renewed three times a second; one of 1.5 s outlasts four lost polls. A VM counts as present for 1.2 s, four polls.

--- a/core/share/owner.go
+++ b/core/share/owner.go
@@ -71,6 +71,9 @@
 	divideInterval = 250 * clock.Millisecond
 	// rotateInterval is how long the same holders are first when there are fewer slots than holders that want one.
 	rotateInterval = 2 * clock.Second
+	// polledValidity is the validity of the grants of an owner that is polled: five polls, as a fleet whose top has changed waits until
+	// all of them have expired.
+	polledValidity = 1500 * clock.Millisecond
 	// maxHolders bounds the holders of an owner whose members are all that report.
 	maxHolders = 4096
 )
@@ -147,7 +150,7 @@
 		h.grant = minPerServer(h.grant, r.Slots)
 		h.maxHeld = h.grant
 	}
-	h.expiresAt = now.Add(GrantValidity + GrantValidity/4)
+	h.expiresAt = now.Add(o.validity() + o.validity()/4)
 	return h
 }
 
@@ -189,7 +192,7 @@
 func (o *Owner) send(now clock.Time, h *holderState) Grant {
 	o.seq++
 	h.seq = o.seq
-	span := GrantValidity
+	span := o.validity()
 	if o.Until > 0 {
 		span = max(min(span, o.Until.Sub(now)), 0)
 	}
@@ -271,6 +274,14 @@
 	return names
 }
 
+// validity returns the validity of a grant.
+func (o *Owner) validity() clock.Span {
+	if o.Polled {
+		return polledValidity
+	}
+	return GrantValidity
+}
+
 // surplus returns how many slots a holder may keep beyond its part: moving one back and forth costs more than it gains, unless the
 // slots are few and another holder has none.
 func (o *Owner) surplus() int {
--- a/core/share/ownership.go
+++ b/core/share/ownership.go
@@ -8,11 +8,11 @@
 )
 
 const (
-	// presence is how long after its last message a VM counts as present.
-	presence = 2 * clock.Second
+	// presence is how long after its last message a VM counts as present: four polls.
+	presence = 1200 * clock.Millisecond
 	// takeover is how long a VM must have been the owner of a failure domain before it uses it. Until then the VM that was the owner
 	// before has noticed that it is not any more, and every grant that came from it has expired.
-	takeover = presence + GrantValidity + GrantValidity/4
+	takeover = presence + polledValidity + polledValidity/4
 )
 
 // Ownership decides for which failure domains a VM at the top of a tree divides the limits of the servers, so that no two VMs divide
