--- a/core/share/branch.go
+++ b/core/share/branch.go
@@ -93,7 +93,7 @@
 
 // Report returns the report to the VM that is followed, for this VM and those that follow it.
 func (b *Branch) Report(now clock.Time) Report {
-	sum := b.owner.sum()
+	sum := b.owner.committed()
 	r := b.up.Report(now, b.up.owner, sum)
 	r.Slots = sum.Slots
 	return r
--- a/core/share/doc.go
+++ b/core/share/doc.go
@@ -8,5 +8,10 @@
 // treated as granted until its holder has confirmed the change or its grant has expired. A new owner grants no more than the
 // holders report that they have, until all of them have reported or every grant of an earlier owner has expired.
 //
+// A limit on the rate of requests is divided in the same way: [RateSlots] makes it slots that a request takes for a fixed time. A
+// [Branch] at each VM of a tree gets its part from the VM that it follows and divides it among its own followers, and [Ownership]
+// decides which VM at the top of a tree divides the limits of a failure domain's servers. There is no fallback: without a part a VM
+// sends nothing.
+//
 // The baselines are fixed equal parts and the power of two choices on stale load; neither needs code here.
 package share
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"errors"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -49,33 +48,6 @@
 // its limit, and a VM does not see the connections of the others.
 const connDivisor = 4
 
-// defaultPrefillTime is the prefill time of a prompt token with the largest model that is assumed before any was measured, in
-// milliseconds.
-const defaultPrefillTime = 0.05
-
-// prefillTimes holds the smoothed prefill time of a prompt token for each model, in milliseconds, the servers' queues included.
-type prefillTimes map[string]float64
-
-// minPrefillTokens is the number of prompt tokens from which the time to the first event is a measure of the prefill time, and
-// prefillWindow the number of prompts over which the mean is smoothed.
-const (
-	minPrefillTokens = 2000
-	prefillWindow    = 20
-)
-
-// get returns the prefill time of a token with a model, or prior if none was measured.
-func (r prefillTimes) get(model string, prior float64) float64 {
-	if ms, ok := r[model]; ok {
-		return ms
-	}
-	return prior
-}
-
-// add adds a measured time to the mean of a model, which begins with prior.
-func (r prefillTimes) add(model string, ms, prior float64) {
-	r[model] = r.get(model, prior) + (ms-r.get(model, prior))/prefillWindow
-}
-
 func newPool(g *Gateway, service string) *pool {
 	return &pool{
 		g: g, service: service, servers: make(map[string]*serverState), prefillTimes: make(prefillTimes),
@@ -143,41 +115,6 @@
 	return all[i], nil
 }
 
-// Reasons why pick selects no server.
-var (
-	errNoServer = errors.New("no backend server can take the request")
-	errLimited  = errors.New("the limits that the backend servers name are used up")
-)
-
-// hasRoom reports whether the limits that the servers name leave one for another attempt of a request.
-func (p *pool) hasRoom(x *exchange) bool {
-	in, limited := p.withinLimits(x, p.g.State.Servers(p.g.Clock.Now(), p.service))
-	return len(in) > 0 || !limited
-}
-
-// withinLimits returns the servers that the limits which they name allow this VM to send the request to, and reports whether others
-// were left out. If all servers name limits, the workspaces take turns.
-func (p *pool) withinLimits(x *exchange, all []backend.Server) (out []backend.Server, limited bool) {
-	slots := p.g.State.FreeSlots(p.service)
-	if len(slots) == 0 {
-		return all, false
-	}
-	unlimited := 0
-	for _, v := range all {
-		free, named := slots[v.ID]
-		if !named {
-			unlimited++
-		}
-		if free || !named {
-			out = append(out, v)
-		}
-	}
-	if unlimited == 0 && !p.g.State.MayTake(p.service, x.workspaceName()) {
-		return nil, true
-	}
-	return out, len(out) < len(all)
-}
-
 // backlog returns the mean time that the servers need for their pending prompt tokens, in milliseconds.
 func backlog(in []place.Candidate) float64 {
 	pending := 0
@@ -275,16 +212,6 @@
 	p.slowdowns.Add(p.g.Clock.Now(), server, model, ms)
 }
 
-// addPrefillTime records the time to the first event of a prompt with a number of uncached tokens.
-func (p *pool) addPrefillTime(model string, tokens float64, first clock.Span, prior float64) {
-	if tokens < minPrefillTokens {
-		return
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.prefillTimes.add(model, float64(first)/tokens, prior)
-}
-
 // byteReceived records that bytes came from a server.
 func (p *pool) byteReceived(server string, now clock.Time) {
 	p.mu.Lock()
@@ -294,57 +221,6 @@
 	}
 }
 
-// checkServer checks a server at which a request has waited for the given time. It returns the time since any VM received a byte
-// from it, limited to the time for which this VM has had requests there; whether the server failed to answer the last request for
-// a load report; and the load report if that was requested less than limit ago. It requests a report if the server has been
-// silent for limit, or if it answers others but this request has waited so long that the server may have lost it.
-func (p *pool) checkServer(v backend.Server, now clock.Time, waited, limit clock.Span) (
-	silent clock.Span, unreachable bool, report *work.Load,
-) {
-	others := p.g.State.UsageByOthers(now)
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	u := p.servers[v.ID]
-	if u == nil {
-		return 0, false, nil
-	}
-	silent = min(now.Sub(u.busySince), u.sinceLastByte(now))
-	if others != nil {
-		if o, ok := others.Uses[v.ID]; ok {
-			silent = min(silent, o.SinceLastByte+now.Sub(others.At))
-		}
-	}
-	suspicious := silent >= limit || waited >= lostFactor*limit
-	if suspicious && waited >= limit && !u.reportPending && now.Sub(u.reportRequested) >= limit && p.g.State.TakeSlot(v, "") {
-		u.reportPending, u.reportRequested = true, now
-		go p.fetchReport(v)
-	}
-	if !u.reportPending && u.reportRequested != 0 && now.Sub(u.reportRequested) < limit {
-		report = &u.report
-	}
-	return silent, u.unreachable, report
-}
-
-// fetchReport requests the load report of a server. A report also proves that the server is alive.
-func (p *pool) fetchReport(v backend.Server) {
-	sent := p.g.Clock.Boot()
-	r, err := p.g.Backend.Report(v)
-	p.g.metrics.reports.Inc()
-	p.g.State.RecordLimit(p.g.Clock.Boot(), sent, v, r.Limit)
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	u := p.servers[v.ID]
-	if u == nil {
-		return
-	}
-	u.reportPending, u.unreachable, u.report = false, err != nil, r.Load
-	if err == nil {
-		u.lastByte = p.g.Clock.Now()
-	}
-	p.g.Log.Info().Err(err).Str("server", v.ID).Int("running", r.Running).Int("waiting", r.Waiting).
-		Msg("gateway: load report of a suspect server")
-}
-
 // countRequest records the first attempt of a request for the retry budget.
 func (p *pool) countRequest(now clock.Time) {
 	p.mu.Lock()
