--- a/internal/feed/era.go
+++ b/internal/feed/era.go
@@ -13,8 +13,8 @@
 // firstEra is the era of a store that never came back from an older copy.
 const firstEra = 1
 
-// eras tracks the era of the store as of its last answer, here or at the VM that is followed.
-type eras struct {
+// eraTracker tracks the era of the store as of its last answer, here or at the VM that is followed.
+type eraTracker struct {
 	newest  uint64        // 0 before the first answer that names one
 	changed chan struct{} // closed when newest changes, nil before anybody waits for that
 }
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -55,7 +55,7 @@
 	failing      [kinds]bool
 	ignoring     [kinds]bool // the last batch was ignored because it was older than what is known
 	histories    [kinds]history
-	eras         eras
+	eras         eraTracker
 	emptyWatch   [kinds]emptyWatch // returned by a watch without changes, used only after maxWatchLag
 	lastOutage   clock.Time        // when the store last failed to answer, here or at the VM that is followed; 0 for never
 	answeredAt   [kinds]clock.Time // by Clock.Boot: when the store last answered a call about the kind
