follow: a VM writes its entry again before the others give it up

Trace: an entry that the store lost was dropped after two seconds and only then written again, by a VM that found itself without an entry; until the others had read that, up to a second later, there was nobody to follow. A VM whose entry was lost writes it at once, and the others keep it for six seconds: changes of entries are read once a second and passed on twice.

--- a/internal/feed/apply.go
+++ b/internal/feed/apply.go
@@ -99,7 +99,7 @@
 }
 
 // replaceMembers removes the entries of all VMs, before those that are listed are added. If the store came back from an older copy,
-// they stay for rewriteSpan, in which they are written again.
+// they stay for lostMemberSpan, in which they are written again.
 func (f *Feed) replaceMembers(now clock.Time, restored bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -109,7 +109,7 @@
 	}
 	f.lostMembers = make(map[string]clock.Time)
 	for name := range f.members {
-		f.lostMembers[name] = now.Add(rewriteSpan)
+		f.lostMembers[name] = now.Add(lostMemberSpan)
 	}
 }
 
--- a/internal/feed/era.go
+++ b/internal/feed/era.go
@@ -10,6 +10,10 @@
 // written again what it lost. Until then what was in force stays in force.
 const rewriteSpan = 2 * clock.Second
 
+// lostMemberSpan is the time for which the entry of a VM that the store lost stays. Changes of entries are read once a second and passed
+// on twice, and without entries to follow all VMs read the store.
+const lostMemberSpan = 3 * rewriteSpan
+
 // firstEra is the era of a store that never came back from an older copy.
 const firstEra = 1
 
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -287,6 +287,14 @@
 	return out
 }
 
+// LostMember reports whether the store lost the entry of a VM a moment ago, and nobody has written it again.
+func (f *Feed) LostMember(name string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	_, ok := f.lostMembers[name]
+	return ok
+}
+
 // recordSuccess ends the failure of a kind, if there was one, and logs it.
 func (f *Feed) recordSuccess(k Kind) {
 	f.mu.Lock()
--- a/internal/follow/entries.go
+++ b/internal/follow/entries.go
@@ -55,6 +55,11 @@
 			return
 		}
 	}
+	f.write(ctx)
+}
+
+// write writes this VM's entry, unless that is being done or was done a moment ago.
+func (f *Follower) write(ctx context.Context) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.joining {
--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -105,6 +105,7 @@
 		f.setUpstream(name)
 		f.Feed.Loads.Refresh(f.Clock.Now())
 		f.checkSecret(ctx)
+		f.writeEntryAgain(ctx)
 		f.maintainEntries(ctx)
 		select {
 		case <-ctx.Done():
--- a/internal/follow/restored.go
+++ b/internal/follow/restored.go
@@ -54,3 +54,11 @@
 		}
 	}
 }
+
+// writeEntryAgain writes this VM's entry again if the store has just lost it: when the other VMs give up an entry that is not written
+// again, they read the store.
+func (f *Follower) writeEntryAgain(ctx context.Context) {
+	if f.Feed.LostMember(f.Self.Name) {
+		f.write(ctx)
+	}
+}
--- a/internal/follow/restored_test.go
+++ b/internal/follow/restored_test.go
@@ -71,19 +71,27 @@
 // Guards against a fleet that falls apart when the store comes back from a copy that is older than the VMs' entries and their secret:
 // all VMs would read the store, and VMs that start would not be let in.
 func TestEntriesAndSecretOutliveAnOlderCopy(t *testing.T) {
+	t.Parallel()
 	s := newStore()
 	before := s.copy()
 	all := fleet(t, s, "a", "b", "c", "e")
 	waitFor(t, "one VM reads the store", func() bool { return storeReader(all) != nil })
 	s.configure(6)
 	inForce(t, all, 6)
+	waitFor(t, "all entries are known", func() bool { return len(all[0].feed.Members()) == len(s.copy().members) && len(s.copy().members) > 2 })
 	entries := len(s.copy().members)
+	for _, m := range all {
+		waitFor(t, "all entries are known", func() bool { return len(m.feed.Members()) >= entries })
+	}
 	secret := string(s.copy().secret)
 	assert.Check(t, entries > 0 && secret != "")
 	for range 2 {
 		s.restore(before)
-		for end := time.Now().Add(5 * time.Second); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		for end := time.Now().Add(8 * time.Second); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
 			assert.Assert(t, readers(all) <= 2, "%d VMs read the store", readers(all))
+			for _, m := range all {
+				assert.Assert(t, len(m.feed.Members()) >= entries, "%s knows %d of %d entries", m.name, len(m.feed.Members()), entries)
+			}
 		}
 		assert.Check(t, len(s.copy().members) >= entries, "%d of %d entries are written again", len(s.copy().members), entries)
 		assert.Equal(t, string(s.copy().secret), secret)
