--- a/core/backend/restored_test.go
+++ b/core/backend/restored_test.go
@@ -34,8 +34,8 @@
 		{"leaving, but its next start is not", func(s *Set) { s.Put(1, leaving("a", 1)) }, []Server{ready("a", 2)}, nil, 1000, "a"},
 		{"leaving, and ready later", func(s *Set) { s.Put(1, leaving("a", 1)) }, []Server{ready("a", 1)}, func(s *Set) { s.Put(restored+900, ready("a", 1)) }, 1000, "a"},
 		{"gone", func(s *Set) { s.Put(1, ready("a", 1)); s.Remove(9000, "a") }, []Server{ready("a", 1)}, nil, 1000, ""},
-		{"gone, and removed again", func(s *Set) { s.Put(1, ready("a", 1)); s.Remove(9000, "a") }, []Server{ready("a", 1)}, func(s *Set) { s.Remove(restored+3600, "a") }, ghostSpan, ""},
-		{"gone, and listed for good", func(s *Set) { s.Put(1, ready("a", 1)); s.Remove(9000, "a") }, []Server{ready("a", 1)}, nil, ghostSpan, "a"},
+		{"gone, and removed again", func(s *Set) { s.Put(1, ready("a", 1)); s.Remove(9000, "a") }, []Server{ready("a", 1)}, func(s *Set) { s.Remove(restored+3600, "a") }, outdatedSpan, ""},
+		{"gone, and listed for good", func(s *Set) { s.Put(1, ready("a", 1)); s.Remove(9000, "a") }, []Server{ready("a", 1)}, nil, outdatedSpan, "a"},
 		{"gone long before", func(s *Set) { s.Put(1, ready("a", 1)); s.Remove(2, "a") }, []Server{ready("b", 1)}, nil, 1000, "b"},
 		{"new", nil, []Server{ready("n", 1)}, nil, 0, "n"},
 	}
--- a/core/backend/set.go
+++ b/core/backend/set.go
@@ -9,9 +9,9 @@
 )
 
 const (
-	// ghostSpan is how long after the store came back from an older copy an entry is not used whose server is known to be leaving or
+	// outdatedSpan is how long after the store came back from an older copy an entry is not used whose server is known to be leaving or
 	// gone. A server that has ended is removed from the store after three missed heartbeats.
-	ghostSpan = 6 * clock.Second
+	outdatedSpan = 6 * clock.Second
 	// goneTTL is how long servers are remembered that were removed.
 	goneTTL = clock.Minute
 )
@@ -69,7 +69,7 @@
 		outdated := s.isOutdated(now, v)
 		s.Put(now, v)
 		if outdated {
-			s.entries[v.ID].hiddenUntil = s.restoredAt.Add(ghostSpan)
+			s.entries[v.ID].hiddenUntil = s.restoredAt.Add(outdatedSpan)
 		}
 	}
 	for id := range s.entries {
@@ -111,7 +111,7 @@
 // isOutdated reports whether a listed entry is older than what is known of its server: the store has just come back from an older
 // copy, and the server is known to be leaving or gone.
 func (s *Set) isOutdated(now clock.Time, v Server) bool {
-	if s.restoredAt == 0 || now.Sub(s.restoredAt) >= ghostSpan || v.Leaving {
+	if s.restoredAt == 0 || now.Sub(s.restoredAt) >= outdatedSpan || v.Leaving {
 		return false
 	}
 	if e := s.entries[v.ID]; e != nil {
--- a/internal/feed/delta.go
+++ b/internal/feed/delta.go
@@ -46,7 +46,10 @@
 // Query returns this VM's query to another VM. The caller sets VM.
 func (f *Feed) Query(to string) Query {
 	now := f.Clock.Now()
-	q := Query{Limits: f.Limits.Query(f.Clock.Boot(), to), Reports: f.Orders.Report(now), Loads: f.Loads.Report(now), Crashes: f.Quarantine.Query(now)}
+	q := Query{
+		Reports: f.Orders.Report(now), Loads: f.Loads.Report(now), Crashes: f.Quarantine.Query(now),
+		Limits: f.Limits.Query(f.Clock.Boot(), to),
+	}
 	for k, p := range f.positions() {
 		q.Revs[k], q.Eras[k] = p.Rev, p.Era
 	}
@@ -238,8 +241,8 @@
 	return d, nil
 }
 
-// Apply applies the reply of another VM, which this one follows or may follow. sent is the time by Clock.Boot at which the query was sent. It
-// returns ErrUnready if that VM is not synchronised. Any other error means that a part could not be decoded; the other parts
+// Apply applies the reply of another VM, which this one follows or may follow. sent is the time by Clock.Boot at which the query was
+// sent. It returns ErrUnready if that VM is not synchronised. Any other error means that a part could not be decoded; the other parts
 // are applied.
 func (f *Feed) Apply(sent clock.Time, from string, d Delta) error {
 	if d.Unready {
--- a/internal/feed/limits.go
+++ b/internal/feed/limits.go
@@ -15,8 +15,8 @@
 const (
 	// limitRefresh is the least time between two updates of this VM's part of the limits. An update goes through all of them.
 	limitRefresh = 100 * clock.Millisecond
-	// parentTimeout is the time without an answer after which this VM takes its part from another VM than before.
-	parentTimeout = 1200 * clock.Millisecond
+	// granterTimeout is the time without an answer after which this VM takes its part from another VM than before.
+	granterTimeout = 1200 * clock.Millisecond
 )
 
 // Limits keeps the requests of all VMs to a backend server within the limit that it names. Each VM tells the VM that it follows what
@@ -38,7 +38,7 @@
 	owner       share.Ownership
 	pools       map[string]*share.Branch // by service
 	domains     map[string]string        // failure domain by server that names a limit
-	parent      string                   // VM that grants this VM its part, "" for none
+	granter     string                   // VM that grants this VM its part, "" for none
 	answeredAt  clock.Time               // when it last answered
 	refreshedAt clock.Time
 }
@@ -160,11 +160,11 @@
 	l.refreshedAt = 0
 	l.refresh(now)
 	q := LimitQuery{Limits: l.table.Query(now), Majority: l.owner.Majority()}
-	if to != l.parent {
+	if to != l.granter {
 		if !l.top(now) {
 			return q
 		}
-		l.parent = to
+		l.granter = to
 	}
 	q.Wants = make(map[string]share.Report, len(l.pools))
 	for service, b := range l.pools {
@@ -200,7 +200,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.table.Accept(now, r.Limits)
-	if from != l.parent {
+	if from != l.granter {
 		return
 	}
 	l.answeredAt = now
@@ -223,7 +223,7 @@
 
 // top reports whether no other VM has granted this one its part lately.
 func (l *Limits) top(now clock.Time) bool {
-	return l.parent == "" || now.Sub(l.answeredAt) > parentTimeout
+	return l.granter == "" || now.Sub(l.answeredAt) > granterTimeout
 }
 
 // refresh brings this VM's part of the limits up to date, if that was not done just now.
