share: a test that the slots of the server that has fewer are taken back, and not those of another

The check of the tests on a copy with parts of the fix taken out showed that TestServerWithFewerSlots passes without takeBackExcess: in a pool of one server the ordinary division does the same. With two servers it took slots of the other one and left 2 of 1 (the new test fails so without the step, and passes with it).

--- a/core/share/branch_test.go
+++ b/core/share/branch_test.go
@@ -106,3 +106,19 @@
 	second.Update(1000, known, true)
 	assert.Equal(t, fmt.Sprint(first.Majority(), second.Majority()), "true false")
 }
+
+// Guards against a server whose slots were reduced and that keeps more holders than it has slots, because slots of another server of the
+// pool were taken back in place of its own.
+func TestOnlyTheReducedServersSlotsAreTakenBack(t *testing.T) {
+	o := &Owner{Name: "o", Polled: true, Servers: map[string]int{"s": 4, "t": 4}}
+	h := &Holder{VM: "h"}
+	poll := func(now clock.Time) {
+		g, ok := o.Poll(now, h.Report(now, o.Name, Report{Waiting: [3]int{0, 0, 20}}))
+		assert.Check(t, ok && h.accept(now, g))
+	}
+	poll(1000)
+	assert.DeepEqual(t, h.slots, map[string]int{"s": 4, "t": 4})
+	o.setServers(map[string]int{"s": 1, "t": 4})
+	poll(1300)
+	assert.DeepEqual(t, h.slots, map[string]int{"s": 1, "t": 4})
+}
