gateway: events that were read before a fault reach the caller

Cause: Stream.fill moves exchange.lastEvent with each event that it reads. A fault in the same call made openStream drop the stream with its buffer, and the next server was asked to continue after an event that the caller never got: `event` 0 in the line of the failed attempt. Ruled out by that line: a server that leaves out an event, and text that is taken for one.

fill now returns an error only if it read no event. A fault behind an event is kept until the caller has the event; the stream is resumed then. A stream that may not be resumed breaks after the event, as it does when the fault comes a moment later. `gateway: attempt failed` has `passed`, the events that the caller's stream got.

--- a/internal/entry/fault_test.go
+++ b/internal/entry/fault_test.go
@@ -94,6 +94,11 @@
 			tokens(c, 1, 1)
 			fmt.Fprintf(c, "id: 2\ndata: {\"text\":%q}\n\n", strings.Repeat("a", 70<<10))
 		}), fiveText, "", 2, 5},
+		{"bytes that are no event, in the write of a token", "m", scripted(func(c net.Conn, _ map[string]any) {
+			open(c)
+			fmt.Fprint(c, "id: 1\ndata: {\"text\":\" t1\"}\n\n"+strings.Repeat("returned to the free list\n\n", 80)+"data: x\n\n")
+			_ = c.Close()
+		}), fiveText, "", 2, 5},
 		{"replica lost", "m", scripted(brokenAfter(2), status(404, forgottenBody)), " t1 t2", "backend-failed", 2, 2},
 		{"replica lost, exact version", "x", scripted(brokenAfter(2), status(404, forgottenBody)), fiveText, "", 3, 5},
 		{"generation cancelled by someone", "m", scripted(func(c net.Conn, _ map[string]any) {
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -57,7 +57,8 @@
 	exhausted     string         // why no further attempt was made, for the log
 	mayHaveRun    bool           // an attempt may have run
 	fallback      *Buffered      // error answer of a server, sent to the caller if no later attempt succeeds
-	lastEvent     int64          // identifier of the last event that the caller has
+	lastEvent     int64          // identifier of the last event that the caller has or that a Stream holds for it
+	passedEvents  int            // events of all attempts that were added to the caller's stream
 	identityHash  uint64         // result of identity, 0 before
 	firstCrash    *crashAt       // first server that ended under this request, until it is recorded
 	abort         conn.Abort
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -107,6 +107,7 @@
 	}
 	l.Str("request", x.request.ID).Str("server", x.server.ID).Str("addr", x.server.Addr).Str("how", f.Kind.String()).
 		Stringer("ended", why).Bool("head", x.headArrived).Err(f.Err).Int("try", x.attempts).Int64("event", x.lastEvent).
+		Int("passed", x.passedEvents).
 		Int64("ms", int64(x.g.Clock.Now().Sub(x.attemptStart))).Msg("gateway: attempt failed")
 }
 
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -20,6 +20,7 @@
 	buf     []byte
 	bufRead int
 	err     error // returned once buf is read
+	fault   error // broke the current attempt behind the events in buf, nil for none; the stream is resumed once buf is read
 
 	passedBytes int   // bytes of events that were read for the caller
 	newestEvent int64 // highest event identifier of the current attempt
@@ -44,7 +45,8 @@
 // batchBytes is the size from which collected events are sent to the caller even if more can be read without blocking.
 const batchBytes = 4 << 10
 
-// openStream starts a stream and reads up to its first event.
+// openStream starts a stream and reads up to its first event. A fault behind that event does not fail the attempt: the caller gets the
+// event, and Read resumes the stream after it.
 func (x *exchange) openStream(reply *Reply) (Answer, *Fault) {
 	s := &Stream{Status: reply.Status, Fields: reply.Fields, x: x, reply: reply, newestEvent: NoEvent}
 	if err := s.fill(); err != nil {
@@ -83,9 +85,14 @@
 }
 
 // fill reads events into buf until there is at least one and no more can be read without blocking, or until buf has batchBytes.
-// It sets err to io.EOF at the end of a complete stream.
+// It sets err to io.EOF at the end of a complete stream. It returns an error only if it added no event to buf: exchange.lastEvent says
+// after which event a server is asked to continue, so each event up to that one must reach the caller.
 func (s *Stream) fill() error {
 	x := s.x
+	if err := s.fault; err != nil {
+		s.fault = nil
+		return err
+	}
 	var ev Event
 	for {
 		err := s.nextEvent(&ev)
@@ -101,10 +108,15 @@
 			x.recordEnd(nil)
 			return nil
 		}
+		if err != nil && len(s.buf) > 0 {
+			s.fault = err
+			return nil
+		}
 		if err != nil {
 			return err
 		}
 		x.lastEvent = ev.ID
+		x.passedEvents++
 		s.buf = append(s.buf, ev.Raw...)
 		s.passedBytes += len(ev.Raw)
 		if len(s.buf) >= batchBytes || !s.reply.Events.Buffered() {
