caller: bodies of forms are not parsed

Cause: fasthttp's server parses such a body as it reads it and drops the bytes; PostBody writes the form from what it parsed. The same forms in chunks, which it does not parse, arrived as sent, which rules out the way to the server.

The server of the callers' port no longer parses forms, for both daemons.

The fake server of internal/entry reads the whole body, so that tests can compare it.

--- a/internal/entry/fake_test.go
+++ b/internal/entry/fake_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -209,7 +211,12 @@
 			return
 		}
 		var body map[string]any
-		_ = json.NewDecoder(r.Body).Decode(&body)
+		raw, err := io.ReadAll(r.Body)
+		if err != nil {
+			return
+		}
+		_ = json.Unmarshal(raw, &body)
+		r.Body = io.NopCloser(bytes.NewReader(raw)) // a respondFunc may read it again
 		b.mu.Lock()
 		b.calls = append(b.calls, r.Method+" "+r.URL.Path)
 		b.requestBodies = append(b.requestBodies, body)
--- a/internal/entry/service_test.go
+++ b/internal/entry/service_test.go
@@ -126,3 +126,22 @@
 	assert.Equal(t, r.Header.Get("Authorization"), "")
 	assert.Check(t, r.Header.Get("Shallot-Deadline") != "" && r.Header.Get("Shallot-Request") != "")
 }
+
+// Guards against a form that reaches the service with other bytes, because it is parsed and written again on the way.
+func TestFormsArriveAsSent(t *testing.T) {
+	bodies := make(chan string, 1)
+	s := startBackend(t, func(_ int, c net.Conn, r *http.Request, _ map[string]any) {
+		b, err := io.ReadAll(r.Body)
+		assert.Check(t, err)
+		bodies <- string(b)
+		reply(c, 200, "{}")
+	})
+	d := start(t, &fakes{}, nil, []string{s.addr})
+	form := strings.ReplaceAll("preamble\n--b\nContent-Disposition: form-data; name=\"photo\"; filename=\"a.txt\"\nContent-Type: text/plain\n\npram\n"+
+		"--b\nContent-Disposition: form-data; name=\"owner\"\nContent-Type: application/json\n\n{}\n--b--\n", "\n", "\r\n")
+	for _, body := range []string{form, "no form"} {
+		resp := do(t, d, "PUT", "/services/tags/7/state", body, "Content-Type", "multipart/form-data; boundary=b")
+		assert.Equal(t, resp.StatusCode, 200)
+		assert.Equal(t, <-bodies, body)
+	}
+}
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -59,6 +59,9 @@
 		NoDefaultDate:         true,
 		NoDefaultContentType:  true,
 		Logger:                debugLogger{&s.Log},
+
+		// A form that is parsed and written again has other bytes than the caller sent.
+		DisablePreParseMultipartForm: true,
 	}
 	done := make(chan error, 1)
 	go func() { done <- srv.Serve(&listener{s.Listener, spanOrDefault(s.WriteTimeout, 10*clock.Second).Std()}) }()
