platform, plain: headers of requests reach the server as they were sent

Cookies reached the server without their quotation marks, some not at all (k=%20"z"), and a request without a media type got application/octet-stream.

Cause: fasthttp treats some headers specially. RequestHeader.All parses the cookies and writes them again, Add parses them once more, and the writer adds a media type to a body that has none.

Both daemons read headers with AllInOrder and write them with the special treatment off.

--- a/internal/entry/service_test.go
+++ b/internal/entry/service_test.go
@@ -115,7 +115,7 @@
 		reply(c, 200, big)
 	})
 	d := start(t, f, nil, []string{s.addr})
-	resp := do(t, d, "PUT", "/services/tags/7/state?by=gate", `{"state":"open"}`, "X-Gate", "4", "Shallot-Deadline", "5000")
+	resp := do(t, d, "PUT", "/services/tags/7/state?by=gate", `{"state":"open"}`, "X-Gate", "4", "Shallot-Deadline", "5000", "Cookie", `a="x y";;k=%20"z"`)
 	b, err := io.ReadAll(resp.Body)
 	assert.NilError(t, err)
 	assert.Check(t, string(b) == big)
@@ -123,6 +123,8 @@
 	r := <-seen
 	assert.Equal(t, r.URL.String(), "/7/state?by=gate")
 	assert.Equal(t, r.Header.Get("X-Gate"), "4")
+	assert.Equal(t, r.Header.Get("Cookie"), `a="x y";;k=%20"z"`)
+	assert.Equal(t, r.Header.Get("Content-Type"), "", "the caller sent none")
 	assert.Equal(t, r.Header.Get("Authorization"), "")
 	assert.Check(t, r.Header.Get("Shallot-Deadline") != "" && r.Header.Get("Shallot-Request") != "")
 }
--- a/io/plain/client.go
+++ b/io/plain/client.go
@@ -53,7 +53,7 @@
 // PassedHeaders copies the headers that pass through. Attempts may share the copy, and it stays valid after fasthttp's request is
 // released.
 func PassedHeaders(h *fasthttp.RequestHeader) (out []Header) {
-	for k, v := range h.All() {
+	for k, v := range h.AllInOrder() { // as they were sent: All has cookies that are parsed and written again
 		if passesThrough(string(k)) {
 			out = append(out, Header{string(k), string(v)})
 		}
@@ -65,12 +65,13 @@
 func (c *Client) Do(addr string, v *Call) (*Answer, error) {
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
+	req.Header.DisableSpecialHeader() // otherwise cookies are parsed and written again, and a media type is added
 	for _, f := range v.Headers {
 		req.Header.Add(f.Name, f.Value)
 	}
 	req.Header.SetMethod(v.Method)
 	req.Header.SetRequestURI(v.URI)
-	req.Header.SetHost(addr)
+	req.Header.Set(fasthttp.HeaderHost, addr)
 	req.Header.Set("Shallot-Request", v.Request)
 	if v.Trace != "" {
 		req.Header.Set("traceparent", v.Trace)
