quarantine: a part that was answered before is not blamed first

Cause: requests that wait at a server as it ends leave crash records too, so a part that all requests share is in the crashes of as many servers as the deadly one. Of such suspects the first by name was taken; once it is refused, no answer can clear it.

Shared parts with which this VM never started an answer now come first, then the part at which most servers ended, then the one in fewer crashes.

--- a/core/quarantine/doc.go
+++ b/core/quarantine/doc.go
@@ -3,9 +3,10 @@
 //
 // A [Ledger] holds the crashes that the VMs of a fleet saw: the process of a server ended as it began the answer to a request, or
 // before. Each crash names the shared parts of that request's prompt, and the request itself as one more part ([WholeRequest]). A
-// part is cleared of a crash when a later answer to any request with it is started, on any VM. The part that most crashes have in
-// common and that nothing has cleared is quarantined: requests with it are refused. Parts that have occurred only together are
-// quarantined together, so a request is refused only if it has all of them.
+// part is cleared of a crash when a later answer to any request with it is started, on any VM. Of the parts that enough crashes have in
+// common and that nothing has cleared, the most likely one is quarantined: requests with it are refused. A part that was never answered
+// comes before one that was, then the one at which most servers ended, then the one that fewer requests have. Parts that have occurred
+// only together are quarantined together, so a request is refused only if it has all of them.
 //
 // A quarantine of a shared part needs crashes of several servers, at different moments, under different prompts, because many
 // servers can end at the same moment for another reason while they answer requests that have a part in common. A whole request
--- a/core/quarantine/rules.go
+++ b/core/quarantine/rules.go
@@ -33,7 +33,7 @@
 		}
 	}
 	for len(l.rules) < maxRules {
-		rule, ok := findRule(open)
+		rule, ok := l.findRule(open)
 		if !ok {
 			break
 		}
@@ -54,12 +54,12 @@
 	service, part string
 	crashes       []*record
 	servers       int
+	answered      bool // this VM started an answer to a request with the part, or the part stands for a whole request
 }
 
-// findRule returns the quarantine of the part that is in the crashes of the most servers, with the parts that are in exactly the
-// same crashes.
-func findRule(crashes []*record) (Rule, bool) {
-	all := findSuspects(crashes)
+// findRule returns the quarantine of the first sufficient suspect, with the parts that are in exactly the same crashes.
+func (l *Ledger) findRule(crashes []*record) (Rule, bool) {
+	all := l.findSuspects(crashes)
 	i := slices.IndexFunc(all, func(s suspect) bool { return s.sufficient() })
 	if i < 0 {
 		return Rule{}, false
@@ -87,8 +87,12 @@
 	return distinct(alone, func(r *record) string { return r.Workspace })
 }
 
-// findSuspects returns the suspects, the one in the crashes of the most servers first.
-func findSuspects(crashes []*record) (out []suspect) {
+// findSuspects returns the suspects, the most likely one first. Requests that wait at a server as it ends are in its crashes too, so a
+// part that many requests share, sound ones as well, is in the crashes of as many servers as the part that is to blame, or of more.
+// Shared parts with which this VM started no answer before therefore come first, whatever the number of servers. Of parts in the crashes
+// of as many servers the one in fewer crashes comes first: a part that all requests have is in all crashes, and fewer callers suffer if
+// a rare part is refused by mistake. The part to blame ends further servers then, which brings it to the front.
+func (l *Ledger) findSuspects(crashes []*record) (out []suspect) {
 	index := make(map[[2]string]int)
 	for _, r := range crashes {
 		for i, p := range r.Parts {
@@ -100,7 +104,8 @@
 			if !ok {
 				n = len(out)
 				index[key] = n
-				out = append(out, suspect{service: r.Service, part: p})
+				_, answered := l.started.get(r.Service, p)
+				out = append(out, suspect{service: r.Service, part: p, answered: answered || isWhole(p)})
 			}
 			out[n].crashes = append(out[n].crashes, r)
 		}
@@ -108,12 +113,24 @@
 	for i := range out {
 		out[i].servers = len(distinct(out[i].crashes, func(r *record) string { return r.Server }))
 	}
-	slices.SortFunc(out, func(a, b suspect) int {
-		return cmp.Or(cmp.Compare(b.servers, a.servers), cmp.Compare(a.service, b.service), cmp.Compare(a.part, b.part))
-	})
+	slices.SortFunc(out, compareSuspects)
 	return out
 }
 
+// compareSuspects orders suspects by how likely they are to blame.
+func compareSuspects(a, b suspect) int {
+	switch {
+	case a.answered && !b.answered:
+		return 1
+	case b.answered && !a.answered:
+		return -1
+	}
+	return cmp.Or(
+		cmp.Compare(b.servers, a.servers), cmp.Compare(len(a.crashes), len(b.crashes)),
+		cmp.Compare(a.service, b.service), cmp.Compare(a.part, b.part),
+	)
+}
+
 // sufficient reports whether the crashes are enough for a quarantine.
 func (s *suspect) sufficient() bool {
 	prompts := distinct(s.crashes, func(r *record) uint64 { return r.Prompt })
