canary: a session that may use the new version is not sent back by a limit

The limit holds for requests without a session only; a session's position and the time alone decide about it.

--- a/core/canary/rollout.go
+++ b/core/canary/rollout.go
@@ -20,8 +20,9 @@
 	// baselineWindow is the number of answers over which the usual time is averaged. It is long, so that the limit for slow
 	// answers hardly moves while the versions are compared.
 	baselineWindow = 300
-	// Before the last stage the new version gets at most trialCap times the trial fraction of all requests since the order,
-	// plus trialAllowance requests, even if a session with much of the traffic is assigned to it.
+	// Before the last stage a request without a session goes to the new version only while that has at most trialCap times the trial
+	// fraction of all requests since the order, plus trialAllowance requests. Such requests make room where sessions that are assigned
+	// to the new version have much of the traffic.
 	trialCap       = 0.6
 	trialAllowance = 2
 )
@@ -50,10 +51,10 @@
 	return float64(now.Sub(r.FirstSeen)) / float64(max(r.Order.Duration, 1))
 }
 
-// Admit decides whether the next request goes to the new version, and counts the request. The position is in [0, 1). A
-// session has a fixed position, so that all VMs decide alike about it and it never returns to the old version; a request
-// without a session has a random one.
-func (r *Rollout) Admit(now clock.Time, position float64) bool {
+// Admit decides whether the next request goes to the new version, and counts the request. The position is in [0, 1). A session has a
+// fixed position, and only that and the time decide, so that all VMs decide alike about it and it never returns to the old version. A
+// request without a session has a random position.
+func (r *Rollout) Admit(now clock.Time, position float64, session bool) bool {
 	switch {
 	case r.Order.State == Done:
 		return true
@@ -63,7 +64,7 @@
 	r.requests++
 	s := newStages(r.Share)
 	fraction := s.fraction(r.fraction(now))
-	if position >= fraction || fraction < 1 && r.exposed >= trialCap*s.trial*r.requests+trialAllowance {
+	if position >= fraction || !session && fraction < 1 && r.exposed >= trialCap*s.trial*r.requests+trialAllowance {
 		return false
 	}
 	r.exposed++
--- a/internal/feed/rollouts.go
+++ b/internal/feed/rollouts.go
@@ -46,7 +46,7 @@
 		return target
 	case r.Order.State == canary.RolledBack || len(target) == 0:
 		return old
-	case r.Admit(now, position(session, r.Order.Target)):
+	case r.Admit(now, position(session, r.Order.Target), session != ""):
 		return target
 	}
 	return old
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -87,7 +87,7 @@
 		l.Uint64("config", t.Config.Version)
 	}
 	l.Str("request", x.request.ID).Str("code", code).Str("service", x.service).Str("server", x.server.ID).
-		Str("version", x.server.Version).Str("model", x.model).Int("tries", x.attempts).Int("events", x.events).
+		Str("version", x.server.Version).Str("session", shorten(x.request.Session)).Str("model", x.model).Int("tries", x.attempts).Int("events", x.events).
 		Int64("backlog_ms", int64(x.backlog)).Int64("counts_ms", int64(x.usageAge)).
 		Int64("first_ms", int64(x.timeToFirst)).Int64("ms", int64(total)).Msg("gateway: request ended")
 }
