gateway: a planned stop is a deadline of the requests that are open

Cause: a request was started while a second of the grace was left, whatever it needed, and neither the router nor its server ended it before the process did. All cut requests had arrived less than their time before the end, and none before the stop.

The end of the stop, less 0.4 s, bounds the time of every open request and of its attempts. A request that must not be repeated is started only if its own deadline lies before it, and is refused at once otherwise; one that may be while the objective is left; a stream that can be resumed elsewhere in the first half of the time.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -174,7 +174,7 @@
 // startAttempt checks that the request can still be sent, selects a server and resets the state of the attempt.
 func (x *exchange) startAttempt() *work.Refusal {
 	now := x.g.Clock.Now()
-	if x.deadline.Sub(now) < minTimeLeft {
+	if x.timeLeft(now) < minTimeLeft {
 		return x.giveUp(work.CodeDeadline, "the time is over")
 	}
 	if why := x.keyFault(); why != "" {
@@ -237,7 +237,7 @@
 // newAttempt returns the attempt at the selected server and starts its span.
 func (x *exchange) newAttempt() *Attempt {
 	return &Attempt{
-		Request: x.request, Server: x.server, Model: x.model, Urgency: x.rank, TimeLeft: x.deadline.Sub(x.g.Clock.Now()),
+		Request: x.request, Server: x.server, Model: x.model, Urgency: x.rank, TimeLeft: x.timeLeft(x.g.Clock.Now()),
 		Trace: x.startAttemptSpan(), LastEventID: x.lastEvent, NewConn: x.attempts > 1, Stream: x.route.Kind == catalog.Streaming,
 		Workspace: x.workspaceName(), Abort: &x.abort,
 	}
@@ -248,7 +248,7 @@
 	if x.route.Kind != catalog.Safe || x.route.Objective == 0 || x.usedAttempts+1 >= x.route.Attempts {
 		return 0
 	}
-	return now.Add(min(2*x.route.Objective, x.deadline.Sub(now)/2))
+	return now.Add(min(2*x.route.Objective, x.timeLeft(now)/2))
 }
 
 // readAnswer reads the rest of an answer: the whole body, or a stream up to its first event. If the server answered with an
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"io"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -250,6 +251,57 @@
 	assert.Equal(t, b.sent(), 1)
 }
 
+// Guards against requests that are started late in a planned stop and are still open when the process ends, and against refusals of those
+// that end before.
+func TestStoppingStartsWhatCanFinish(t *testing.T) {
+	for _, c := range []struct {
+		path    string
+		timeout clock.Span // of the caller, 0 for that of the route: 5 s, with an objective of 1 s
+		after   clock.Span // since the begin of the stop, which ends open requests after 3.6 s
+		want    bool
+	}{
+		{"/safe/1", 0, 0, true}, {"/safe/1", 0, 2500, true}, {"/safe/1", 0, 2700, false}, {"/safe/1", 500, 3000, true}, {"/safe/1", 500, 3300, false},
+		{"/unsafe/1", 0, 0, false}, {"/unsafe/1", 1000, 2500, true}, {"/unsafe/1", 1000, 2700, false},
+		{"/stream/1", 0, 0, false}, {"/stream/1", 1000, 2500, true},
+		{"/resumable/1", 0, 0, true}, {"/resumable/1", 0, 1500, true}, {"/resumable/1", 0, 1700, false}, {"/resumable/1", 1000, 2500, true},
+	} {
+		b := &fakeBackend{script: []step{{events: 3}}}
+		g, _ := startGateway(t, b)
+		g.stopStart.Store(int64(g.Clock.Now().Add(-c.after)))
+		r := newRequest(c.path)
+		r.Timeout = c.timeout
+		a := g.Serve(r)
+		refused, ok := a.(Refused)
+		assert.Check(t, ok != c.want, "%+v", c)
+		if ok {
+			assert.Check(t, refused.Code == work.CodeStopping && refused.Ran == work.NotRun, "%+v", refused)
+			continue
+		}
+		left := b.attempts[0].TimeLeft
+		assert.Check(t, left <= 3600-c.after, "%+v: the server is given %d ms", c, left)
+		if s, ok := a.(*Stream); ok {
+			assert.NilError(t, s.Close())
+		}
+	}
+}
+
+// Guards against requests that are cut without an answer at the end of a planned stop, because they began before it and last longer.
+func TestStopEndsOpenRequests(t *testing.T) {
+	b := &fakeBackend{script: []step{{events: 3, stall: true}}}
+	g, _ := startGateway(t, b)
+	g.Grace = 1200 * clock.Millisecond
+	stream, ok := g.Serve(newRequest("/stream/1")).(*Stream)
+	assert.Assert(t, ok)
+	g.Stop()
+	begun := time.Now()
+	_, err := io.ReadAll(stream)
+	assert.ErrorIs(t, err, ErrBroken)
+	assert.NilError(t, stream.Close())
+	took := time.Since(begun)
+	assert.Check(t, took > 700*time.Millisecond && took < g.Grace.Std(), "the stream was ended after %v", took)
+	assert.Equal(t, g.Open(), 0)
+}
+
 // Guards against a VM that refuses callers although it reads the configuration a moment later, and against one that makes them
 // wait too long if it does not. After a loss of power all VMs of a fleet start together, and their callers arrive at once.
 func TestRequestAtStart(t *testing.T) {
--- a/internal/gateway/memory.go
+++ b/internal/gateway/memory.go
@@ -100,7 +100,7 @@
 	if reply.Body == nil {
 		return w, nil
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), max(x.deadline.Sub(x.g.Clock.Now()), clock.Millisecond).Std())
+	ctx, cancel := context.WithTimeout(context.Background(), max(x.timeLeft(x.g.Clock.Now()), clock.Millisecond).Std())
 	defer cancel()
 	x.mu.Lock()
 	x.cancel = cancel
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -119,5 +119,5 @@
 // takeSpareRetry reports whether an attempt that does not follow a failure is allowed, and takes it from the retry budget.
 func (x *exchange) takeSpareRetry() bool {
 	now := x.g.Clock.Now()
-	return x.attempts < maxAttempts && x.deadline.Sub(now) > minTimeLeft && x.pool.takeSpareRetry(now)
+	return x.attempts < maxAttempts && x.timeLeft(now) > minTimeLeft && x.pool.takeSpareRetry(now)
 }
--- a/internal/gateway/outcome.go
+++ b/internal/gateway/outcome.go
@@ -20,7 +20,7 @@
 	switch {
 	case x.usedAttempts >= x.route.Attempts || x.attempts >= maxAttempts:
 		x.exhausted = "attempts"
-	case x.deadline.Sub(now) <= minTimeLeft:
+	case x.timeLeft(now) <= minTimeLeft:
 		x.exhausted = "time"
 	case !taken && !x.pool.takeRetry(now):
 		x.exhausted = "retry budget"
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -57,7 +57,7 @@
 		x.abortAttempt(causeCallerGone)
 		return
 	}
-	if now >= x.deadline {
+	if x.timeLeft(now) <= 0 {
 		x.abortAttempt(causeDeadline)
 		return
 	}
@@ -80,7 +80,7 @@
 // abortForRetry aborts the current attempt if another one can follow. Otherwise the attempt continues, because a late answer is
 // better than none.
 func (x *exchange) abortForRetry(now clock.Time, w waitState, c endCause) {
-	if !w.canRetry || x.deadline.Sub(now) <= minTimeLeft || x.keyFault() != "" || !w.pool.hasRoom(x) || !w.pool.takeRetry(now) {
+	if !w.canRetry || x.timeLeft(now) <= minTimeLeft || x.keyFault() != "" || !w.pool.hasRoom(x) || !w.pool.takeRetry(now) {
 		return
 	}
 	x.mu.Lock()
