platform: large events of streams share the memory limit of large answers

Cause: the size of an event was bounded, the sum of all was not. Ruled out: heads, late answers and framing, which are read and not kept, and bodies, which grew by 31 MB.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -239,7 +239,7 @@
 	return &Attempt{
 		Request: x.request, Server: x.server, Model: x.model, Urgency: x.rank, TimeLeft: x.timeLeft(x.g.Clock.Now()),
 		Trace: x.startAttemptSpan(), LastEventID: x.lastEvent, NewConn: x.attempts > 1, Stream: x.route.Kind == catalog.Streaming,
-		Workspace: x.workspaceName(), Abort: &x.abort,
+		Workspace: x.workspaceName(), Abort: &x.abort, Reserve: x.g.bodyMemory.try,
 	}
 }
 
--- a/internal/gateway/memory.go
+++ b/internal/gateway/memory.go
@@ -16,9 +16,9 @@
 	// smallBody is the size below which no memory is reserved for a body, in bytes. The number of open requests limits the sum of
 	// such bodies.
 	smallBody = 64 << 10
-	// bodyMemoryFraction is the fraction of the VM's memory that all large bodies together may use.
+	// bodyMemoryFraction is the fraction of the VM's memory that all large bodies and events together may use.
 	bodyMemoryFraction = 0.25
-	// defaultBodyMemory is the memory for large bodies if the VM's memory is not known, in bytes.
+	// defaultBodyMemory is the memory for large bodies and events if the VM's memory is not known, in bytes.
 	defaultBodyMemory = 64 << 20
 )
 
@@ -27,7 +27,7 @@
 	errNoMemory = errors.New("no memory for a large answer was free before the request ended")
 )
 
-// memoryLimit limits the memory of the large bodies that are held at the same time. A body that does not fit is not read until
+// memoryLimit limits the memory of the large bodies and events that are held at the same time. A body that does not fit is not read until
 // others were sent to their callers, which holds back its server as well.
 type memoryLimit struct {
 	size int64
@@ -43,6 +43,14 @@
 	return &memoryLimit{size: size, sem: semaphore.NewWeighted(size)}
 }
 
+// try reserves bytes until release is called. It returns false if so many are not free.
+func (m *memoryLimit) try(bytes int64) (release func(), ok bool) {
+	if !m.sem.TryAcquire(bytes) {
+		return nil, false
+	}
+	return func() { m.sem.Release(bytes) }, true
+}
+
 // read reads a body of a length in bytes, negative if it is not known. It returns the function that releases the memory reserved
 // for the body, nil if none was reserved.
 func (m *memoryLimit) read(ctx context.Context, body io.Reader, length int) ([]byte, func(), error) {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -45,6 +45,9 @@
 // batchBytes is the size from which collected events are sent to the caller even if more can be read without blocking.
 const batchBytes = 4 << 10
 
+// maxBufBytes is the size beyond which a buffer for collected events is not used again.
+const maxBufBytes = 32 << 10
+
 // openStream starts a stream and reads up to its first event. A fault behind that event does not fail the attempt: the caller gets the
 // event, and Read resumes the stream after it.
 func (x *exchange) openStream(reply *Reply) (Answer, *Fault) {
@@ -63,6 +66,9 @@
 			return 0, s.err
 		}
 		s.buf, s.bufRead = s.buf[:0], 0
+		if cap(s.buf) > maxBufBytes {
+			s.buf = nil // it held a large event
+		}
 		if err := s.fill(); err != nil {
 			s.failOver(err)
 		}
--- a/internal/gateway/types.go
+++ b/internal/gateway/types.go
@@ -79,6 +79,8 @@
 	NewConn     bool       // use a new connection: an open one can lead to a server that no longer exists
 	Stream      bool       // the answer is expected to be a stream of events
 	Abort       *conn.Abort
+	// Reserve reserves bytes of memory for a large event, until release is called. It returns false if so many are not free.
+	Reserve func(bytes int64) (release func(), ok bool)
 }
 
 // Reply is the answer of a backend server after its head was read.
