quarantine: a few requests are sent to try whether a rule still holds

Cause: a rule in force stops the requests whose answers could show that it is wrong.

Two seconds after the last crash, or a minute if its parts were never answered, two of the VMs that saw the crashes may each send one request that a rule refuses; later turns have more VMs. A started answer clears its parts; two servers that end under trials end the trials.

--- a/core/quarantine/doc.go
+++ b/core/quarantine/doc.go
@@ -13,7 +13,7 @@
 // is quarantined without different prompts. If all crashes are those of one workspace, only its requests are refused, so that a
 // workspace cannot have the parts of another one refused. The quarantine ends when an answer to a request with the part is
 // started, or when no such request has come for a while. While the crashes are remembered, one more is enough to put it in force
-// again.
+// again. So that a wrong quarantine ends, a few requests are sent in spite of it (see trial.go).
 //
 // Ledgers are merged by [Message]s between a VM and the one that it follows. Only changes are sent. Records are merged by
 // maximum and union, so the order and number of merges does not matter. Times are sent as ages.
--- a/core/quarantine/ledger.go
+++ b/core/quarantine/ledger.go
@@ -31,6 +31,7 @@
 type Ledger struct {
 	records []*record
 	started startTimes
+	tried   map[string]clock.Time // last trial of this VM, by service and parts of the rule
 	log     delta.Log
 
 	rules      []Rule
@@ -49,6 +50,7 @@
 	cleared     uint64     // bit i is set if an answer to a request with Parts[i] was started after the crash
 	rev         uint64     // of the last change
 	source      uint64     // ledger from which the last change came, 0 for this VM
+	own         bool       // this VM saw the crash
 }
 
 // RecordCrash adds a crash that this VM saw, which may be in the past. Parts with which this VM has started an answer since then
@@ -58,7 +60,7 @@
 	if l.find(c) != nil {
 		return
 	}
-	r := &record{Crash: c, at: at, lastRefusal: at}
+	r := &record{Crash: c, at: at, lastRefusal: at, own: true}
 	l.add(at, r)
 	l.clearStarted(r)
 }
@@ -83,18 +85,27 @@
 	})
 }
 
-// Check returns why a request must not be sent now, nil if it may be sent.
-func (l *Ledger) Check(now clock.Time, q Request) *Refusal {
+// Check returns why a request must not be sent now, nil if it may be sent. With trial set it is sent to find out whether a rule that
+// refuses it still holds: a server that ends under it must be recorded as a crash of a trial.
+func (l *Ledger) Check(now clock.Time, q Request) (refusal *Refusal, trial bool) {
 	if len(l.records) == 0 {
-		return nil
+		return nil, false
 	}
+	var rules []Rule
 	for _, rule := range l.Rules(now) {
 		if rule.applies(q) {
-			l.recordRefusal(now, rule.crashes)
-			return &Refusal{Parts: rule.Parts, Servers: rule.Servers, Retry: quietTime}
+			rules = append(rules, rule)
 		}
 	}
-	return l.checkRepeat(now, q)
+	if len(rules) == 0 {
+		return l.checkRepeat(now, q), false
+	}
+	rule := rules[0]
+	if len(rules) == 1 && l.mayTry(now, rule, q) {
+		return nil, true
+	}
+	l.recordRefusal(now, rule.crashes)
+	return &Refusal{Parts: rule.Parts, Servers: rule.Servers, Retry: quietTime}, false
 }
 
 // checkRepeat refuses a prompt that ended a server a moment ago, unless each of its parts is known not to end servers. A request that
--- a/core/quarantine/quarantine_test.go
+++ b/core/quarantine/quarantine_test.go
@@ -43,7 +43,8 @@
 
 // refused reports whether a request with a new prompt is refused.
 func (l *Ledger) refused(now clock.Time, workspace string, parts ...string) bool {
-	return l.Check(now, Request{Service: "s", Workspace: workspace, Prompt: 999, Parts: parts}) != nil
+	r, _ := l.Check(now, Request{Service: "s", Workspace: workspace, Prompt: 999, Parts: parts})
+	return r != nil
 }
 
 // threeCrashes are the fewest crashes that suffice for a quarantine of a part.
@@ -112,7 +113,8 @@
 		assert.Equal(t, l.refused(now, c.workspace, c.parts...), c.want, c.name)
 	}
 	l := newLedger(1, threeCrashes("d")...)
-	assert.Assert(t, l.Check(5000, Request{Service: "t", Workspace: "w", Parts: []string{"a", "d"}}) == nil, "another service")
+	r, _ := l.Check(5000, Request{Service: "t", Workspace: "w", Parts: []string{"a", "d"}})
+	assert.Assert(t, r == nil, "another service")
 }
 
 // Guards against a quarantine that outlasts its cause, and against one that ends while requests with the part still come.
@@ -170,7 +172,7 @@
 		{"another prompt", []event{crash(1000, 1, "w", 8, "a", "d")}, 100, false},
 	} {
 		l := newLedger(1, c.events...)
-		r := l.Check(clock.Time(1000).Add(c.after), Request{Service: "s", Workspace: "w", Prompt: 7, Parts: []string{"a", "d"}})
+		r, _ := l.Check(clock.Time(1000).Add(c.after), Request{Service: "s", Workspace: "w", Prompt: 7, Parts: []string{"a", "d"}})
 		assert.Equal(t, r != nil, c.want, c.name)
 		assert.Check(t, r == nil || r.Repeat && r.Retry > 0, c.name)
 	}
--- a/core/quarantine/rules.go
+++ b/core/quarantine/rules.go
@@ -65,7 +65,7 @@
 		return Rule{}, false
 	}
 	first := all[i]
-	rule := Rule{Service: first.service, Servers: first.servers, crashes: first.crashes}
+	rule := Rule{Service: first.service, Servers: first.servers, crashes: first.crashes, answered: first.answered && !isWhole(first.part)}
 	for _, s := range all {
 		if s.service == first.service && slices.Equal(s.crashes, first.crashes) {
 			rule.Parts = append(rule.Parts, s.part)
--- a/core/quarantine/types.go
+++ b/core/quarantine/types.go
@@ -14,6 +14,7 @@
 	Workspace string   // workspace of the request, "" for none
 	Prompt    uint64   // hash of the whole prompt, or of a request without one
 	Parts     []string // what may be to blame: shared parts of the prompt and the request itself, at most maxParts
+	Trial     bool     `cbor:",omitempty"` // the request was sent to try whether a rule still holds
 }
 
 // wholePrefix begins the name of the part that stands for a whole request.
@@ -32,6 +33,7 @@
 	Workspace string
 	Prompt    uint64 // 0 for none
 	Parts     []string
+	MayTry    bool // the request may be sent to try whether a rule still holds
 }
 
 // Rule is a quarantine: requests to a service that have all the parts are refused.
@@ -41,7 +43,8 @@
 	Workspaces []string // workspaces that it is limited to, nil for all
 	Servers    int      // number of servers that ended
 
-	crashes []*record
+	crashes  []*record
+	answered bool // this VM started answers to requests with the parts before
 }
 
 // Refusal is the reason why a request must not be sent now.
--- a/core/quarantine/whole_test.go
+++ b/core/quarantine/whole_test.go
@@ -16,6 +16,12 @@
 	}
 }
 
+// check returns the refusal of a request.
+func check(l *Ledger, now clock.Time, q Request) *Refusal {
+	r, _ := l.Check(now, q)
+	return r
+}
+
 func wholeRequest(request string) Request {
 	return Request{Service: "s", Workspace: "w", Parts: []string{WholeRequest(request)}}
 }
@@ -31,12 +37,12 @@
 			l.RecordCrash(at, wholeCrash(i, "sound one"))
 		}
 	}
-	r := l.Check(3500, wholeRequest("deadly"))
+	r := check(l, 3500, wholeRequest("deadly"))
 	assert.Assert(t, r != nil && !r.Repeat, "%+v", r)
 	assert.Equal(t, r.Servers, 3)
-	assert.Assert(t, l.Check(3500, wholeRequest("sound one")) == nil, "its two servers ended under the other request")
-	assert.Assert(t, l.Check(3500, wholeRequest("other")) == nil)
-	assert.Assert(t, l.Check(clock.Time(maxAge)+4000, wholeRequest("deadly")) == nil, "the request may have been mended")
+	assert.Assert(t, check(l, 3500, wholeRequest("sound one")) == nil, "its two servers ended under the other request")
+	assert.Assert(t, check(l, 3500, wholeRequest("other")) == nil)
+	assert.Assert(t, check(l, clock.Time(maxAge)+4000, wholeRequest("deadly")) == nil, "the request may have been mended")
 }
 
 // Guards against a request that is tried at a third server while it may be to blame, against one that is refused although it was
@@ -44,10 +50,10 @@
 func TestWholeRequestIsHeldBack(t *testing.T) {
 	l := newLedger(1)
 	l.RecordCrash(1000, wholeCrash(0, "deadly"))
-	assert.Assert(t, l.Check(1100, wholeRequest("deadly")) == nil)
+	assert.Assert(t, check(l, 1100, wholeRequest("deadly")) == nil)
 	l.RecordCrash(1100, wholeCrash(1, "deadly"))
-	r := l.Check(1200, wholeRequest("deadly"))
+	r := check(l, 1200, wholeRequest("deadly"))
 	assert.Assert(t, r != nil && r.Repeat, "%+v", r)
 	l.RecordStart(1300, "s", []string{WholeRequest("deadly")})
-	assert.Assert(t, l.Check(1400, wholeRequest("deadly")) == nil)
+	assert.Assert(t, check(l, 1400, wholeRequest("deadly")) == nil)
 }
--- a/internal/feed/quarantine.go
+++ b/internal/feed/quarantine.go
@@ -47,8 +47,8 @@
 	return q.ledger.Proven(now, service, parts)
 }
 
-// Check returns why a request must not be sent now, nil if it may be sent.
-func (q *Quarantine) Check(now clock.Time, r quarantine.Request) *quarantine.Refusal {
+// Check returns why a request must not be sent now, nil if it may be sent, and whether it is sent to try whether a rule still holds.
+func (q *Quarantine) Check(now clock.Time, r quarantine.Request) (refusal *quarantine.Refusal, trial bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	return q.ledger.Check(now, r)
--- a/internal/follow/crashes_test.go
+++ b/internal/follow/crashes_test.go
@@ -16,7 +16,8 @@
 
 // refuses reports whether a VM refuses requests with the part.
 func refuses(m *vm) bool {
-	return m.feed.Quarantine.Check(clock.Clock{}.Now(), quarantine.Request{Service: "s", Parts: []string{"deadly"}}) != nil
+	r, _ := m.feed.Quarantine.Check(clock.Clock{}.Now(), quarantine.Request{Service: "s", Parts: []string{"deadly"}})
+	return r != nil
 }
 
 // Guards against VMs that do not learn which part of prompts ends servers, and against a VM that starts, the one that reads the
--- a/internal/front/state.go
+++ b/internal/front/state.go
@@ -46,7 +46,7 @@
 	return s.Quarantine.Remembers(now, service)
 }
 
-func (s *state) Check(now clock.Time, q quarantine.Request) *quarantine.Refusal {
+func (s *state) Check(now clock.Time, q quarantine.Request) (*quarantine.Refusal, bool) {
 	return s.Quarantine.Check(now, q)
 }
 
--- a/internal/gateway/ended.go
+++ b/internal/gateway/ended.go
@@ -31,7 +31,7 @@
 func (x *exchange) crash() quarantine.Crash {
 	c := quarantine.Crash{
 		Service: x.service, Server: x.server.ID + "/" + strconv.FormatInt(x.server.Born, 10), Workspace: x.workspaceName(),
-		Prompt: x.identity(), Parts: []string{x.wholeRequest()},
+		Prompt: x.identity(), Parts: []string{x.wholeRequest()}, Trial: x.trial,
 	}
 	if shared := x.sharedParts(); x.headArrived && len(shared) > 0 {
 		c.Prompt, c.Parts = x.promptHash(), append(shared, c.Parts...)
@@ -46,6 +46,7 @@
 		return // the answer had begun at an earlier server
 	}
 	c := crashAt{x.crash(), x.g.Clock.Now()}
+	x.trialCrashed = x.trial
 	if len(c.Parts) == 1 && x.firstCrash == nil {
 		x.firstCrash = &c
 		return
--- a/internal/gateway/ended_test.go
+++ b/internal/gateway/ended_test.go
@@ -12,6 +12,7 @@
 
 	"shallotrun/core/clock"
 	"shallotrun/core/quarantine"
+	"shallotrun/core/work"
 )
 
 // Guards against requests that share a part of their prompts and end one server after another.
@@ -40,6 +41,55 @@
 	assert.Check(t, b.deadlySent() <= crashes+later, "%d requests with the part reached servers", b.deadlySent())
 }
 
+// Guards against sound requests that are refused for minutes because servers ended under them for another reason, and against a request
+// that is sent to try that although it has just ended a server itself.
+func TestCrashesWithoutADeadlyPart(t *testing.T) {
+	b := &fakeBackend{ended: true, script: []step{{events: 5}}}
+	now := clock.NewManual(1000)
+	g, state := startGatewayAt(t, b, now)
+	sent := 0
+	send := func() Answer {
+		sent++
+		r := newRequest("/resumable/1")
+		r.ID, r.Parts = fmt.Sprint("r", sent), []PromptPart{{"first", 10}, {"sound", 10}, {fmt.Sprint("own-", sent), 10}}
+		a := g.Serve(r)
+		if s, ok := a.(*Stream); ok {
+			_, err := readStream(t, s)
+			assert.NilError(t, err)
+		}
+		return a
+	}
+	_, served := send().(*Stream)
+	assert.Assert(t, served)
+	b.deadlyPart = "sound" // all servers end
+	for range 3 {
+		now.Advance(400 * clock.Millisecond)
+		_, refused := send().(Refused)
+		assert.Assert(t, refused)
+		for i := range state.servers {
+			state.servers[i].Born++ // servers that ended have started again
+		}
+	}
+	now.Advance(clock.Second)
+	before := b.sent()
+	refusal, refused := send().(Refused)
+	assert.Assert(t, refused && refusal.Code == work.CodePartRefused, "%+v", refusal)
+	assert.Equal(t, b.sent(), before, "the request was sent although servers have just ended")
+
+	now.Advance(2 * clock.Second)
+	_, refused = send().(Refused)
+	assert.Check(t, refused && b.sent() == before+1, "one request is sent to try, and ends a server: %d were sent", b.sent()-before)
+	_, refused = send().(Refused)
+	assert.Check(t, refused && b.sent() == before+1)
+
+	b.deadlyPart = "" // servers end no more
+	now.Advance(3 * clock.Second)
+	for range 5 {
+		_, served = send().(*Stream)
+		assert.Check(t, served, "requests are refused though the answer to one was started")
+	}
+}
+
 // Guards against long or malformed parts of prompts that are taken for the same part, that grow without bound, or that other VMs
 // and the metrics cannot read.
 func TestPartsStayDistinct(t *testing.T) {
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -60,6 +60,8 @@
 	lastEvent     int64          // identifier of the last event that the caller has or that a Stream holds for it
 	passedEvents  int            // events of all attempts that were added to the caller's stream
 	identityHash  uint64         // result of identity, 0 before
+	trial         bool           // sent to find out whether servers still end under requests like this one
+	trialCrashed  bool           // a server ended under the trial
 	firstCrash    *crashAt       // first server that ended under this request, until it is recorded
 	abort         conn.Abort
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -47,8 +47,9 @@
 	RecordStart(now clock.Time, service string, parts []string)
 	// Proven reports whether an answer with each of the parts was started on this VM a short time ago.
 	Proven(now clock.Time, service string, parts []string) bool
-	// Check returns why a request must not be sent because of its prompt, nil if it may be sent.
-	Check(now clock.Time, q quarantine.Request) *quarantine.Refusal
+	// Check returns why a request must not be sent because of its prompt, nil if it may be sent, and whether it is sent to try whether
+	// that still holds.
+	Check(now clock.Time, q quarantine.Request) (refusal *quarantine.Refusal, trial bool)
 	// RecordLimit records what an answer says about the limit of its server: an answer that came now to a request that was sent at
 	// a time, both by Clock.Boot.
 	RecordLimit(now, sent clock.Time, v backend.Server, n limit.Notice)
--- a/internal/gateway/prompt.go
+++ b/internal/gateway/prompt.go
@@ -66,12 +66,17 @@
 // the caller has received events in this exchange has proved that it does not.
 func (x *exchange) checkParts(now clock.Time) *work.Refusal {
 	parts := x.parts(now)
-	if len(parts) == 0 || x.lastEvent != x.request.LastEventID {
+	if len(parts) == 0 || x.lastEvent != x.request.LastEventID || x.trial && !x.trialCrashed {
 		return nil
 	}
-	r := x.g.State.Check(now, quarantine.Request{
-		Service: x.service, Workspace: x.workspaceName(), Prompt: x.promptHash(), Parts: parts,
+	r, trial := x.g.State.Check(now, quarantine.Request{
+		Service: x.service, Workspace: x.workspaceName(), Prompt: x.promptHash(), Parts: parts, MayTry: x.attempts == 0,
 	})
+	if trial {
+		x.trial = true
+		x.g.Log.Warn().Str("request", x.request.ID).Strs("parts", parts).
+			Msg("gateway: a request that would be refused is sent, to find out whether servers still end under it")
+	}
 	if r == nil {
 		return nil
 	}
