gateway: servers that end just after the first event are crashes, too

Cause: the first event was the proof that a request does not end servers. A break after it was no crash, and the event cleared the parts.

The proof is the end of the answer, or an event half a second after the first one. Until then the end of a server is recorded with the parts, also if the caller has events, and a request is refused by what is known of its parts.

--- a/internal/gateway/ended.go
+++ b/internal/gateway/ended.go
@@ -9,9 +9,9 @@
 )
 
 // serverEnded reports whether the process of the server has ended before it began to answer, or as it began: the connection broke
-// before the first event, and the server's address refuses connections.
+// before the answer was proven, and the server's address refuses connections.
 func (x *exchange) serverEnded(f *Fault, why endCause) bool {
-	if f.Kind != OutcomeUnknown || why != causeNone || x.firstArrived {
+	if f.Kind != OutcomeUnknown || why != causeNone || x.attemptProven {
 		return false
 	}
 	if !x.g.Backend.Ended(x.server) {
@@ -42,8 +42,8 @@
 // recordCrash records that the server ended under this request. If only the request itself may be to blame, the first crash is kept
 // until the request ends: most servers end for another reason, and a request that is answered by the next one is not to blame.
 func (x *exchange) recordCrash() {
-	if x.lastEvent != x.request.LastEventID {
-		return // the answer had begun at an earlier server
+	if x.proven {
+		return // by the answer of an earlier server
 	}
 	c := crashAt{x.crash(), x.g.Clock.Now()}
 	x.trialCrashed = x.trial
--- a/internal/gateway/ended_test.go
+++ b/internal/gateway/ended_test.go
@@ -15,30 +15,35 @@
 	"shallotrun/core/work"
 )
 
-// Guards against requests that share a part of their prompts and end one server after another.
+// Guards against requests that share a part of their prompts and end one server after another, before the first event of their answers
+// or just after it.
 func TestPartThatEndsServersIsRefused(t *testing.T) {
-	b := &fakeBackend{deadlyPart: "deadly", script: []step{{events: 5}}, ended: true}
-	now := clock.NewManual(1000)
-	g, s := startGatewayAt(t, b, now)
-	for i := range 40 {
-		now.Advance(400 * clock.Millisecond)
-		last := PromptPart{ID: fmt.Sprint("own-", i), Tokens: 10}
-		r := newRequest("/resumable/1")
-		r.ID, r.Parts = fmt.Sprint("deadly-", i), []PromptPart{{"first", 10}, {"deadly", 10}, last}
-		a := g.Serve(r)
-		_, refused := a.(Refused)
-		assert.Assert(t, refused, "%+v", a)
-		for i := range s.servers {
-			s.servers[i].Born++ // servers that ended have started again
+	for _, last := range []int64{0, 1, 2} {
+		b := &fakeBackend{deadlyPart: "deadly", deadlyLast: last, script: []step{{events: 5}}, ended: true}
+		now := clock.NewManual(1000)
+		g, s := startGatewayAt(t, b, now)
+		for i := range 40 {
+			now.Advance(400 * clock.Millisecond)
+			own := PromptPart{ID: fmt.Sprint("own-", i), Tokens: 10}
+			r := newRequest("/resumable/1")
+			r.ID, r.Parts = fmt.Sprint("deadly-", i), []PromptPart{{"first", 10}, {"deadly", 10}, own}
+			a := g.Serve(r)
+			if stream, ok := a.(*Stream); ok {
+				_, err := readStream(t, stream)
+				assert.Check(t, last > 0 && err != nil, "an answer on the part looks complete")
+			}
+			for i := range s.servers {
+				s.servers[i].Born++ // servers that ended have started again
+			}
+			r = newRequest("/resumable/1")
+			r.ID, r.Parts = fmt.Sprint("sound-", i), []PromptPart{{"first", 10}, {"other", 10}, own}
+			got, err := readStream(t, g.Serve(r))
+			assert.NilError(t, err)
+			assert.Equal(t, got, events(0, 5))
 		}
-		r = newRequest("/resumable/1")
-		r.ID, r.Parts = fmt.Sprint("sound-", i), []PromptPart{{"first", 10}, {"other", 10}, last}
-		got, err := readStream(t, g.Serve(r))
-		assert.NilError(t, err)
-		assert.Equal(t, got, events(0, 5))
+		const crashes, later = 5, 3 // reached servers before the part has to be known, and after that
+		assert.Check(t, b.deadlySent() <= crashes+later, "%d events: %d requests with the part reached servers", last, b.deadlySent())
 	}
-	const crashes, later = 5, 3 // reached servers before the part has to be known, and after that
-	assert.Check(t, b.deadlySent() <= crashes+later, "%d requests with the part reached servers", b.deadlySent())
 }
 
 // Guards against sound requests that are refused for minutes because servers ended under them for another reason, and against a request
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -60,6 +60,8 @@
 	lastEvent     int64          // identifier of the last event that the caller has or that a Stream holds for it
 	passedEvents  int            // events of all attempts that were added to the caller's stream
 	identityHash  uint64         // result of identity, 0 before
+	attemptProven bool           // the current attempt shows that the request does not end servers
+	proven        bool           // an attempt shows it
 	trial         bool           // sent to find out whether servers still end under requests like this one
 	trialCrashed  bool           // a server ended under the trial
 	firstCrash    *crashAt       // first server that ended under this request, until it is recorded
@@ -202,7 +204,7 @@
 	x.attempts++
 	x.g.metrics.attempts.Inc()
 	x.server, x.attemptStart, x.reported, x.timeToFirst, x.events = server, now, false, 0, 0
-	x.headArrived, x.firstArrived, x.sentAt = false, false, x.g.Clock.Boot()
+	x.headArrived, x.firstArrived, x.attemptProven, x.sentAt = false, false, false, x.g.Clock.Boot()
 	x.overdue.Store(false)
 	x.startWaiting(x.giveUpTime(now))
 	return nil
--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -108,6 +108,7 @@
 type fakeBackend struct {
 	script     []step
 	deadlyPart string // part of a prompt on which every server ends between the head and the first event
+	deadlyLast int64  // events that are sent on such a part before that
 	deadlyBody string // body of a request on which every server ends before the head
 
 	mu          sync.Mutex
@@ -152,7 +153,7 @@
 	}
 	if b.isDeadly(a) {
 		r.Confidence = 0
-		r.Events = &fakeEvents{next: 1, broken: true}
+		r.Events = &fakeEvents{next: a.LastEventID + 1, last: a.LastEventID + b.deadlyLast, broken: true}
 		return r, nil
 	}
 	r.Events = &fakeEvents{
--- a/internal/gateway/prompt.go
+++ b/internal/gateway/prompt.go
@@ -54,19 +54,34 @@
 	return parts
 }
 
-// recordStart records that the answer to this request was started: it does not end servers.
+// proofDelay is how long after the first event of an answer its server must be there to show that the request does not end servers. A
+// server that ends under a request does so as it begins the answer, or soon after its first event.
+const proofDelay = 500 * clock.Millisecond
+
+// checkProof records the start of the answer once an event shows that the server has outlived its first one by proofDelay.
+func (x *exchange) checkProof() {
+	if !x.attemptProven && x.g.Clock.Now().Sub(x.attemptStart)-x.timeToFirst >= proofDelay {
+		x.recordStart()
+	}
+}
+
+// recordStart records that the answer to this request was started, and that it does not end servers.
 func (x *exchange) recordStart() {
+	if x.attemptProven {
+		return
+	}
+	x.attemptProven, x.proven = true, true
 	now := x.g.Clock.Now()
 	if parts := x.parts(now); len(parts) > 0 {
 		x.g.State.RecordStart(now, x.service, parts)
 	}
 }
 
-// checkParts returns the refusal of a request with a part, or as a whole, that ends servers, nil if it may be sent. A stream of which
-// the caller has received events in this exchange has proved that it does not.
+// checkParts returns the refusal of a request with a part, or as a whole, that ends servers, nil if it may be sent. A request whose answer
+// was started at an earlier server has proved that it does not.
 func (x *exchange) checkParts(now clock.Time) *work.Refusal {
 	parts := x.parts(now)
-	if len(parts) == 0 || x.lastEvent != x.request.LastEventID || x.trial && !x.trialCrashed {
+	if len(parts) == 0 || x.proven || x.trial && !x.trialCrashed {
 		return nil
 	}
 	r, trial := x.g.State.Check(now, quarantine.Request{
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -109,6 +109,7 @@
 		if errors.Is(err, io.EOF) {
 			s.err = io.EOF
 			x.firstAnswer()
+			x.recordStart()
 			s.reply.Close(true)
 			x.attemptEnded(work.Result{}, false)
 			x.recordEnd(nil)
@@ -142,11 +143,9 @@
 		}
 		if ev.ID > s.newestEvent {
 			s.newestEvent = ev.ID
-			if x.events == 0 {
-				x.recordStart()
-			}
 			x.firstAnswer()
 			x.events++
+			x.checkProof()
 			if x.events == intervalReportEvents {
 				x.reportResult(false)
 			}
