gateway: an answer of a request that must not be repeated is not dropped

Cause: escalate did not ask whether the request may be repeated, as every other way to a second attempt does.

Such a request keeps its answer, and its model is chosen as if no second one could follow.

TestAnswersThatMayNotBeRepeatedAreKept failed before on both kinds of routes (10 requests ran 16 times) and passes.

--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -229,10 +229,15 @@
 	resumable.Resumable = true
 	sized := resumable
 	sized.Name, sized.Prefix, sized.Models = "sized", "/sized/", []string{"small", "large"}
+	once := route("once", catalog.Streaming, 3)
+	once.Models = sized.Models
+	unsafeSized := route("issue", catalog.Unsafe, 3)
+	unsafeSized.Models = sized.Models
 	return catalog.NewTable(catalog.Config{
 		Version: version, Workspaces: []catalog.Workspace{{Name: "w", Keys: keys, Rank: catalog.NoRank}},
 		Routes: []catalog.Route{
 			route("safe", catalog.Safe, 2), route("unsafe", catalog.Unsafe, 3), route("stream", catalog.Streaming, 3), resumable, sized,
+			once, unsafeSized,
 		},
 		Services: []catalog.Service{{Name: "s", Engine: &catalog.Engine{Models: []catalog.Model{{Name: "small", Cost: 0.1}, {Name: "large", Cost: 9}}}}},
 	})
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -237,6 +237,25 @@
 	assert.Equal(t, b.attempts[1].LastEventID, int64(NoEvent))
 }
 
+// Guards against a request that runs twice although it must not be repeated, because the first answer was dropped for low confidence.
+func TestAnswersThatMayNotBeRepeatedAreKept(t *testing.T) {
+	for _, path := range []string{"/once/1", "/issue/1"} {
+		b := &fakeBackend{script: []step{{events: 5, confidence: 1}}}
+		g, _ := startGateway(t, b)
+		for range 10 {
+			a := g.Serve(newRequest(path))
+			if s, ok := a.(*Stream); ok {
+				got, err := readStream(t, s)
+				assert.NilError(t, err)
+				assert.Equal(t, got, events(0, 5))
+			}
+			_, refused := a.(Refused)
+			assert.Check(t, !refused)
+		}
+		assert.Check(t, b.sent() == 10, "%s: 10 requests ran %d times", path, b.sent())
+	}
+}
+
 // Guards against a planned stop that refuses a request which could still be served, or starts one that the end of the process
 // would break.
 func TestStopping(t *testing.T) {
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -21,7 +21,7 @@
 	x.pool.mu.Lock()
 	defer x.pool.mu.Unlock()
 	x.estimateTimes()
-	canEscalate := x.route.Attempts > 1 && x.pool.budget.RemainingFraction(x.g.Clock.Now()) >= minSpareBudget
+	canEscalate := x.repeatable() && x.route.Attempts > 1 && x.pool.budget.RemainingFraction(x.g.Clock.Now()) >= minSpareBudget
 	x.modelIndex = x.pool.chooser.Start(x.route.Name, x.models, x.size, x.pool.relativeDelay(x.route.Objective), canEscalate)
 	x.model = x.models[x.modelIndex].Name
 }
@@ -96,9 +96,10 @@
 }
 
 // escalate reports whether an answer, of which nothing was sent to the caller yet, is dropped because of its low confidence, and
-// if so chooses the larger model that answers next.
+// if so chooses the larger model that answers next. The server may have run the request by then, so one that must not be repeated keeps
+// its answer.
 func (x *exchange) escalate(reply *Reply) bool {
-	if len(x.models) == 0 || reply.Confidence == NoConfidence {
+	if len(x.models) == 0 || !x.repeatable() || reply.Confidence == NoConfidence {
 		return false
 	}
 	a := models.Answer{Model: x.modelIndex, Confidence: float64(reply.Confidence) / 100, Escalated: x.escalated}
