--- a/core/quarantine/trial.go
+++ b/core/quarantine/trial.go
@@ -9,9 +9,9 @@
 )
 
 // A rule can be wrong: servers that end one after the other for a reason of their own look like servers that a part of the prompts
-// ends, and no answer can clear a part with which no request is sent. A few requests are therefore sent all the same. If
-// the answer to one is started, its parts are cleared and the rule ends. If the server ends under it, the crash counts as one of a trial,
-// and after maxTrials of them the rule stands without further trials.
+// ends, and no answer can clear a part with which no request is sent. A few requests are therefore sent all the same, as trials. If the
+// answer to one is started, its parts are cleared and the rule ends. If the server ends under it, the crash counts as one of a trial, and
+// after maxTrials of them the rule stands without further trials.
 const (
 	// trialDelay is the time from the last crash to the first trials of a rule whose parts were answered before the crashes. Some of the
 	// servers are back by then.
@@ -51,8 +51,8 @@
 	return len(distinct(trials, func(c *record) string { return c.Server }))
 }
 
-// turn returns the start of the present turn, and whether it is this VM's. VMs take turns in the order of the crashes, each for the one
-// that it saw, so that all VMs that know the same crashes agree, and a VM that is gone or has no such request delays the trial only.
+// turn returns the start of the present turn, and whether this VM has it: one of the first crashes, in an order that is the same on all VMs
+// that know them, is one that it saw. A VM that is gone or has no such request delays the trial until the next turn.
 func (r *Rule) turn(now clock.Time) (start clock.Time, own bool) {
 	crashes := slices.Clone(r.crashes)
 	slices.SortFunc(crashes, func(a, b *record) int {
--- a/internal/feed/rollouts.go
+++ b/internal/feed/rollouts.go
@@ -2,7 +2,6 @@
 
 import (
 	"math/rand/v2"
-	"slices"
 	"sync"
 
 	"github.com/cespare/xxhash/v2"
@@ -24,15 +23,6 @@
 	peers    map[string]peerReports // by name of a VM that follows this one, and upstream
 }
 
-// pastOrders is what a VM knows of the earlier orders of a service.
-type pastOrders struct {
-	withdrawn []string // versions whose orders were rolled back, the last maxWithdrawn
-	complete  bool     // the VM knows how the last one ended
-}
-
-// maxWithdrawn is the number of versions of a service that are known as rolled back. Their servers leave some seconds after that.
-const maxWithdrawn = 8
-
 // heldOrder is an order in force with its rollout. The store may have lost the order, or a later state of it.
 type heldOrder struct {
 	*canary.Rollout
@@ -66,54 +56,6 @@
 	return old
 }
 
-// oldServers returns those of the servers that run another version than an order's target which may get requests: none of a version that
-// was rolled back, whose servers are there until they have left. A VM that does not know how the order before ended goes by the version
-// that registered first, since one that was rolled back came later.
-func (b *Rollouts) oldServers(service string, others []backend.Server) []backend.Server {
-	others = b.withoutWithdrawn(service, others)
-	if !b.past[service].complete {
-		return oldestVersion(others)
-	}
-	return others
-}
-
-// withoutWithdrawn returns the servers whose version was not rolled back.
-func (b *Rollouts) withoutWithdrawn(service string, all []backend.Server) []backend.Server {
-	for _, version := range b.past[service].withdrawn {
-		all = filterVersion(all, version, false)
-	}
-	return all
-}
-
-// recordEnd adds an order that another one replaces, or that is removed, to the past ones of its service.
-func (b *Rollouts) recordEnd(r *heldOrder) {
-	if b.past == nil {
-		b.past = make(map[string]pastOrders)
-	}
-	o := r.Order
-	h := b.past[o.Service]
-	rolledBack := o.State == canary.RolledBack || r.Verdict() != ""
-	h.complete = rolledBack || o.State == canary.Done
-	if rolledBack {
-		h.withdrawn = append(without(h.withdrawn, o.Target), o.Target)
-		h.withdrawn = h.withdrawn[max(len(h.withdrawn)-maxWithdrawn, 0):]
-	}
-	b.past[o.Service] = h
-}
-
-// recordOrder notes that the target of a new order may get requests again, if it was rolled back before.
-func (b *Rollouts) recordOrder(o canary.Order) {
-	if h, ok := b.past[o.Service]; ok {
-		h.withdrawn = without(h.withdrawn, o.Target)
-		b.past[o.Service] = h
-	}
-}
-
-// without returns the versions other than one.
-func without(versions []string, version string) []string {
-	return slices.DeleteFunc(slices.Clone(versions), func(v string) bool { return v == version })
-}
-
 // Record adds the result of a request to the rollout of its service, if there is one.
 func (b *Rollouts) Record(now clock.Time, service string, v canary.Result) {
 	b.mu.Lock()
