quarantine: a crash of a trial is one whichever way a VM hears of it first

Cause: a VM of an earlier build passes crashes on without the mark of a trial, and merge kept the record that came first, so that trials went uncounted while a fleet is updated.

TestTrialIsLearnedLater failed before.

--- a/core/quarantine/exchange.go
+++ b/core/quarantine/exchange.go
@@ -51,13 +51,15 @@
 			}
 			continue
 		}
-		if p.Cleared&^r.cleared == 0 && refusal.Sub(r.lastRefusal) < refusalStep {
+		trial := p.Trial && !r.Trial // a VM of an earlier build passes crashes on without it
+		if !trial && p.Cleared&^r.cleared == 0 && refusal.Sub(r.lastRefusal) < refusalStep {
 			continue
 		}
 		source := m.Ledger
 		if r.cleared&^p.Cleared != 0 || r.lastRefusal.Sub(refusal) >= refusalStep {
 			source = 0 // the sender lacks what this ledger had
 		}
+		r.Trial = r.Trial || p.Trial
 		r.cleared |= p.Cleared
 		r.lastRefusal = max(r.lastRefusal, refusal)
 		l.changed(r, source)
