caller, platform: the bodies of all open requests together have a bound

Cause: the size of a body was bounded, the sum of all was not; a body was allocated as soon as its header had arrived, and held twice. Ruled out: copies on the way to the server.

The server for callers reserves memory when a header has arrived, a quarter of the VM's for all bodies over 4 KiB (64 MiB where it is not known). Without memory the request is refused at once, as not run, with 503 and Retry-After. A request that could not be read is logged and counted, and keeps its identifier.

--- a/internal/front/daemon.go
+++ b/internal/front/daemon.go
@@ -33,6 +33,7 @@
 	Handle(*fasthttp.RequestCtx)
 	HandleReady(*fasthttp.RequestCtx)               // the balancer's readiness probe
 	Unreadable(*fasthttp.RequestCtx, *work.Refusal) // refuses a request that could not be read
+	IDHeader() string                               // header with the identifier of a request
 }
 
 // Daemon is one gateway daemon. Set the exported fields before Run.
@@ -52,6 +53,8 @@
 const (
 	// softMemoryFraction is the part of the VM's memory that the runtime may use before it collects garbage more often.
 	softMemoryFraction = 0.7
+	// requestMemoryFraction is the part of the VM's memory that the bodies of open requests may use.
+	requestMemoryFraction = 0.25
 	// gcPercent is the growth of the heap in per cent between garbage collections. The heap is small, and memory for its growth
 	// costs less than processor time for more collections, so they are rarer than by the runtime's default of 100.
 	gcPercent = 300
@@ -157,8 +160,9 @@
 	})
 	defer stopping()
 	srv := &caller.Server{
-		Listener: ln, Handler: dialect.Handle, OnUnreadable: dialect.Unreadable, MaxBody: bodyLimit, MaxHeader: headerLimit,
-		Linger: min(balancerLag, d.Settings.Grace/2), Log: d.Log,
+		Listener: ln, Handler: dialect.Handle, OnUnreadable: dialect.Unreadable, MaxBody: bodyLimit, MaxHeader: headerLimit, IDHeader: dialect.IDHeader(),
+		BodyMemory: int64(requestMemoryFraction * float64(int64(d.Settings.Memory)<<20)),
+		Linger:     min(balancerLag, d.Settings.Grace/2), Log: d.Log,
 	}
 	defer stopFollowing()
 	srv.ShutdownTimeout = max(d.Settings.Grace-srv.Linger-stopReserve, minGrace)
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -61,6 +61,13 @@
 	return m
 }
 
+// RecordUnread logs and counts a request that was refused because it could not be read.
+func (g *Gateway) RecordUnread(id string, r *work.Refusal) {
+	g.metrics.answers.WithLabelValues(r.Code).Inc()
+	g.Log.Warn().Str("request", id).Str("code", r.Code).Int("status", r.Status).Str("ran", string(r.Ran)).Str("detail", r.Detail).
+		Msg("gateway: request ended")
+}
+
 // recordEnd logs the end of a request and updates the metrics. Without a refusal the request is recorded as served.
 func (x *exchange) recordEnd(refusal *work.Refusal) {
 	x.endSpan(refusal)
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -36,22 +37,33 @@
 	ShutdownTimeout clock.Span // limit of the graceful shutdown that follows, 0 means none
 	MaxBody         int        // largest body in bytes, 0 means BodyLimit
 	MaxHeader       int        // largest request line and headers in bytes, 0 means HeaderLimit
+	BodyMemory      int64      // memory of all bodies that are held at the same time, in bytes, 0 means 64 MiB
+	IDHeader        string     // header with the identifier of a request, "" for none
 	// OnUnreadable answers a request that could not be read; nil answers with problem details.
 	OnUnreadable func(*fasthttp.RequestCtx, *work.Refusal)
 	Log          zerolog.Logger
+
+	bodies *bodyMemory
 }
 
 // Run serves until the context ends, then shuts down gracefully: it stops accepting connections, closes idle ones and returns
 // when all responses have ended or ShutdownTimeout has passed. It continues to accept for Linger, so that the handler can
 // refuse new requests: closing the listener at once would reset the connections that wait to be accepted.
 func (s *Server) Run(ctx context.Context) error {
+	readTimeout := spanOrDefault(s.ReadTimeout, 30*clock.Second).Std()
+	maxBody := intOrDefault(s.MaxBody, BodyLimit)
+	s.bodies = &bodyMemory{
+		idHeader: s.IDHeader, maxBody: maxBody, readTimeout: readTimeout, free: cmp.Or(s.BodyMemory, defaultBodyMemory),
+		held: make(map[*fasthttp.RequestHeader]*reservation),
+	}
 	srv := &fasthttp.Server{
-		Handler:               s.Handler,
+		Handler:               s.handle,
+		HeaderReceived:        s.bodies.admit,
 		ErrorHandler:          s.unreadable,
-		MaxRequestBodySize:    intOrDefault(s.MaxBody, BodyLimit),
+		MaxRequestBodySize:    maxBody,
 		ReadBufferSize:        intOrDefault(s.MaxHeader, HeaderLimit),
 		Concurrency:           ParallelLimit,
-		ReadTimeout:           spanOrDefault(s.ReadTimeout, 30*clock.Second).Std(),
+		ReadTimeout:           readTimeout,
 		IdleTimeout:           spanOrDefault(s.IdleTimeout, 60*clock.Second).Std(),
 		ReduceMemoryUsage:     true,
 		CloseOnShutdown:       true,
@@ -82,12 +94,22 @@
 	return oops.Wrapf(<-done, "caller server")
 }
 
+// handle serves a request whose body has arrived.
+func (s *Server) handle(ctx *fasthttp.RequestCtx) {
+	s.bodies.claim(ctx)
+	s.Handler(ctx)
+}
+
 // unreadable answers a request that could not be read. No part of it ran.
 func (s *Server) unreadable(ctx *fasthttp.RequestCtx, err error) {
 	r := &work.Refusal{Code: work.CodeBadRequest, Status: fasthttp.StatusBadRequest, Ran: work.NotRun, Detail: "the request could not be read"}
 	var small *fasthttp.ErrSmallBuffer
 	var timeout interface{ Timeout() bool }
+	exhausted := s.bodies.fail(&ctx.Request.Header)
 	switch {
+	case exhausted && errors.Is(err, fasthttp.ErrBodyTooLarge):
+		r.Code, r.Status, r.Retry = work.CodeOverloaded, fasthttp.StatusServiceUnavailable, memoryRetry
+		r.Detail = "no memory is free for the body"
 	case errors.As(err, &small):
 		r.Code, r.Status, r.Detail = work.CodeTooLarge, fasthttp.StatusRequestHeaderFieldsTooLarge, "the headers are too large"
 	case errors.Is(err, fasthttp.ErrBodyTooLarge):
