follow, feed: a VM that the store turns away gets its objects through another one

Cause: only candidates read the store, and nothing told apart a store that is away for all from one that turns away the candidates. Ruled out: newer state at other candidates, which their followers do query.

A candidate without an answer for 1.5 s queries the other candidates for objects, and the first one asks one follower at a time to read the store for it. Such a query carries no loads, results or limits, since neither VM follows the other.

TestStoreTurnsAwayAllCandidates failed before: after 4 s no VM had the change. It passes with all other VMs answered and with half of them turned away: every change in force within 4 s, 38 to 40 calls of eight VMs in 9.1 to 9.7 s, about four a second for the domain. Two race runs of all tests of the package: in the first one TestFollow failed, in the second one all passed.

TestFollow demanded that a VM which the store does not answer loses its proof of freshness while others reach the store. It now gets the proof from them, with all ages added up.

New fields of messages between VMs are left out unless a VM reads the store for another one; earlier builds ignore them.

--- a/internal/feed/delta.go
+++ b/internal/feed/delta.go
@@ -27,7 +27,8 @@
 	HasLoads         bool               `cbor:"Counted"` // the reply contains loads; many loads are sent less often than the rest
 	Crashes          quarantine.Message // crashes of backend servers that the querying VM lacks
 	Limits           LimitReply         // limits that servers name, and the querying VM's part of them
-	ShouldJoin       bool               `cbor:"Stand"` // the querying VM should write its entry to the store, by which others find it
+	ShouldJoin       bool               `cbor:"Stand"`          // the querying VM should write its entry to the store, by which others find it
+	ShouldRead       bool               `cbor:"Read,omitempty"` // the querying VM should read the store for a while, as it does not answer the replying one
 }
 
 // Query is sent to the VM that this one follows.
@@ -41,6 +42,9 @@
 	Crashes quarantine.Message // crashes of backend servers that the VM queried lacks
 	Limits  LimitQuery         // limits that servers name, and what the querying VM wants of them
 	VM      Member             // the querying VM
+
+	SinceStoreAnswer clock.Span `cbor:"Quiet,omitempty"`   // time since the store's last answer, if the querying VM was asked to read it; 0 otherwise
+	ObjectsOnly      bool       `cbor:"Objects,omitempty"` // the reply has only objects of the store: the querying VM does not follow the one queried
 }
 
 // Query returns this VM's query to another VM. The caller sets VM.
@@ -70,6 +74,18 @@
 	return q
 }
 
+// ObjectsQuery returns a query for the objects of the store that this VM lacks.
+func (f *Feed) ObjectsQuery() Query {
+	q := Query{ObjectsOnly: true}
+	for k, p := range f.positions() {
+		q.Revs[k], q.Eras[k] = p.Rev, p.Era
+	}
+	if t := f.Config.Table(); t != nil {
+		q.Config = t.Config.Version
+	}
+	return q
+}
+
 // applyNewer applies the configuration of a VM that follows this one, if that is newer: this VM missed it, and the store may have lost
 // it since.
 func (f *Feed) applyNewer(from string, q Query) {
@@ -96,11 +112,13 @@
 	if d, err = f.ChangesSince(q.Revs, q.Eras); err != nil {
 		return d, err
 	}
-	now := f.Clock.Now()
-	d.Reports = f.Orders.Exchange(now, from, q.Reports)
-	d.Loads, d.HasLoads = f.Loads.Exchange(now, from, q.Loads)
-	d.Crashes = f.Quarantine.Reply(now, q.Crashes)
-	d.Limits = f.Limits.Reply(f.Clock.Boot(), q.VM, q.Limits)
+	if !q.ObjectsOnly {
+		now := f.Clock.Now()
+		d.Reports = f.Orders.Exchange(now, from, q.Reports)
+		d.Loads, d.HasLoads = f.Loads.Exchange(now, from, q.Loads)
+		d.Crashes = f.Quarantine.Reply(now, q.Crashes)
+		d.Limits = f.Limits.Reply(f.Clock.Boot(), q.VM, q.Limits)
+	}
 	if t := f.Config.Table(); t != nil && q.Config < t.Config.Version {
 		d.Config = t.Config.Version
 		f.mu.Lock()
@@ -245,6 +263,22 @@
 // sent. It returns ErrUnready if that VM is not synchronised. Any other error means that a part could not be decoded; the other parts
 // are applied.
 func (f *Feed) Apply(sent clock.Time, from string, d Delta) error {
+	err := f.ApplyObjects(sent, from, d)
+	if errors.Is(err, ErrUnready) {
+		return err
+	}
+	now := f.Clock.Now()
+	f.Orders.SetUpstream(now, d.Reports)
+	f.Quarantine.Accept(now, d.Crashes)
+	f.Limits.Accept(f.Clock.Boot(), from, d.Limits)
+	if d.HasLoads {
+		f.Loads.SetUpstream(now, d.Loads)
+	}
+	return err
+}
+
+// ApplyObjects applies the objects of the store in the reply of another VM, like Apply.
+func (f *Feed) ApplyObjects(sent clock.Time, from string, d Delta) error {
 	if d.Unready {
 		return ErrUnready
 	}
@@ -274,13 +308,6 @@
 		}
 		f.applyList(k, Batch{Objects: all, Rev: c.Rev, Era: c.Era})
 	}
-	now := f.Clock.Now()
-	f.Orders.SetUpstream(now, d.Reports)
-	f.Quarantine.Accept(now, d.Crashes)
-	f.Limits.Accept(f.Clock.Boot(), from, d.Limits)
-	if d.HasLoads {
-		f.Loads.SetUpstream(now, d.Loads)
-	}
 	if err := errors.Join(faults...); err != nil {
 		return err
 	}
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -58,7 +58,8 @@
 	eras         eraTracker
 	emptyWatch   [kinds]emptyWatch // returned by a watch without changes, used only after maxWatchLag
 	lastOutage   clock.Time        // when the store last failed to answer, here or at the VM that is followed; 0 for never
-	answeredAt   [kinds]clock.Time // by Clock.Boot: when the store last answered a call about the kind
+	answeredAt   [kinds]clock.Time // by Clock.Boot: when the store last answered a call about the kind, of this VM or of one that it queried
+	ownAnswerAt  [kinds]clock.Time // the same of this VM
 	members      map[string]Member
 	lostMembers  map[string]clock.Time // by VM whose entry the store lost: until when it stays
 	packedConfig packedCache           // of the configuration in use
@@ -268,6 +269,14 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.answeredAt[k] = f.Clock.Boot()
+	f.ownAnswerAt[k] = f.answeredAt[k]
+}
+
+// SinceOwnAnswer returns the longer time since the store's last answer to this VM about configuration or servers.
+func (f *Feed) SinceOwnAnswer() clock.Span {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.Clock.Boot().Sub(min(f.ownAnswerAt[Configs], f.ownAnswerAt[Servers]))
 }
 
 // Members returns the VMs that have an entry in the store, in no particular order.
--- /dev/null
+++ b/internal/follow/ask_test.go
@@ -0,0 +1,84 @@
+package follow
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"shallotrun/core/backend"
+)
+
+// Guards against VMs that miss changes because the store turns away all VMs of their failure domain that others follow, although it would
+// answer the rest; and against a domain whose VMs all call the store then.
+func TestStoreTurnsAwayAllCandidates(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		more int // further VMs that the store turns away
+	}{
+		{"the candidates alone", 0},
+		{"and half of the others", 4},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			turnAwayCandidates(t, c.more)
+		})
+	}
+}
+
+func turnAwayCandidates(t *testing.T, more int) {
+	const vms = 12
+	s := newStore()
+	var names []string
+	for n := range vms {
+		names = append(names, fmt.Sprint("vm", n))
+	}
+	all := fleet(t, s, names...)
+	waitFor(t, "one VM reads the store", func() bool { return storeReader(all) != nil })
+	candidates := func() int {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return len(s.members)
+	}
+	waitFor(t, "candidates are chosen", func() bool { return candidates() >= candidatesPerDomain })
+	waitFor(t, "all know the candidates", func() bool {
+		for _, m := range all {
+			if len(m.feed.Members()) != candidates() {
+				return false
+			}
+		}
+		return true
+	})
+	time.Sleep(time.Second) // watches in progress end
+	var others []*vm
+	for _, m := range all {
+		candidate := m.follower.isCandidate() || m.following() == ""
+		if !candidate {
+			others = append(others, m)
+		}
+		m.view.setDisconnected(candidate || len(others) <= more)
+	}
+	assert.Assert(t, len(others) >= vms/2, "%d VMs are no candidates", len(others))
+	const length = 9 * time.Second
+	begun := time.Now()
+	for version := uint64(2); time.Since(begun) < length; version++ {
+		changed := time.Now()
+		s.configure(version)
+		s.put(backend.Server{ID: "x", Service: "s", Leaving: version%2 == 0})
+		for _, m := range all {
+			for m.feed.Config.Table().Config.Version != version || len(m.feed.Servers(m.follower.Clock.Now(), "s")) != int(version%2) {
+				assert.Assert(t, time.Since(changed) < applyBound, "%s does not have version %d after %v", m.name, version, applyBound)
+				time.Sleep(5 * time.Millisecond)
+			}
+		}
+		time.Sleep(500 * time.Millisecond)
+	}
+	calls := 0
+	for _, m := range others {
+		calls += m.view.callCount()
+	}
+	t.Logf("%d calls by %d VMs in %v", calls, len(others), time.Since(begun))
+	// One VM that reads the store makes about four calls a second; another one may take its place.
+	assert.Check(t, float64(calls) < 12*time.Since(begun).Seconds(), "%d calls in %v", calls, time.Since(begun))
+}
--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -67,6 +67,11 @@
 	secretEra         uint64 // era of the store in which the secret was last known to be in it, 0 before the first one
 	joining           bool   // the entry of this VM is being written, or was a moment ago
 	nextAlternative   int    // counts the polls of other VMs while the upstream gets no answer from the store
+	asking            asking
+	readUntil         clock.Time            // until when this VM reads the store for another one, 0 for never
+	relayedUntil      clock.Time            // until when a candidate that is ordered before this one has answers of the store for both
+	source            string                // the one of sources that had recent answers of the store at the last query, "" for none
+	sources           map[string]clock.Time // VMs that are queried while the store does not answer: until when connections to them stay
 }
 
 // Init prepares the follower. It is called once, before the feed runs.
@@ -106,6 +111,7 @@
 			name = f.failOver(ctx)
 		}
 		f.setUpstream(name)
+		f.fetchElsewhere(ctx)
 		f.learn(ctx)
 		f.Feed.Loads.Refresh(f.Clock.Now())
 		f.checkSecret(ctx)
@@ -225,13 +231,16 @@
 	sent := f.Clock.Boot()
 	var d feed.Delta
 	q := f.Feed.Query(m.Name)
-	q.VM = f.Self
+	q.VM, q.SinceStoreAnswer = f.Self, f.sinceStoreAnswer()
 	if err := f.transport.Request(bounded, m.Name, peer.KindFeed, q, &d); err != nil {
 		return err
 	}
 	if d.ShouldJoin {
 		f.join(ctx)
 	}
+	if d.ShouldRead {
+		f.readStore()
+	}
 	if err := f.Feed.Apply(sent, m.Name, d); err != nil {
 		return err
 	}
@@ -334,7 +343,7 @@
 		delegated, changed, left := f.delegated, f.delegationChanged, delegationTimeout-f.Clock.Now().Sub(f.lastAnswer)
 		f.mu.Unlock()
 		switch {
-		case !delegated:
+		case !delegated, f.reads():
 			return
 		case !f.Feed.Synchronised():
 			left = delegationTimeout // the search at the start has its own bound
@@ -374,7 +383,11 @@
 	if err != nil {
 		return "", nil, err
 	}
+	if q.ObjectsOnly {
+		return peer.KindFeed, d, nil
+	}
 	d.ShouldJoin = (*Follower)(h).recordFollower(q.VM)
+	d.ShouldRead = !d.Unready && (*Follower)(h).shouldAsk(q)
 	return peer.KindFeed, d, nil
 }
 
