follow: a VM that was asked in vain to read the store is not asked again before the others

A candidate that the store turns away could ask the same follower for ever, also if the store turned that one away too, so that the domain still missed changes.

Cause: VMs query every 300 ms and are asked for 1500 ms, five queries; the VM whose time ends is the first to query again, and was taken for a sign that all others had been asked. In TestStoreTurnsAwayAllCandidates only the jitter of real queries hid it.

VMs that were asked before wait for two query intervals after the end, within which every other one queries.

TestOneVMIsAskedAtATime failed before: two of four VMs were never asked, and one that gets answers was asked 0 times.

--- a/internal/follow/ask.go
+++ b/internal/follow/ask.go
@@ -12,6 +12,8 @@
 const (
 	// askSpan is how long a VM reads the store each time it is asked to. A VM that is asked in vain is replaced by another one after it.
 	askSpan = 1500 * clock.Millisecond
+	// untriedTime is how long VMs that were not asked yet come first after another one was asked in vain. Each queries this VM within it.
+	untriedTime = 2 * pollInterval
 	// readerTimeout is how long after its last query a follower that reads the store is still queried.
 	readerTimeout = clock.Second
 	// firstAnswerTime is how long a VM that begins to read the store waits for its first answers.
@@ -34,7 +36,7 @@
 // long; answer is the time since the querying VM's last answer, 0 if it does not read the store.
 func (a *asking) ask(now clock.Time, m feed.Member, answer clock.Span, silent bool) bool {
 	if !silent {
-		a.name, a.tried = "", nil
+		a.name, a.until, a.tried = "", 0, nil
 		return false
 	}
 	reads := answer > 0 && answer <= minSilence
@@ -45,12 +47,12 @@
 	case m.Name == a.name && reads:
 		a.until = now.Add(askSpan)
 		return true
-	case now < a.until && a.name != "":
+	case now < a.until:
 		return m.Name == a.name
-	case a.tried[m.Name] && a.name != "" && m.Name != a.name:
-		return false // others come first
+	case a.tried[m.Name] && now < a.until.Add(untriedTime):
+		return false
 	case a.tried[m.Name]:
-		a.tried = nil // all were asked
+		a.tried = nil // all that query this VM were asked
 	}
 	if a.tried == nil {
 		a.tried = make(map[string]bool)
--- a/internal/follow/ask_test.go
+++ b/internal/follow/ask_test.go
@@ -8,6 +8,8 @@
 	"gotest.tools/v3/assert"
 
 	"shallotrun/core/backend"
+	"shallotrun/core/clock"
+	"shallotrun/internal/feed"
 )
 
 // Guards against VMs that miss changes because the store turns away all VMs of their failure domain that others follow, although it would
@@ -82,3 +84,46 @@
 	// One VM that reads the store makes about four calls a second; another one may take its place.
 	assert.Check(t, float64(calls) < 12*time.Since(begun).Seconds(), "%d calls in %v", calls, time.Since(begun))
 }
+
+// Guards against several VMs that are asked to read the store at the same time, VMs that are never asked, and a VM that is replaced although
+// it gets answers.
+func TestOneVMIsAskedAtATime(t *testing.T) {
+	names := []string{"a", "b", "c", "e"}
+	for _, c := range []struct {
+		name    string
+		answers string // VM that gets answers of the store, "" for none
+	}{
+		{"no VM gets answers", ""},
+		{"the first one does", "a"},
+		{"the last one does", "e"},
+	} {
+		var a asking
+		asked := make(map[string]int)
+		until := make(map[string]clock.Time) // by VM: until when it reads the store
+		for now := clock.Time(1000); now < 61_000; now += 75 {
+			m := feed.Member{Name: names[int(now/75)%len(names)]}
+			answer := clock.Span(0)
+			if now < until[m.Name] && m.Name == c.answers {
+				answer = 200
+			}
+			if a.ask(now, m, answer, true) {
+				asked[m.Name]++
+				until[m.Name] = now.Add(askSpan)
+			}
+			reading := 0
+			for _, u := range until {
+				if now < u-clock.Time(askSpan-pollInterval) { // asked within the last poll
+					reading++
+				}
+			}
+			assert.Check(t, reading <= 2, "%s: %d VMs were asked within a poll", c.name, reading)
+		}
+		for _, n := range names {
+			assert.Check(t, c.answers != "" || asked[n] > 0, "%s: %s was never asked", c.name, n)
+		}
+		if c.answers != "" {
+			assert.Check(t, asked[c.answers] > 150, "%s: it was asked %d times in 200 polls", c.name, asked[c.answers])
+		}
+		assert.Check(t, !a.ask(61_000, feed.Member{Name: "a"}, 0, false), "%s: asked although the store answers", c.name)
+	}
+}
