io/caller: slow callers leave memory for small bodies in chunks

What callers saw: 503 "no memory is free for the body" for a body of 8 KB in chunks, while other callers had sent only the headers of theirs.

Cause: the size of a body in chunks is not known, and each reserved a quarter of what was free until it had arrived. After 15 headers without a body, less than 8 KB of 4 MiB could be reserved.

Change: bodies in chunks whose limit is above 8 KiB use at most half of the memory, each a quarter of what is left of it; later ones are limited to 8 KiB. The tests wait at most 30 s, and handlers end with the test.

--- a/io/caller/bodies.go
+++ b/io/caller/bodies.go
@@ -14,6 +14,8 @@
 	// smallBody is the size up to which no memory is reserved for a body, in bytes. The number of open connections limits the sum of
 	// such bodies.
 	smallBody = 4 << 10
+	// smallChunked is the size of a body in chunks for which half of the memory is kept, in bytes.
+	smallChunked = 2 * smallBody
 	// defaultBodyMemory is the memory for bodies if the server's BodyMemory is not set, in bytes.
 	defaultBodyMemory = 64 << 20
 	// memoryRetry is the time after which a caller may send a body again for which no memory was free.
@@ -30,6 +32,7 @@
 	idHeader    string        // header with the identifier of a request, "" for none
 	maxBody     int           // largest body, in bytes
 	readTimeout time.Duration // time within which a body arrives
+	total       int64         // memory for bodies, in bytes
 
 	mu   sync.Mutex
 	free int64
@@ -65,11 +68,10 @@
 		return fasthttp.RequestConfig{MaxRequestBodySize: m.maxBody}
 	}
 	r.id = string(h.Peek(m.idHeader))
-	// The size of a body in chunks is not known. Each may take a part of what is free, so that many small ones can arrive at the same
-	// time. While a buffer grows, the old one and the new one exist.
+	// While a buffer grows, the old one and the new one exist.
 	m.sweep()
-	most := min(allocated(m.maxBody), m.free/8)
-	if most <= smallBody || !m.reserve(r, 2*most) {
+	most := m.chunkedLimit()
+	if !m.reserve(r, 2*most) {
 		r.limited = true
 		return fasthttp.RequestConfig{MaxRequestBodySize: smallBody}
 	}
@@ -77,6 +79,12 @@
 	return fasthttp.RequestConfig{MaxRequestBodySize: int(min(most, int64(m.maxBody)))}
 }
 
+// chunkedLimit returns the size up to which the next body in chunks may grow. How large it will be is not known, so the first ones may be
+// large, but they use at most half of the memory: bodies that arrive slowly, or not at all, must not keep small ones out.
+func (m *bodyMemory) chunkedLimit() int64 {
+	return min(allocated(m.maxBody), max(smallChunked, (m.free-m.total/2)/4))
+}
+
 // chunkedBody is fasthttp's ContentLength of a body in chunks.
 const chunkedBody = -1
 
--- a/io/caller/bodies_test.go
+++ b/io/caller/bodies_test.go
@@ -30,6 +30,7 @@
 func newTestServer(t *testing.T, memory int64, readTimeout clock.Span) *testServer {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
+	ended := make(chan struct{})
 	s := &testServer{addr: ln.Addr().String(), waiting: make(chan struct{}, 1000), answer: make(chan struct{}, 1000)}
 	s.Server = &Server{
 		Listener: ln, MaxBody: 1 << 20, BodyMemory: memory, ReadTimeout: readTimeout, IDHeader: "Id", Linger: 1,
@@ -37,7 +38,10 @@
 			b := TakeBody(ctx)
 			if len(b) > smallBody {
 				s.waiting <- struct{}{}
-				<-s.answer
+				select {
+				case <-s.answer:
+				case <-ended:
+				}
 			}
 			_, _ = ctx.WriteString(fmt.Sprint(len(b)))
 		},
@@ -45,10 +49,22 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go func() { done <- s.Run(ctx) }()
-	t.Cleanup(func() { cancel(); <-done })
+	t.Cleanup(func() { close(ended); cancel(); <-done })
 	return s
 }
 
+// wait returns when n more requests have reached the handler.
+func (s *testServer) wait(t *testing.T, n int) {
+	timeout := time.After(30 * time.Second)
+	for i := range n {
+		select {
+		case <-s.waiting:
+		case <-timeout:
+			t.Fatalf("only %d of %d requests have reached the handler", i, n)
+		}
+	}
+}
+
 // used returns the memory that is reserved.
 func (s *testServer) used(size int64) int64 {
 	s.bodies.mu.Lock()
@@ -101,9 +117,7 @@
 				assert.Check(t, status == 200 && body == fmt.Sprint(1<<20), "%d %s", status, body)
 			})
 		}
-		for range 4 {
-			<-s.waiting
-		}
+		s.wait(t, 4)
 		assert.Equal(t, s.used(memory), int64(memory))
 		for _, c := range []struct {
 			name    string
@@ -146,9 +160,7 @@
 			assert.Check(t, status == 200, "%d %s", status, body)
 		})
 	}
-	for range callers {
-		<-s.waiting
-	}
+	s.wait(t, callers)
 	assert.Check(t, s.used(memory) <= callers*16_384, "%d", s.used(memory))
 	for range callers {
 		s.answer <- struct{}{}
@@ -156,6 +168,22 @@
 	wg.Wait()
 }
 
+// Guards against small bodies in chunks that are refused because slow callers, who have sent no byte of theirs, hold all of the memory.
+func TestSlowChunkedBodiesLeaveMemory(t *testing.T) {
+	const memory, callers = 4 << 20, 50
+	s := newTestServer(t, memory, 0)
+	for i := range callers {
+		c, err := net.Dial("tcp", s.addr)
+		assert.NilError(t, err)
+		defer c.Close() //nolint:errcheck // a caller's connection
+		_, err = io.WriteString(c, "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n")
+		assert.NilError(t, err)
+		s.answer <- struct{}{}
+		status, _, body := s.send(t, 8_000, true)
+		assert.Assert(t, status == 200, "with %d slow callers: %d %s", i+1, status, body)
+	}
+}
+
 // Guards against memory that stays reserved for good after a body was broken off, at any byte and in any framing.
 func TestBrokenBodiesReleaseMemory(t *testing.T) {
 	const memory, cuts = 4 << 20, 300
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -53,7 +53,8 @@
 	readTimeout := spanOrDefault(s.ReadTimeout, 30*clock.Second).Std()
 	maxBody := intOrDefault(s.MaxBody, BodyLimit)
 	s.bodies = &bodyMemory{
-		idHeader: s.IDHeader, maxBody: maxBody, readTimeout: readTimeout, free: cmp.Or(s.BodyMemory, defaultBodyMemory),
+		idHeader: s.IDHeader, maxBody: maxBody, readTimeout: readTimeout,
+		total: cmp.Or(s.BodyMemory, defaultBodyMemory), free: cmp.Or(s.BodyMemory, defaultBodyMemory),
 		held: make(map[*fasthttp.RequestHeader]*reservation),
 	}
 	srv := &fasthttp.Server{
