--- a/io/caller/bodies_test.go
+++ b/io/caller/bodies_test.go
@@ -175,7 +175,7 @@
 	for i := range callers {
 		c, err := net.Dial("tcp", s.addr)
 		assert.NilError(t, err)
-		defer c.Close() //nolint:errcheck // a caller's connection
+		t.Cleanup(func() { _ = c.Close() })
 		_, err = io.WriteString(c, "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n")
 		assert.NilError(t, err)
 		s.answer <- struct{}{}
