core/limit: a late answer ends no limit that was named since

A server in need could get more requests than it names until its next answer had gone round.

Cause: an answer without a limit counted from its arrival when VMs compared what they know, though the server may have given it at any time since the request was sent. One that arrived late ended a limit which the server had named to another VM in between.

Ruled out: clocks that differ, as the history has none, and the order at one VM, which was right.

Change: the end of a limit counts from the sending of the request. A limit may stay for one more round trip.

--- a/core/limit/doc.go
+++ b/core/limit/doc.go
@@ -2,8 +2,8 @@
 // together, for as long as its answers say so.
 //
 // A [Table] records what the answers say, those to this VM and those to others, which arrive along the tree of VMs. The newest
-// answer counts. A limit has ended when a server answers without one, to a request that was sent after it last named it: an
-// older request may be answered late. A limit of which nothing is heard stays in force for ten minutes; its server is gone then.
+// answer counts. A limit has ended when a server answers without one, to a request that was sent after an answer with it came to
+// any VM: an older request may be answered late. A limit of which nothing is heard stays in force for ten minutes; its server is gone then.
 // The table only knows limits; core/share divides them among the VMs.
 //
 // The package uses no clock, lock or network. Its types are not safe for concurrent use.
--- a/core/limit/table.go
+++ b/core/limit/table.go
@@ -52,7 +52,7 @@
 // record is what is known about the limit of a server.
 type record struct {
 	Notice
-	at     clock.Time // time of the answer that says so
+	at     clock.Time // time of the answer that names the limit; without a limit, time at which the request to the answer was sent
 	toldAt clock.Time // time of the answer that was told to others
 	rev    uint64     // of the last change
 	source uint64     // log from which the last change came, 0 for this VM
@@ -80,6 +80,9 @@
 	}
 	changed = r.Notice != n
 	r.Notice, r.at = n, now
+	if n.Kind == None {
+		r.at = sent // the server may have given the answer then, and named a limit to others since
+	}
 	if changed || now.Sub(r.toldAt) >= renewal {
 		t.changed(r, 0)
 	}
@@ -146,7 +149,7 @@
 	Of   Server
 	Kind Kind
 	Rate float64    // requests a second
-	Age  clock.Span // since the answer that says so
+	Age  clock.Span // since the answer that names the limit, or since the request was sent whose answer names none
 }
 
 // Message carries what changed from one table to another.
--- a/core/limit/table_test.go
+++ b/core/limit/table_test.go
@@ -54,6 +54,24 @@
 	}
 }
 
+// Guards against a limit that all VMs drop because one of them had a late answer from before the server named it.
+func TestLateAnswerEndsNoLimitOfOthers(t *testing.T) {
+	s := Server{Service: "s", ID: "a", Born: 1}
+	parent, child := newTable(1), newTable(2)
+	parent.Record(10, 9, s, Notice{Kind: Named, Rate: 3})
+	child.Accept(10, parent.Reply(10, child.Query(10)))
+	// The server ends its limit, answers the child, and names a limit again to the parent. The child's answer is the last to arrive.
+	parent.Record(30, 29, s, Notice{Kind: Named, Rate: 2})
+	child.Record(60, 20, s, Notice{Kind: None})
+	for now := clock.Time(70); now < 75; now++ {
+		child.Accept(now, parent.Reply(now, child.Query(now)))
+	}
+	for i, table := range []*Table{parent, child} {
+		rate, ok := table.Get(s)
+		assert.Check(t, ok && rate == 2, "table %d: %v %v", i, rate, ok)
+	}
+}
+
 // Guards against rates that would divide by zero or never end.
 func TestValid(t *testing.T) {
 	for rate, want := range map[float64]bool{0: true, 1.5: true, -1: false, math.Inf(1): false, math.NaN(): false} {
