gateway: answers of medium size have a bound on their sum

Cause: memory was reserved for a body only above 64 KiB.

Change: bodies over 4 KiB, up to 64 KiB, share a sixteenth of the VM's memory until they are sent, and wait for it; they do not wait for larger ones, whose memory stays as it was. A body of unknown length starts there.

--- a/internal/gateway/memory.go
+++ b/internal/gateway/memory.go
@@ -13,25 +13,30 @@
 const (
 	// maxBody is the size limit of an answer that is not a stream, in bytes.
 	maxBody = 16 << 20
-	// smallBody is the size below which no memory is reserved for a body, in bytes. The number of open requests limits the sum of
+	// smallBody is the size up to which no memory is reserved for a body, in bytes. The number of open requests limits the sum of
 	// such bodies.
-	smallBody = 64 << 10
+	smallBody = 4 << 10
+	// mediumBody is the size up to which a body has a memory of its own, so that it does not wait for large ones, in bytes.
+	mediumBody = 64 << 10
 	// bodyMemoryFraction is the fraction of the VM's memory that all large bodies and events together may use.
 	bodyMemoryFraction = 0.25
+	// mediumMemoryFraction is the fraction of the VM's memory that all medium bodies together may use.
+	mediumMemoryFraction = 1.0 / 16
 	// defaultBodyMemory is the memory for large bodies and events if the VM's memory is not known, in bytes.
 	defaultBodyMemory = 64 << 20
 )
 
 var (
 	errTooLarge = errors.New("the answer is too large")
-	errNoMemory = errors.New("no memory for a large answer was free before the request ended")
+	errNoMemory = errors.New("no memory for the answer was free before the request ended")
 )
 
-// memoryLimit limits the memory of the large bodies and events that are held at the same time. A body that does not fit is not read until
+// memoryLimit limits the memory of the bodies and events that are held at the same time. A body that does not fit is not read until
 // others were sent to their callers, which holds back its server as well.
 type memoryLimit struct {
-	size int64
-	sem  *semaphore.Weighted
+	size   int64               // memory of large bodies and events, in bytes
+	sem    *semaphore.Weighted // memory of large bodies and events
+	medium *semaphore.Weighted // memory of medium bodies. A holder may wait for sem, a holder of sem never waits for it
 }
 
 // newMemoryLimit returns the limit for a VM with the given memory in bytes, 0 if it is not known.
@@ -40,7 +45,8 @@
 	if memory <= 0 {
 		size = defaultBodyMemory
 	}
-	return &memoryLimit{size: size, sem: semaphore.NewWeighted(size)}
+	medium := max(int64(mediumMemoryFraction/bodyMemoryFraction*float64(size)), mediumBody)
+	return &memoryLimit{size: size, sem: semaphore.NewWeighted(size), medium: semaphore.NewWeighted(medium)}
 }
 
 // try reserves bytes until release is called. It returns false if so many are not free.
@@ -62,21 +68,34 @@
 	if err != nil || len(head) < smallBody {
 		return head, nil, err
 	}
-	need := most
+	if length > mediumBody {
+		return readReserved(ctx, m.sem, head, body, int64(length))
+	}
 	if length >= 0 {
-		need = int64(length)
+		return readReserved(ctx, m.medium, head, body, int64(length))
+	}
+	b, release, err := readReserved(ctx, m.medium, head, io.LimitReader(body, mediumBody-smallBody), mediumBody)
+	if err != nil || len(b) < mediumBody {
+		return b, release, err
 	}
-	if m.sem.Acquire(ctx, need) != nil {
+	defer release()
+	return readReserved(ctx, m.sem, b, body, most)
+}
+
+// readReserved reserves memory for at most need bytes, reads the rest of a body after head, and keeps what the body uses reserved until
+// release is called.
+func readReserved(ctx context.Context, sem *semaphore.Weighted, head []byte, body io.Reader, need int64) (_ []byte, release func(), _ error) {
+	if sem.Acquire(ctx, need) != nil {
 		return nil, nil, errNoMemory
 	}
 	b, err := readRest(head, body, need)
 	if err != nil {
-		m.sem.Release(need)
+		sem.Release(need)
 		return nil, nil, err
 	}
-	rest := need - int64(cap(b))
-	m.sem.Release(max(rest, 0))
-	return b, func() { m.sem.Release(need - max(rest, 0)) }, nil
+	rest := max(need-int64(cap(b)), 0)
+	sem.Release(rest)
+	return b, func() { sem.Release(need - rest) }, nil
 }
 
 // readRest reads the rest of a body after head, up to a total of most bytes.
--- a/internal/gateway/memory_test.go
+++ b/internal/gateway/memory_test.go
@@ -5,6 +5,8 @@
 	"context"
 	"errors"
 	"io"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -26,6 +28,10 @@
 	}{
 		{"none", body(0), 0, 0, nil},
 		{"small", body(smallBody - 1), smallBody - 1, 0, nil},
+		{"medium", body(smallBody), smallBody, 0, nil},
+		{"medium without a length", body(mediumBody - 1), -1, 0, nil},
+		{"the smallest large one without a length", body(mediumBody), -1, size - 1, nil},
+		{"broken medium", broken(20 << 10), -1, 0, errBroken},
 		{"large", body(600 << 10), 600 << 10, 600 << 10, nil},
 		{"large without a length", body(600 << 10), -1, size, nil},
 		{"announced as too large", body(10), size + 1, 0, errTooLarge},
@@ -44,7 +50,7 @@
 		if release != nil {
 			release()
 		}
-		assert.Check(t, m.sem.TryAcquire(size), "%s: memory stays reserved", c.name)
+		assert.Check(t, m.sem.TryAcquire(size) && m.medium.TryAcquire(size/4), "%s: memory stays reserved", c.name)
 	}
 }
 
@@ -79,3 +85,36 @@
 	release()
 	assert.Equal(t, <-done, 700<<10)
 }
+
+// Guards against many bodies of medium size that together take more memory than the VM has, and against such bodies that wait for large
+// ones.
+func TestMediumBodiesStayWithinMemory(t *testing.T) {
+	const memory, bodies, size = 16 << 20, 1000, 60 << 10
+	m := newMemoryLimit(memory)
+	_, freeLarge, err := m.read(t.Context(), bytes.NewReader(make([]byte, m.size)), int(m.size))
+	assert.NilError(t, err)
+	defer freeLarge()
+	var held, most atomic.Int64
+	var wg sync.WaitGroup
+	for i := range bodies {
+		wg.Go(func() {
+			length := size
+			if i%2 == 0 {
+				length = -1
+			}
+			b, free, err := m.read(t.Context(), bytes.NewReader(make([]byte, size)), length)
+			assert.Check(t, err == nil && len(b) == size, "%d %v", len(b), err)
+			now := held.Add(size)
+			for old := most.Load(); now > old && !most.CompareAndSwap(old, now); old = most.Load() {
+			}
+			time.Sleep(time.Millisecond)
+			held.Add(-size)
+			if free != nil {
+				free()
+			}
+		})
+	}
+	wg.Wait()
+	assert.Check(t, most.Load() <= memory/16, "%d bytes are held at the same time", most.Load())
+	assert.Check(t, most.Load() > memory/32, "%d bytes are held at the same time", most.Load())
+}
