limit, gateway: VMs tell each other which servers leave

What callers saw: a request could reach a server that had said in an answer to another VM that it leaves, for as long as the store listed it as ready or did not answer.

Cause: the fact was kept by the VM whose request was answered, in core/backend.Notices.

Nothing takes it back; a server that starts again is another one. Placement asks one question (gateway.usable). Notices, which holds only the pauses of this VM now, is Pauses. VMs of earlier builds ignore the kind.

--- a/core/limit/table.go
+++ b/core/limit/table.go
@@ -13,6 +13,7 @@
 	Unknown Kind = iota // nothing: no answer came, or it was not the server's or not readable
 	None                // the server has no limit
 	Named               // the server names a limit
+	Leaving             // the server leaves: it takes no new requests any more
 )
 
 // Kind is what an answer says about the limit of its server.
@@ -39,12 +40,17 @@
 	endedTTL = clock.Minute
 	// limitTTL is how long a limit is kept of which no VM hears: its server is gone.
 	limitTTL = 10 * clock.Minute
+	// leavingTTL is how long a server is known to leave of which no VM hears. It is longer than any server takes to leave.
+	leavingTTL = clock.Hour
 	// renewal is the least time between two messages that a limit is still named.
 	renewal = clock.Minute
 )
 
-// Table holds the limits that servers name. Init is called before any other method.
+// Table holds the limits that servers name, and the servers that leave. Init is called before any other method.
 type Table struct {
+	// OnLeaving is called for a server of which another VM says that it leaves, and this one did not know; nil for none.
+	OnLeaving func(Server)
+
 	records map[Server]*record
 	log     delta.Log
 }
@@ -69,7 +75,7 @@
 		before = r.Notice
 	}
 	switch {
-	case n.Kind == Unknown, n.Kind == None && before.Kind != Named:
+	case n.Kind == Unknown, n.Kind == None && before.Kind != Named, n.Kind != Leaving && before.Kind == Leaving:
 		return before, false
 	case n.Kind == None && sent <= r.at:
 		return before, false // the answer may be older than the limit
@@ -98,6 +104,12 @@
 	return r.Rate, true
 }
 
+// Leaving reports whether a server has said that it leaves.
+func (t *Table) Leaving(s Server) bool {
+	r := t.records[s]
+	return r != nil && r.Kind == Leaving
+}
+
 // Limits returns the limits in force, and drops what is too old.
 func (t *Table) Limits(now clock.Time) map[Server]float64 {
 	out := make(map[Server]float64, len(t.records))
@@ -137,10 +149,18 @@
 
 // active reports whether a record still counts.
 func (r *record) active(now clock.Time) bool {
-	if r.Kind == Named {
-		return now.Sub(r.at) < limitTTL
+	return now.Sub(r.at) < ttl(r.Kind)
+}
+
+// ttl returns how long a record counts after the answer that it is from.
+func ttl(k Kind) clock.Span {
+	switch k {
+	case Named:
+		return limitTTL
+	case Leaving:
+		return leavingTTL
 	}
-	return now.Sub(r.at) < endedTTL
+	return endedTTL
 }
 
 // Report is what is known about the limit of one server, in a Message.
@@ -189,20 +209,29 @@
 	return out
 }
 
-// merge merges the records of another table. The newer one of two answers counts; if they are equally new, the one with a limit.
+// merge merges the records of another table. The newer one of two answers counts; if they are equally new, the one with a limit. That a
+// server leaves is never taken back.
 func (t *Table) merge(now clock.Time, m Message) {
 	for _, p := range m.Reports[:min(len(m.Reports), maxRecords)] {
-		if p.Age < 0 || p.Kind != None && (p.Kind != Named || !Valid(p.Rate)) {
+		if p.Age < 0 || p.Kind != None && p.Kind != Leaving && (p.Kind != Named || !Valid(p.Rate)) {
 			continue
 		}
-		at, n := now.Add(-p.Age), Notice{Kind: p.Kind, Rate: p.Rate}
+		at, n := now.Add(-p.Age), Notice{Kind: p.Kind}
+		if n.Kind == Named {
+			n.Rate = p.Rate
+		}
 		r := t.records[p.Of]
+		leaves := n.Kind == Leaving && (r == nil || r.Kind != Leaving)
 		switch {
-		case r == nil && p.Age < limitTTL:
+		case r == nil && p.Age < max(ttl(n.Kind), limitTTL):
 			r = &record{}
 			t.add(p.Of, r)
 		case r == nil:
 			continue
+		case leaves:
+		case n.Kind != Leaving && r.Kind == Leaving:
+			t.changed(r, 0) // the sender lacks what this table has
+			continue
 		case at < r.at, at == r.at && n.Kind != Named:
 			if r.Notice != n {
 				t.changed(r, 0) // the sender lacks what this table has
@@ -214,6 +243,9 @@
 		}
 		r.Notice, r.at = n, at
 		t.changed(r, m.Ledger)
+		if leaves && t.OnLeaving != nil {
+			t.OnLeaving(p.Of)
+		}
 	}
 }
 
--- a/core/limit/table_test.go
+++ b/core/limit/table_test.go
@@ -38,6 +38,8 @@
 		{"a late answer to an older request does not end it", []answer{{1, 5, named(1.5)}, {4, 9, Notice{Kind: None}}}, 10, "1.5 true"},
 		{"an answer that says nothing changes nothing", []answer{{1, 2, named(1.5)}, {3, 4, Notice{}}}, 10, "1.5 true"},
 		{"named again", []answer{{1, 2, named(1.5)}, {3, 4, Notice{Kind: None}}, {5, 6, named(2)}}, 10, "2 true"},
+		{"ended by its server's leave", []answer{{1, 2, named(1.5)}, {3, 4, Notice{Kind: Leaving}}}, 10, "0 false"},
+		{"an answer after the leave changes nothing", []answer{{1, 2, Notice{Kind: Leaving}}, {3, 4, named(1.5)}, {5, 6, Notice{Kind: None}}}, 10, "0 false"},
 		{"in force while nothing is heard", []answer{{1, 2, named(1.5)}}, clock.Time(5 * clock.Minute), "1.5 true"},
 		{"dropped when its server is gone", []answer{{1, 2, named(1.5)}}, clock.Time(limitTTL + 3), "0 false"},
 	}
@@ -72,6 +74,32 @@
 	}
 }
 
+// Guards against a server that leaves and gets requests again: by a later answer, by what other VMs say, or from VMs that were not told,
+// and against one that started again and is taken for the one that left.
+func TestLeaving(t *testing.T) {
+	s, again := Server{Service: "s", ID: "a", Born: 1}, Server{Service: "s", ID: "a", Born: 2}
+	var told []Server
+	parent, child := newTable(1), newTable(2)
+	parent.OnLeaving = func(s Server) { told = append(told, s) }
+	exchange := func(now clock.Time) { child.Accept(now, parent.Reply(now, child.Query(now))) }
+	child.Record(10, 9, s, Notice{Kind: Leaving})
+	parent.Record(20, 19, s, Notice{Kind: Named, Rate: 3})
+	exchange(30)
+	child.Record(40, 39, s, Notice{Kind: None})
+	exchange(50)
+	exchange(60)
+	for i, table := range []*Table{parent, child} {
+		_, limited := table.Get(s)
+		assert.Check(t, table.Leaving(s) && !limited && !table.Leaving(again), "table %d", i)
+	}
+	assert.DeepEqual(t, told, []Server{s})
+	assert.Equal(t, len(child.Query(70).Reports)+len(parent.Reply(70, child.Query(70)).Reports), 0)
+	parent.Limits(clock.Time(leavingTTL))
+	assert.Check(t, parent.Leaving(s))
+	parent.Limits(clock.Time(leavingTTL + 60))
+	assert.Check(t, !parent.Leaving(s), "the table grows for ever")
+}
+
 // Guards against rates that would divide by zero or never end.
 func TestValid(t *testing.T) {
 	for rate, want := range map[float64]bool{0: true, 1.5: true, -1: false, math.Inf(1): false, math.NaN(): false} {
@@ -140,4 +168,9 @@
 	for s, r := range l.records {
 		assert.Check(t, Valid(r.Rate) && r.Kind == Named, "%v %+v", s, r)
 	}
+	for i := range maxRecords + 100 {
+		l.Record(clock.Time(10+i), clock.Time(9+i), Server{ID: "a", Born: int64(i)}, Notice{Kind: Leaving})
+	}
+	assert.Check(t, len(l.records) <= maxRecords)
+	assert.Check(t, l.Leaving(Server{ID: "a", Born: maxRecords + 99}))
 }
--- a/core/limit/truth_test.go
+++ b/core/limit/truth_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -88,7 +89,14 @@
 	return named > none
 }
 
-// Guards against a limit that is ended by an answer which the server gave before it named the limit, however late and over whichever VM
+// left reports whether an answer to a VM said that a server leaves.
+func (w *world) left(vm, server int) bool {
+	return slices.ContainsFunc(w.answers, func(a *answer) bool {
+		return a.vm == vm && a.server == server && a.received && a.Kind == Leaving
+	})
+}
+
+// Guards against a server that leaves and is forgotten, and against a limit that is ended by an answer which the server gave before it named the limit, however late and over whichever VM
 // that arrives, and against limits that are kept or unknown after every VM had an answer of the server.
 func TestTablesFollowTheTruth(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -99,10 +107,15 @@
 			switch pick(5, "step") {
 			case 0:
 				n := Notice{Kind: None}
-				if rapid.Bool().Draw(t, "limit") {
+				switch pick(5, "notice") {
+				case 0, 1:
 					n = Notice{Kind: Named, Rate: float64(pick(3, "rate"))}
+				case 2:
+					n.Kind = Leaving
+				}
+				if i := pick(len(w.limits), "server"); w.limits[i].Kind != Leaving {
+					w.limits[i] = n
 				}
-				w.limits[pick(len(w.limits), "server")] = n
 			case 1:
 				w.send(pick(len(w.tables), "vm"), pick(len(w.limits), "server"))
 			case 2, 3:
@@ -123,7 +136,10 @@
 			for vm, table := range w.tables {
 				for s := range w.limits {
 					_, ok := table.Get(w.server(s))
-					assert.Assert(t, ok || !w.limited(vm, s), "VM %d does not know the limit of server %d", vm, s)
+					leaves := table.Leaving(w.server(s))
+					assert.Assert(t, leaves || !w.left(vm, s), "VM %d does not know that server %d leaves", vm, s)
+					assert.Assert(t, !leaves || w.limits[s].Kind == Leaving, "VM %d takes server %d for one that leaves", vm, s)
+					assert.Assert(t, ok || leaves || !w.limited(vm, s), "VM %d does not know the limit of server %d", vm, s)
 				}
 			}
 		}
@@ -150,6 +166,7 @@
 		for vm, table := range w.tables {
 			for s, n := range w.limits {
 				rate, ok := table.Get(w.server(s))
+				assert.Assert(t, table.Leaving(w.server(s)) == (n.Kind == Leaving), "VM %d, server %d: %+v", vm, s, n)
 				assert.Assert(t, ok == (n.Kind == Named) && rate == n.Rate, "VM %d: %v %v, server %d: %+v", vm, rate, ok, s, n)
 			}
 		}
--- a/internal/feed/limits.go
+++ b/internal/feed/limits.go
@@ -1,6 +1,7 @@
 package feed
 
 import (
+	"slices"
 	"strconv"
 	"sync"
 
@@ -19,7 +20,7 @@
 	granterTimeout = 1200 * clock.Millisecond
 )
 
-// Limits keeps the requests of all VMs to a backend server within the limit that it names. Each VM tells the VM that it follows what
+// Limits keeps the requests of all VMs to a backend server within the limit that it names, and from a server that leaves. Each VM tells the VM that it follows what
 // servers say and how many requests it has for them, and is granted a part; a VM that follows no other divides the limits. All
 // methods are safe for concurrent use; times are those of Clock.Boot. The exported fields are set before Init, which is called
 // before any other method.
@@ -61,22 +62,40 @@
 	id = max(id, 1)
 	l.name = l.VM + "#" + strconv.FormatUint(id, 36)
 	l.table.Init(id)
+	l.table.OnLeaving = func(s limit.Server) {
+		l.Log.Info().Str("server", s.ID).Int64("born", s.Born).Str("service", s.Service).Msg("limits: another VM says that a server leaves")
+	}
 	l.owner = share.Ownership{VM: l.VM, Domain: l.Domain}
 	l.pools = make(map[string]*share.Branch)
 }
 
-// RecordLimit records what an answer says about the limit of its server: an answer that came now to a request that was sent at a
-// time.
-func (l *Limits) RecordLimit(now, sent clock.Time, v backend.Server, n limit.Notice) {
+// RecordLimit records what an answer says to all VMs about its server, and reports whether that is new: an answer that came now to a
+// request that was sent at a time.
+func (l *Limits) RecordLimit(now, sent clock.Time, v backend.Server, n limit.Notice) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	before, changed := l.table.Record(now, sent, serverKey(v), n)
 	if !changed {
-		return
+		return false
 	}
 	l.refreshedAt = 0
+	if n.Kind == limit.Leaving {
+		return true // the gateway logs it with the request
+	}
 	l.Log.Info().Str("server", v.ID).Str("service", v.Service).Bool("named", n.Kind == limit.Named).Float64("rate", n.Rate).
 		Float64("before", before.Rate).Msg("limits: an answer changes the limit of its server")
+	return true
+}
+
+// WithoutLeaving returns the servers that have not said, to this VM or another one, that they leave.
+func (l *Limits) WithoutLeaving(all []backend.Server) []backend.Server {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	leaves := func(v backend.Server) bool { return l.table.Leaving(serverKey(v)) }
+	if !slices.ContainsFunc(all, leaves) {
+		return all
+	}
+	return slices.DeleteFunc(slices.Clone(all), leaves)
 }
 
 // serverKey identifies the incarnation of a server.
--- a/internal/front/state.go
+++ b/internal/front/state.go
@@ -50,8 +50,12 @@
 	return s.Quarantine.Check(now, q)
 }
 
-func (s *state) RecordLimit(now, sent clock.Time, v backend.Server, n limit.Notice) {
-	s.Limits.RecordLimit(now, sent, v, n)
+func (s *state) RecordLimit(now, sent clock.Time, v backend.Server, n limit.Notice) bool {
+	return s.Limits.RecordLimit(now, sent, v, n)
+}
+
+func (s *state) WithoutLeaving(all []backend.Server) []backend.Server {
+	return s.Limits.WithoutLeaving(all)
 }
 
 func (s *state) FreeSlots(service string) map[string]bool {
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -171,8 +171,7 @@
 
 // recordNotice records what the answer to the current attempt says about its server.
 func (x *exchange) recordNotice(n Notice) {
-	x.g.State.RecordLimit(x.g.Clock.Boot(), x.sentAt, x.server, n.Limit)
-	x.g.recordNotice(x.server, n.Notice, x.request.ID)
+	x.g.recordNotice(x.sentAt, x.server, n, x.request.ID)
 }
 
 // startAttempt checks that the request can still be sent, selects a server and resets the state of the attempt.
--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -50,8 +50,12 @@
 
 func (s *fakeState) Limited() map[string]int { return s.limits.Limited(s.clock.Boot()) }
 
-func (s *fakeState) RecordLimit(now, sent clock.Time, v backend.Server, n limit.Notice) {
-	s.limits.RecordLimit(now, sent, v, n)
+func (s *fakeState) RecordLimit(now, sent clock.Time, v backend.Server, n limit.Notice) bool {
+	return s.limits.RecordLimit(now, sent, v, n)
+}
+
+func (s *fakeState) WithoutLeaving(all []backend.Server) []backend.Server {
+	return s.limits.WithoutLeaving(all)
 }
 
 func (s *fakeState) FreeSlots(service string) map[string]bool {
@@ -91,13 +95,13 @@
 	broken     bool      // the connection breaks after the events
 	stall      bool      // after the events nothing comes until the attempt is ended
 	confidence int
-	limit      float64 // that the answer or rejection names, 0 for none
-	says       backend.Notice
+	limit      float64    // that the answer or rejection names, 0 for none
+	pause      clock.Span // for which the answer or rejection turns this VM away
 }
 
 // notice returns what the answer says about the server.
 func (s *step) notice() Notice {
-	n := Notice{Notice: s.says, Limit: limit.Notice{Kind: limit.None}}
+	n := Notice{Pause: s.pause, Limit: limit.Notice{Kind: limit.None}}
 	if s.limit > 0 {
 		n.Limit = limit.Notice{Kind: limit.Named, Rate: s.limit}
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -49,9 +49,11 @@
 	// Check returns why a request must not be sent because of its prompt, nil if it may be sent, and whether it is sent to try whether
 	// that still holds.
 	Check(now clock.Time, q quarantine.Request) (refusal *quarantine.Refusal, trial bool)
-	// RecordLimit records what an answer says about the limit of its server: an answer that came now to a request that was sent at
-	// a time, both by Clock.Boot.
-	RecordLimit(now, sent clock.Time, v backend.Server, n limit.Notice)
+	// RecordLimit records what an answer says to all VMs about its server, and reports whether that is new: an answer that came now to a
+	// request that was sent at a time, both by Clock.Boot.
+	RecordLimit(now, sent clock.Time, v backend.Server, n limit.Notice) bool
+	// WithoutLeaving returns the servers that have not said, to this VM or another one, that they leave.
+	WithoutLeaving(all []backend.Server) []backend.Server
 	// FreeSlots returns the servers of a service that name a limit, and for each whether this VM may send it a request now. It is
 	// nil if there are none.
 	FreeSlots(service string) map[string]bool
@@ -86,8 +88,8 @@
 	dropChecks atomic.Int64 // pending checks of servers whose answer was dropped
 	stopStart  atomic.Int64 // time at which the planned stop began, 0 before
 
-	noticesMu sync.Mutex
-	notices   backend.Notices // by Clock.Boot: a pause goes on while the VM is suspended
+	pausesMu sync.Mutex
+	pauses   backend.Pauses // by Clock.Boot: a pause goes on while the VM is suspended
 
 	mu    sync.Mutex
 	pools map[string]*pool
--- a/internal/gateway/notice.go
+++ b/internal/gateway/notice.go
@@ -5,6 +5,7 @@
 
 	"shallotrun/core/backend"
 	"shallotrun/core/clock"
+	"shallotrun/core/limit"
 )
 
 // pausedError means that all servers which may get a request take none from this VM for now.
@@ -14,23 +15,27 @@
 	return fmt.Sprintf("the backend servers take no requests from this VM for %d ms", e.wait)
 }
 
-// recordNotice records what a server says about itself in the answer to a request, "" for a load report.
-func (g *Gateway) recordNotice(v backend.Server, n backend.Notice, request string) {
-	g.noticesMu.Lock()
-	changed := g.notices.Record(g.Clock.Boot(), v, n)
-	g.noticesMu.Unlock()
-	if !changed {
+// recordNotice records what a server says about itself in the answer to a request that was sent at a time. The request is "" for a load
+// report.
+func (g *Gateway) recordNotice(sent clock.Time, v backend.Server, n Notice, request string) {
+	now := g.Clock.Boot()
+	leaves := g.State.RecordLimit(now, sent, v, n.Limit) && n.Limit.Kind == limit.Leaving
+	g.pausesMu.Lock()
+	paused := g.pauses.Record(now, v, n.Pause)
+	g.pausesMu.Unlock()
+	if !leaves && !paused {
 		return
 	}
 	g.metrics.notices.Inc()
-	g.Log.Info().Str("request", request).Str("server", v.ID).Int64("born", v.Born).Bool("leaving", n.Leaving).Int64("pause_ms", int64(n.Pause)).
+	g.Log.Info().Str("request", request).Str("server", v.ID).Int64("born", v.Born).Bool("leaving", leaves).Int64("pause_ms", int64(n.Pause)).
 		Msg("gateway: a server says in its answer that it takes no more requests from this VM, for a time or for good")
 }
 
 // usable returns the servers that have not said that they take no requests from this VM, and if there are none the time until one
 // does, 0 for never.
 func (g *Gateway) usable(all []backend.Server) ([]backend.Server, clock.Span) {
-	g.noticesMu.Lock()
-	defer g.noticesMu.Unlock()
-	return g.notices.Usable(g.Clock.Boot(), all)
+	all = g.State.WithoutLeaving(all)
+	g.pausesMu.Lock()
+	defer g.pausesMu.Unlock()
+	return g.pauses.Usable(g.Clock.Boot(), all)
 }
--- a/internal/gateway/suspect.go
+++ b/internal/gateway/suspect.go
@@ -42,8 +42,7 @@
 	sent := p.g.Clock.Boot()
 	r, err := p.g.Backend.Report(v)
 	p.g.metrics.reports.Inc()
-	p.g.State.RecordLimit(p.g.Clock.Boot(), sent, v, r.Notice.Limit)
-	p.g.recordNotice(v, r.Notice.Notice, "")
+	p.g.recordNotice(sent, v, r.Notice, "")
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	u := p.servers[v.ID]
--- a/internal/gateway/types.go
+++ b/internal/gateway/types.go
@@ -144,8 +144,8 @@
 
 // Notice is what an answer says about the server that gave it.
 type Notice struct {
-	backend.Notice
-	Limit limit.Notice
+	Limit limit.Notice // to all VMs
+	Pause clock.Span   // it takes no requests from this VM for as long, 0 if it says nothing of that
 }
 
 // Fault is the error of a failed attempt.
