backend: a server comes back gradually after it turned this VM away

What callers saw: the first requests after a pause came all at once, as the server has the fewest open ones, and the server may still be in need: it turns them away again, and they are served later.

Cause: placement prefers the server with the fewest open requests, and the end of a pause was the same moment for all VMs that it turned away.

Change: after its pause a server is a reserve of this VM, used if there is no other one, for a random time of up to half of the pause, at most 2 s. Then it gets as many open attempts as have ended there since, and one more, until 16 have ended or 10 s have passed. The pause itself is kept as before.

--- a/core/backend/pause.go
+++ b/core/backend/pause.go
@@ -8,8 +8,15 @@
 
 // Pauses holds for how long servers take no requests from this VM, by incarnation: a server that starts again at the same address or
 // under the same name is another one. The zero value holds nothing. It is not safe for concurrent use.
+//
+// A server comes back into use gradually, as it may still be in need and all VMs that it turned away come back to it. It is a reserve,
+// which Usable returns only if there is no other server, for a random time after its pause, and then while this VM has as many attempts
+// at it as have ended since, and one more.
 type Pauses struct {
-	until map[incarnation]clock.Time
+	// Rand returns a random number in [0, 1); nil means that servers are no reserve after their pause because of time.
+	Rand func() float64
+
+	paused map[incarnation]*pause
 }
 
 type incarnation struct {
@@ -17,54 +24,111 @@
 	born int64
 }
 
-// maxPaused bounds the servers that are remembered.
-const maxPaused = 4096
+// pause is the last pause of a server.
+type pause struct {
+	until   clock.Time // before it, the server gets nothing
+	reserve clock.Time // before it, the server is a reserve
+	open    int        // attempts since the pause that have not ended
+	ended   int        // attempts since the pause that have ended
+}
+
+const (
+	// maxPaused bounds the servers that are remembered.
+	maxPaused = 4096
+	// reserveFraction is the longest time for which a server is a reserve, as a fraction of its pause. A server that wants nothing for long
+	// is turning away much.
+	reserveFraction = 0.5
+	// maxReserve is the longest time for which a server is a reserve.
+	maxReserve = 2 * clock.Second
+	// returnAttempts is the number of ended attempts from which a server is in full use again. The number of open ones doubles up to it.
+	returnAttempts = 16
+	// returnTime is the time after a pause at which a server is in full use again, if few attempts are made there or end.
+	returnTime = 10 * clock.Second
+)
 
 // Record takes in an answer that came now, with the time for which its server takes no requests from this VM, 0 if it says nothing of
 // that. It reports whether the pause differs from what was known.
 func (s *Pauses) Record(now clock.Time, v Server, d clock.Span) bool {
+	k := incarnation{v.ID, v.Born}
+	p := s.paused[k]
 	if d <= 0 {
+		if p != nil && now >= p.until {
+			p.open, p.ended = max(p.open-1, 0), p.ended+1
+		}
 		return false
 	}
-	if s.until == nil {
-		s.until = make(map[incarnation]clock.Time)
+	before := clock.Time(0)
+	if p != nil {
+		before = p.until
+	}
+	if s.paused == nil {
+		s.paused = make(map[incarnation]*pause)
 	}
-	k, until := incarnation{v.ID, v.Born}, now.Add(d)
-	changed := s.until[k] != until
-	s.until[k] = until
+	p = &pause{until: now.Add(d)}
+	p.reserve = p.until
+	if s.Rand != nil {
+		p.reserve = p.until.Add(clock.Span(s.Rand() * min(reserveFraction*float64(d), float64(maxReserve))))
+	}
+	s.paused[k] = p
 	s.prune(now)
-	return changed
+	return p.until != before
 }
 
-// prune drops the pauses that are over and, beyond maxPaused, any.
+// Start records that an attempt is made at a server.
+func (s *Pauses) Start(now clock.Time, v Server) {
+	if p := s.paused[incarnation{v.ID, v.Born}]; p != nil && now >= p.until {
+		p.open++
+	}
+}
+
+// prune drops the pauses after which the servers are in full use and, beyond maxPaused, any.
 func (s *Pauses) prune(now clock.Time) {
-	if len(s.until) <= maxPaused {
+	if len(s.paused) <= maxPaused {
 		return
 	}
-	maps.DeleteFunc(s.until, func(_ incarnation, until clock.Time) bool { return now >= until })
-	for k := range s.until {
-		if len(s.until) <= maxPaused {
+	maps.DeleteFunc(s.paused, func(_ incarnation, p *pause) bool { return p.returned(now) })
+	for k := range s.paused {
+		if len(s.paused) <= maxPaused {
 			return
 		}
-		delete(s.until, k)
+		delete(s.paused, k)
 	}
 }
 
+// returned reports whether the server is in full use again.
+func (p *pause) returned(now clock.Time) bool {
+	return now >= p.reserve && p.ended >= returnAttempts || now.Sub(p.until) >= returnTime
+}
+
 // Usable returns the servers that take requests from this VM now. If there are none, wait is the time until the first one takes some
 // again.
 func (s *Pauses) Usable(now clock.Time, all []Server) (out []Server, wait clock.Span) {
-	if len(s.until) == 0 {
+	if len(s.paused) == 0 {
 		return all, 0
 	}
+	var reserve []Server
 	for _, v := range all {
-		left := s.until[incarnation{v.ID, v.Born}].Sub(now)
+		k := incarnation{v.ID, v.Born}
+		p := s.paused[k]
 		switch {
-		case left <= 0:
+		case p == nil:
+			out = append(out, v)
+		case now < p.until:
+			if left := p.until.Sub(now); wait == 0 || left < wait {
+				wait = left
+			}
+		case p.returned(now):
+			delete(s.paused, k)
+			out = append(out, v)
+		case now < p.reserve || p.open > p.ended:
+			reserve = append(reserve, v)
+		default:
 			out = append(out, v)
-		case wait == 0 || left < wait:
-			wait = left
 		}
 	}
+	if len(out) == 0 {
+		out = reserve
+	}
 	if len(out) > 0 {
 		return out, 0
 	}
--- a/core/backend/pause_test.go
+++ b/core/backend/pause_test.go
@@ -1,6 +1,9 @@
 package backend
 
 import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
 	"slices"
 	"testing"
 
@@ -42,6 +45,38 @@
 			s.Record(10, a, 500)
 			s.Record(10, b, 300)
 		}, []Server{a, b}, nil, 210},
+		{"a reserve beside another server", func(s *Pauses) {
+			s.Rand = func() float64 { return 0.9 }
+			s.Record(10, a, 80)
+		}, []Server{a, b}, []Server{b}, 0},
+		{"a reserve alone", func(s *Pauses) {
+			s.Rand = func() float64 { return 0.9 }
+			s.Record(10, a, 80)
+		}, []Server{a}, []Server{a}, 0},
+		{"one attempt open", func(s *Pauses) {
+			s.Record(10, a, 80)
+			s.Start(95, a)
+		}, []Server{a, b}, []Server{b}, 0},
+		{"one attempt open, and no other server", func(s *Pauses) {
+			s.Record(10, a, 80)
+			s.Start(95, a)
+		}, []Server{a}, []Server{a}, 0},
+		{"one attempt ended, one open", func(s *Pauses) {
+			s.Record(10, a, 80)
+			s.Start(95, a)
+			s.Record(96, a, 0)
+			s.Start(97, a)
+		}, []Server{a, b}, []Server{a, b}, 0},
+		{"an attempt from before the pause ends after it", func(s *Pauses) {
+			s.Start(5, a)
+			s.Record(10, a, 80)
+			s.Record(95, a, 0)
+		}, []Server{a, b}, []Server{a, b}, 0},
+		{"no attempt ends", func(s *Pauses) {
+			s.Record(clock.Time(10-returnTime), a, 80)
+			s.Start(clock.Time(95-returnTime), a)
+			s.Start(clock.Time(95-returnTime), a)
+		}, []Server{a, b}, []Server{a, b}, 0},
 	} {
 		s := &Pauses{}
 		c.say(s)
@@ -56,5 +91,98 @@
 	for i := range 3 * maxPaused {
 		s.Record(clock.Time(i), Server{ID: "a", Born: int64(i)}, clock.Hour)
 	}
-	assert.Check(t, len(s.until) <= maxPaused)
+	assert.Check(t, len(s.paused) <= maxPaused)
+}
+
+// attempts are the ends of attempts, the earliest first.
+type attempts []attempt
+
+type attempt struct {
+	at     clock.Time
+	vm, to int
+}
+
+func (a attempts) Len() int           { return len(a) }
+func (a attempts) Less(i, j int) bool { return a[i].at < a[j].at }
+func (a attempts) Swap(i, j int)      { a[i], a[j] = a[j], a[i] }
+func (a *attempts) Push(x any)        { *a = append(*a, x.(attempt)) }
+func (a *attempts) Pop() any {
+	last := (*a)[len(*a)-1]
+	*a = (*a)[:len(*a)-1]
+	return last
+}
+
+// playPause plays a fleet in which a server turns all VMs away for the same two seconds. Each VM places requests where it has fewest
+// itself, as VMs learn of each other's only after a while. It returns the most requests that the server gets in 100 ms in the second
+// after its pause, and its number in the five seconds after it.
+func playPause(vms, servers, rate int, seed uint64) (most, total int) {
+	const (
+		begin, end  = clock.Time(3000), clock.Time(5000)
+		answerTime  = 200
+		window      = 100
+		afterwards  = 5_000
+		firstSecond = 1000
+	)
+	random := rand.New(rand.NewPCG(seed, 3))
+	var all []Server
+	for i := range servers {
+		all = append(all, Server{ID: fmt.Sprint(i), Born: 1})
+	}
+	pauses, inFlight := make([]Pauses, vms), make([]map[string]int, vms)
+	for i := range pauses {
+		pauses[i].Rand, inFlight[i] = random.Float64, make(map[string]int)
+	}
+	open, windows, paused := &attempts{}, make(map[int]int), false
+	for i := 0; ; i++ {
+		now := clock.Time(i * 1000 / rate)
+		if now >= end+afterwards {
+			break
+		}
+		for open.Len() > 0 && (*open)[0].at <= now {
+			a := heap.Pop(open).(attempt)
+			inFlight[a.vm][all[a.to].ID]--
+			pauses[a.vm].Record(a.at, all[a.to], 0)
+		}
+		if now >= begin && !paused {
+			paused = true
+			for vm := range pauses {
+				pauses[vm].Record(now, all[0], end.Sub(now))
+			}
+		}
+		vm := random.IntN(vms)
+		in, _ := pauses[vm].Usable(now, all)
+		v, offset := in[0], random.IntN(len(in))
+		for k := range in {
+			if c := in[(k+offset)%len(in)]; k == 0 || inFlight[vm][c.ID] < inFlight[vm][v.ID] {
+				v = c
+			}
+		}
+		to := slices.Index(all, v)
+		pauses[vm].Start(now, v)
+		inFlight[vm][v.ID]++
+		heap.Push(open, attempt{now.Add(clock.Span(answerTime + random.IntN(answerTime))), vm, to})
+		if to == 0 {
+			windows[int(now)/window]++
+			if now >= end {
+				total++
+			}
+		}
+	}
+	for w := int(end) / window; w < int(end+firstSecond)/window; w++ {
+		most = max(most, windows[w])
+	}
+	return most, total
+}
+
+// Guards against a server that gets a burst of requests at the end of its pause, from a VM with many or from many VMs at once, and
+// against one that comes back into use too slowly.
+func TestPauseEndsWithoutABurst(t *testing.T) {
+	for _, c := range []struct{ vms, servers, rate int }{{9, 15, 900}, {300, 100, 1600}} {
+		usual := float64(c.rate) / float64(c.servers) // a second
+		for seed := range uint64(4) {
+			most, total := playPause(c.vms, c.servers, c.rate, seed)
+			assert.Check(t, float64(most) <= 0.2*usual+4, "%d VMs, seed %d: %d requests in 100 ms, usually %.1f", c.vms, seed, most, usual/10)
+			assert.Check(t, float64(total) >= 4*usual, "%d VMs, seed %d: %d requests in 5 s, usually %.1f", c.vms, seed, total, 5*usual)
+		}
+	}
 }
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -201,6 +201,7 @@
 		x.pool.countRequest(now)
 	}
 	x.attempts++
+	x.g.attemptStarts(server)
 	x.g.metrics.attempts.Inc()
 	x.server, x.attemptStart, x.reported, x.timeToFirst, x.events = server, now, false, 0, 0
 	x.headArrived, x.firstArrived, x.attemptProven, x.sentAt = false, false, false, x.g.Clock.Boot()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -99,6 +99,7 @@
 // Init prepares the gateway. It must be called once, before Serve.
 func (g *Gateway) Init() {
 	g.pools, g.open = make(map[string]*pool), make(map[*exchange]struct{})
+	g.pauses.Rand = rand.Float64
 	g.metrics, g.bodyMemory = newMetrics(g.Registry), newMemoryLimit(g.Memory)
 	if g.Registry != nil {
 		g.Registry.MustRegister(&ruleCollector{g}, &limitCollector{g})
--- a/internal/gateway/notice.go
+++ b/internal/gateway/notice.go
@@ -20,9 +20,12 @@
 func (g *Gateway) recordNotice(sent clock.Time, v backend.Server, n Notice, request string) {
 	now := g.Clock.Boot()
 	leaves := g.State.RecordLimit(now, sent, v, n.Limit) && n.Limit.Kind == limit.Leaving
-	g.pausesMu.Lock()
-	paused := g.pauses.Record(now, v, n.Pause)
-	g.pausesMu.Unlock()
+	paused := false
+	if request != "" || n.Pause > 0 { // the end of a load report is not that of an attempt
+		g.pausesMu.Lock()
+		paused = g.pauses.Record(now, v, n.Pause)
+		g.pausesMu.Unlock()
+	}
 	if !leaves && !paused {
 		return
 	}
@@ -39,3 +42,10 @@
 	defer g.pausesMu.Unlock()
 	return g.pauses.Usable(g.Clock.Boot(), all)
 }
+
+// attemptStarts records that an attempt is made at a server.
+func (g *Gateway) attemptStarts(v backend.Server) {
+	g.pausesMu.Lock()
+	defer g.pausesMu.Unlock()
+	g.pauses.Start(g.Clock.Boot(), v)
+}
