gateway: a load report that failed is no empty queue

What callers saw: a stream that waited in the queue of a busy server lost its place and was sent to another server, if the server's load report did not come in 0.4 s.

Cause: fetchReport stored the empty report of the failed request, and checkServer returned it as one that was requested a short time ago: Waiting is 0, so the server had lost the request. Where the server was silent too, "unreachable" gave the same result, which hid it.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"shallotrun/core/clock"
+	"shallotrun/core/load"
 	"shallotrun/core/work"
 )
 
@@ -112,6 +113,25 @@
 	assert.Equal(t, b.sent(), 1)
 }
 
+// Guards against a load report that could not be fetched and is taken for an empty queue: the server answers other VMs, so the request
+// waits in its queue, and would lose its place.
+func TestFailedReportIsNoEmptyQueue(t *testing.T) {
+	b := &fakeBackend{unreachable: true, script: []step{{events: -1, stall: true}, {events: 5}}}
+	g, s := startGateway(t, b)
+	s.table.Load().Config.Routes[3].Timeout = 3000
+	heard := &load.Totals{At: g.Clock.Now().Add(clock.Minute), Uses: make(map[string]load.Usage)}
+	for _, v := range s.Servers(0, "s") {
+		heard.Uses[v.ID] = load.Usage{Server: v.ID, InFlight: 1}
+	}
+	s.others.Store(heard)
+	refused, ok := g.Serve(newRequest("/resumable/1")).(Refused)
+	assert.Check(t, ok && refused.Code == work.CodeDeadline, "the request ended before the route's timeout")
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	assert.Check(t, b.reports > 0)
+	assert.Equal(t, len(b.attempts), 1)
+}
+
 // Guards against a stream that is aborted to be resumed when no further attempt is allowed. A late answer is better than half of
 // one.
 func TestNoBreakWithoutAnotherAttempt(t *testing.T) {
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -41,7 +41,7 @@
 	reportPending   bool       // a load report was requested and has not come yet
 	reportRequested clock.Time // time at which the last load report was requested, 0 for none
 	unreachable     bool       // the last request for a load report failed, and no byte came since
-	report          work.Load  // last load report
+	report          *work.Load // last load report, nil if none was requested or the request for it failed
 }
 
 // connDivisor divides the connection limit of a server to give the part that one VM may use. The server resets connections over
--- a/internal/gateway/suspect.go
+++ b/internal/gateway/suspect.go
@@ -31,8 +31,8 @@
 		u.reportPending, u.reportRequested = true, now
 		go p.fetchReport(v)
 	}
-	if !u.reportPending && u.reportRequested != 0 && now.Sub(u.reportRequested) < limit {
-		report = &u.report
+	if !u.reportPending && now.Sub(u.reportRequested) < limit {
+		report = u.report
 	}
 	return silent, u.unreachable, report
 }
@@ -49,9 +49,10 @@
 	if u == nil {
 		return
 	}
-	u.reportPending, u.unreachable, u.report = false, err != nil, r.Load
+	u.reportPending, u.unreachable = false, err != nil
+	u.report = nil
 	if err == nil {
-		u.lastByte = p.g.Clock.Now()
+		u.report, u.lastByte = &r.Load, p.g.Clock.Now()
 	}
 	p.g.Log.Info().Err(err).Str("server", v.ID).Int("running", r.Running).Int("waiting", r.Waiting).
 		Msg("gateway: load report of a suspect server")
