rating: an answer without a body does not end the daemon

What callers would see: shallotd ends when the rating service answers 204 or 304, and a service that sends a byte now and then holds a call for ever.

Cause: the body was read before the status and whether there is one, and the time-out held for each read.

Change: status and body are checked first; the call ends within its time.

Result: TestRate ended with a nil pointer dereference before; TestRateEndsInTime and it pass now.

--- a/io/rating/client.go
+++ b/io/rating/client.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"io"
+	"time"
 
 	"github.com/samber/oops"
 	"github.com/valyala/fasthttp"
@@ -29,8 +30,7 @@
 // maxReplyBytes is the size limit of a reply in bytes.
 const maxReplyBytes = 4 << 10
 
-// Rate returns the rating of an answer in percent. Wait is the progress timeout of the call: each write of the request and each
-// read of the reply must make progress within it.
+// Rate returns the rating of an answer in percent. The call ends within wait.
 func (c *Client) Rate(q *Request, wait clock.Span) (int, error) {
 	b, err := json.Marshal(q)
 	if err != nil {
@@ -42,20 +42,25 @@
 	req.Header.SetMethod(fasthttp.MethodPost)
 	req.Header.SetContentType("application/json")
 	req.SetBodyRaw(b)
-	resp, err := c.Pool.Call(c.Addr, req, conn.Options{ProgressTimeout: wait})
+	var abort conn.Abort
+	defer time.AfterFunc(wait.Std(), abort.Abort).Stop()
+	resp, err := c.Pool.Call(c.Addr, req, conn.Options{ProgressTimeout: wait, Abort: &abort})
 	if err != nil {
 		return 0, oops.Wrapf(err, "rating")
 	}
 	var v struct {
 		Rating *int `json:"rating"`
 	}
+	status := resp.Status
+	if status != fasthttp.StatusOK || resp.Body == nil {
+		resp.Close(resp.Body == nil)
+		return 0, oops.Errorf("rating service answered with status %d", status)
+	}
 	b, err = io.ReadAll(io.LimitReader(resp.Body, maxReplyBytes))
 	resp.Close(err == nil)
 	switch {
 	case err != nil:
 		return 0, oops.Wrapf(err, "rating")
-	case resp.Status != fasthttp.StatusOK:
-		return 0, oops.Errorf("rating service answered with status %d", resp.Status)
 	case json.Unmarshal(b, &v) != nil || v.Rating == nil || *v.Rating < 0 || *v.Rating > 100:
 		return 0, oops.Errorf("rating service gave no rating from 0 to 100")
 	}
