standin/engine: a call that joins a generation starts none

Cause: the router's client sends "attach", the stand-in read "resume", so a call that may only join a generation started a new one where the engine had lost it, and the proofs did not see how the router takes the 404 that a real engine answers.

Result: TestAttachStartsNothing, which uses the client's own type, failed before (200) and passes (404).

--- a/internal/standin/engine/engine_test.go
+++ b/internal/standin/engine/engine_test.go
@@ -15,6 +15,7 @@
 
 	"shallotrun/core/clock"
 	"shallotrun/internal/standin/ledger"
+	client "shallotrun/io/engine"
 )
 
 func start(t *testing.T, e *Engine) string {
@@ -85,6 +86,19 @@
 	assert.Equal(t, es[2].Outcome, "attach")
 }
 
+// Guards against a call that joins an existing generation only, as the router's client sends it, and starts one.
+func TestAttachStartsNothing(t *testing.T) {
+	e := &Engine{Slots: 2, TokenTime: time.Millisecond}
+	addr := start(t, e)
+	b, err := json.Marshal(client.GenerateRequest{Request: "r1", Attempt: 1, Model: "m", Version: "1", Prompt: "hello gate", Attach: true})
+	assert.NilError(t, err)
+	_, r := post(t, addr, string(b))
+	status, _, err := read(t, r)
+	assert.NilError(t, err)
+	assert.Equal(t, status, 404)
+	assert.Equal(t, e.Ledger.Entries(0)[0].Outcome, "refused")
+}
+
 // Guards against faults that do not act as documented: checks of the router that inject them would pass without the fault.
 func TestFaults(t *testing.T) {
 	tests := []struct {
--- a/internal/standin/engine/http.go
+++ b/internal/standin/engine/http.go
@@ -29,7 +29,7 @@
 	Priority int             `json:"priority"`
 	From     int             `json:"from"`
 	Session  string          `json:"session"`
-	Resume   bool            `json:"resume"` // join an existing generation only; 404 when there is none
+	Attach   bool            `json:"attach"` // join an existing generation only; 404 when there is none
 }
 
 // Handler serves the engine's port.
@@ -99,7 +99,7 @@
 	name := c.Model + "@" + c.Version
 	_, leaving := e.Ledger.Faults.Active("leaving")
 	switch {
-	case c.Resume:
+	case c.Attach:
 		return nil, "refused", fasthttp.StatusNotFound, "gone"
 	case leaving:
 		return nil, "refused", fasthttp.StatusServiceUnavailable, "leaving"
