standin/weights: weights that the store refused are not fetched

Cause: after five refusals the error was nil, and oops.Wrapf of nil is nil, so an engine loaded a model whose weights it never got.

Result: TestFetch failed before in two of three rows and passes.

--- a/internal/standin/weights/weights.go
+++ b/internal/standin/weights/weights.go
@@ -56,6 +56,9 @@
 			}
 			time.Sleep(time.Second)
 		}
-		return oops.Wrapf(err, "weights of %s not fetched: status %d", name, status)
+		if err != nil {
+			return oops.Wrapf(err, "fetching the weights of %s", name)
+		}
+		return oops.Errorf("weights of %s not fetched: status %d", name, status)
 	}
 }
