entry: the end event is no token

Cause: recordToken counted the end event of an answer, so shallot_tokens_total and what the queue charges a tenant were one token too many for each attempt.

Result: TestChat failed before (12 tokens of two answers with five each) and passes (10).

--- a/internal/entry/chat_test.go
+++ b/internal/entry/chat_test.go
@@ -17,7 +17,8 @@
 
 const fiveText = " t1 t2 t3 t4 t5"
 
-// Guards against lost, repeated or reordered tokens, and against an answer that ends without a bill.
+// Guards against lost, repeated or reordered tokens, against an answer that ends without a bill, and against an end event that counts as
+// a token.
 func TestChat(t *testing.T) {
 	f := &fakes{}
 	d := start(t, f, []string{startBackend(t, fiveTokens).addr}, nil)
@@ -46,6 +47,7 @@
 	assert.Equal(t, bills[1].Request, resp.Header.Get("Shallot-Request"))
 	assert.Equal(t, bills[1].Stages[0].Tokens, 5)
 	assert.Equal(t, bills[1].Stages[0].Prompt, 3)
+	assert.Equal(t, metric(t, d, "shallot_tokens_total"), 10.0)
 }
 
 // Guards against refusals with a wrong code, and against requests that the workspace is not allowed to make.
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -347,12 +347,13 @@
 	n := x.flow.Attempt()
 	switch x.lastEvent.Kind {
 	case engine.EventToken:
-		x.recordToken()
+		x.attempt.tokens++
+		x.recordFirst()
 		x.token = flow.Token{Attempt: n, N: x.lastEvent.TokenNumber}
 		return &x.token
 	case engine.EventEnd:
 		x.endEvent = x.lastEvent
-		x.recordToken()
+		x.recordFirst()
 		cancelled := !x.lastEvent.Complete()
 		x.reportAttempt(work.Result{})
 		x.closeStream()
@@ -362,9 +363,8 @@
 	return flow.Waiting{Attempt: n}
 }
 
-// recordToken adds a token or the end event to the measurements of the attempt. The first one gives the time to the first token.
-func (x *exchange) recordToken() {
-	x.attempt.tokens++
+// recordFirst records the time to the first token or, if the answer has none, to its end.
+func (x *exchange) recordFirst() {
 	if x.attempt.firstToken != 0 {
 		return
 	}
