entry: a leaving engine is asked for load reports, which can end its leave

What callers would see: an engine that refused once because it leaves, and stays after all, gets no work from that VM until the VM starts again.

Cause: reports were fetched from live engines only, and of a report only "leaving" was passed on, by MarkLeaving. Registry.RecordLoad, which lifts a refusal by a later report, had no caller.

Result: TestLeavingEngineIsAskedAgain failed before (no report in 5 s) and passes; which report lifts what is tested in internal/servers.

--- a/internal/entry/background.go
+++ b/internal/entry/background.go
@@ -61,11 +61,12 @@
 	vm   work.VM
 }
 
-// usableEngines returns the live engines that this VM may use, sorted by name.
+// usableEngines returns the engines that this VM may use, sorted by name. Leaving ones are among them, as only their load reports show
+// that an engine stays after all.
 func (d *Daemon) usableEngines() (targets []loadTarget) {
 	for _, p := range d.allPools() {
 		for _, v := range d.Servers.Servers(p.name) {
-			if v.Kind == work.KindEngine && v.State == work.StateLive && p.usable(v.Name) {
+			if v.Kind == work.KindEngine && (v.State == work.StateLive || v.State == work.StateLeaving) && p.usable(v.Name) {
 				targets = append(targets, loadTarget{p, v})
 			}
 		}
@@ -83,9 +84,7 @@
 		return
 	}
 	p.recordLoad(v.Name, l)
-	if l.Leaving {
-		d.Servers.MarkLeaving(v.Name)
-	}
+	d.Servers.RecordLoad(v.Name, l)
 }
 
 // fetchFirstLoads fetches the load reports of the engines of a new pool, so that the request that created the pool does not
--- a/internal/entry/fake_test.go
+++ b/internal/entry/fake_test.go
@@ -33,6 +33,7 @@
 	halted    map[string]bool
 	servers   map[string][]work.VM
 	leaving   []string
+	reported  []string // servers whose load reports came
 	bills     []work.Bill
 	takenOver map[string]bool
 	claims    map[string]string
@@ -67,6 +68,15 @@
 	f.leaving = append(f.leaving, name)
 }
 
+func (f *fakes) RecordLoad(name string, l work.Load) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if l.Leaving {
+		f.leaving = append(f.leaving, name)
+	}
+	f.reported = append(f.reported, name)
+}
+
 func (f *fakes) SelectHolder(string) string { return "holder" }
 func (f *fakes) Full() bool                 { return f.full }
 
--- a/internal/entry/ports.go
+++ b/internal/entry/ports.go
@@ -25,8 +25,10 @@
 type Servers interface {
 	// Servers returns the backend servers of a pool, including leaving ones. The slice must not be modified.
 	Servers(pool string) []work.VM
-	// MarkLeaving records that a backend server itself reported that it is leaving.
+	// MarkLeaving records that a backend server refused work because it is leaving.
 	MarkLeaving(name string)
+	// RecordLoad records a load report of a backend server. One that was taken later than a refusal ends what the refusal said.
+	RecordLoad(name string, l work.Load)
 }
 
 // Bills saves bills, with a replica on another entry VM.
--- a/internal/entry/session_test.go
+++ b/internal/entry/session_test.go
@@ -236,3 +236,24 @@
 	assert.Equal(t, leaving.count("POST /v1/generate"), 0)
 	assert.Equal(t, live.count("POST /v1/generate"), 20)
 }
+
+// Guards against an engine that refused once because it leaves, stays after all, and gets no work for ever: its load reports must still be
+// fetched, as nothing else says so.
+func TestLeavingEngineIsAskedAgain(t *testing.T) {
+	engine := startBackend(t, fiveTokens)
+	f := &fakes{}
+	d := start(t, f, []string{engine.addr}, nil, func(*Daemon) {
+		f.servers["engines"][0].Kind = work.KindEngine
+		f.servers["engines"][0].State = work.StateLeaving
+	})
+	_ = post(t, d, chatBody("m", false)).Body.Close()
+	for end := time.Now().Add(5 * time.Second); ; time.Sleep(10 * time.Millisecond) {
+		f.mu.Lock()
+		n := len(f.reported)
+		f.mu.Unlock()
+		if n > 1 {
+			return
+		}
+		assert.Assert(t, time.Now().Before(end), "%d load reports were recorded", n)
+	}
+}
