gateway: a server that comes back from its pause is used rather than none

What callers saw: 503 for a request whose other servers were gone or had no connection free, for up to 10 s after a pause, while a server was back.

Change: placement tries the others first, then all. The comment of Limits is wrapped.

Without a pause nothing differs: Usable returns all servers.

--- a/core/backend/pause.go
+++ b/core/backend/pause.go
@@ -10,10 +10,10 @@
 // under the same name is another one. The zero value holds nothing. It is not safe for concurrent use.
 //
 // A server comes back into use gradually, as it may still be in need and all VMs that it turned away come back to it. It is a reserve,
-// which Usable returns only if there is no other server, for a random time after its pause, and then while this VM has as many attempts
-// at it as have ended since, and one more.
+// to be used if no other server can take a request, for a random time after its pause, and then while more attempts of this VM are open
+// there than have ended since.
 type Pauses struct {
-	// Rand returns a random number in [0, 1); nil means that servers are no reserve after their pause because of time.
+	// Rand returns a random number in [0, 1) for the random time; nil means that the time is 0.
 	Rand func() float64
 
 	paused map[incarnation]*pause
@@ -100,13 +100,12 @@
 	return now >= p.reserve && p.ended >= returnAttempts || now.Sub(p.until) >= returnTime
 }
 
-// Usable returns the servers that take requests from this VM now. If there are none, wait is the time until the first one takes some
-// again.
-func (s *Pauses) Usable(now clock.Time, all []Server) (out []Server, wait clock.Span) {
+// Usable returns the servers that take requests from this VM now, and those of them that are a reserve apart. If there are none, wait is
+// the time until the first one takes some again.
+func (s *Pauses) Usable(now clock.Time, all []Server) (out, reserve []Server, wait clock.Span) {
 	if len(s.paused) == 0 {
-		return all, 0
+		return all, nil, 0
 	}
-	var reserve []Server
 	for _, v := range all {
 		k := incarnation{v.ID, v.Born}
 		p := s.paused[k]
@@ -126,11 +125,8 @@
 			out = append(out, v)
 		}
 	}
-	if len(out) == 0 {
-		out = reserve
+	if len(out)+len(reserve) > 0 {
+		wait = 0
 	}
-	if len(out) > 0 {
-		return out, 0
-	}
-	return nil, wait
+	return out, reserve, wait
 }
--- a/core/backend/pause_test.go
+++ b/core/backend/pause_test.go
@@ -18,70 +18,71 @@
 	a, b := Server{ID: "a", Born: 1}, Server{ID: "b", Born: 1}
 	again := Server{ID: "a", Born: 2}
 	for _, c := range []struct {
-		name   string
-		say    func(s *Pauses)
-		in     []Server
-		usable []Server
-		wait   clock.Span
+		name    string
+		say     func(s *Pauses)
+		in      []Server
+		usable  []Server
+		wait    clock.Span
+		reserve []Server
 	}{
-		{"nothing said", func(*Pauses) {}, []Server{a, b}, []Server{a, b}, 0},
-		{"an answer that says nothing", func(s *Pauses) { s.Record(10, a, 0) }, []Server{a, b}, []Server{a, b}, 0},
-		{"paused", func(s *Pauses) { s.Record(10, a, 200) }, []Server{a, b}, []Server{b}, 0},
+		{"nothing said", func(*Pauses) {}, []Server{a, b}, []Server{a, b}, 0, nil},
+		{"an answer that says nothing", func(s *Pauses) { s.Record(10, a, 0) }, []Server{a, b}, []Server{a, b}, 0, nil},
+		{"paused", func(s *Pauses) { s.Record(10, a, 200) }, []Server{a, b}, []Server{b}, 0, nil},
 		{"paused, and a later answer that does not say so", func(s *Pauses) {
 			s.Record(10, a, 200)
 			s.Record(20, a, 0)
-		}, []Server{a, b}, []Server{b}, 0},
-		{"started again", func(s *Pauses) { s.Record(10, a, 200) }, []Server{again}, []Server{again}, 0},
-		{"pause over", func(s *Pauses) { s.Record(10, a, 90) }, []Server{a}, []Server{a}, 0},
+		}, []Server{a, b}, []Server{b}, 0, nil},
+		{"started again", func(s *Pauses) { s.Record(10, a, 200) }, []Server{again}, []Server{again}, 0, nil},
+		{"pause over", func(s *Pauses) { s.Record(10, a, 90) }, []Server{a}, []Server{a}, 0, nil},
 		{"shorter pause", func(s *Pauses) {
 			s.Record(10, a, 900)
 			s.Record(20, a, 50)
-		}, []Server{a}, []Server{a}, 0},
+		}, []Server{a}, []Server{a}, 0, nil},
 		{"longer pause", func(s *Pauses) {
 			s.Record(10, a, 50)
 			s.Record(20, a, 500)
-		}, []Server{a}, nil, 420},
+		}, []Server{a}, nil, 420, nil},
 		{"all paused", func(s *Pauses) {
 			s.Record(10, a, 500)
 			s.Record(10, b, 300)
-		}, []Server{a, b}, nil, 210},
+		}, []Server{a, b}, nil, 210, nil},
 		{"a reserve beside another server", func(s *Pauses) {
 			s.Rand = func() float64 { return 0.9 }
 			s.Record(10, a, 80)
-		}, []Server{a, b}, []Server{b}, 0},
-		{"a reserve alone", func(s *Pauses) {
+		}, []Server{a, b}, []Server{b}, 0, []Server{a}},
+		{"a reserve beside its next incarnation", func(s *Pauses) {
 			s.Rand = func() float64 { return 0.9 }
 			s.Record(10, a, 80)
-		}, []Server{a}, []Server{a}, 0},
+		}, []Server{a, again}, []Server{again}, 0, []Server{a}},
 		{"one attempt open", func(s *Pauses) {
 			s.Record(10, a, 80)
 			s.Start(95, a)
-		}, []Server{a, b}, []Server{b}, 0},
+		}, []Server{a, b}, []Server{b}, 0, []Server{a}},
 		{"one attempt open, and no other server", func(s *Pauses) {
 			s.Record(10, a, 80)
 			s.Start(95, a)
-		}, []Server{a}, []Server{a}, 0},
+		}, []Server{a}, nil, 0, []Server{a}},
 		{"one attempt ended, one open", func(s *Pauses) {
 			s.Record(10, a, 80)
 			s.Start(95, a)
 			s.Record(96, a, 0)
 			s.Start(97, a)
-		}, []Server{a, b}, []Server{a, b}, 0},
+		}, []Server{a, b}, []Server{a, b}, 0, nil},
 		{"an attempt from before the pause ends after it", func(s *Pauses) {
 			s.Start(5, a)
 			s.Record(10, a, 80)
 			s.Record(95, a, 0)
-		}, []Server{a, b}, []Server{a, b}, 0},
+		}, []Server{a, b}, []Server{a, b}, 0, nil},
 		{"no attempt ends", func(s *Pauses) {
 			s.Record(clock.Time(10-returnTime), a, 80)
 			s.Start(clock.Time(95-returnTime), a)
 			s.Start(clock.Time(95-returnTime), a)
-		}, []Server{a, b}, []Server{a, b}, 0},
+		}, []Server{a, b}, []Server{a, b}, 0, nil},
 	} {
 		s := &Pauses{}
 		c.say(s)
-		usable, wait := s.Usable(100, c.in)
-		assert.Check(t, slices.Equal(usable, c.usable) && wait == c.wait, "%s: %v, %d ms", c.name, usable, wait)
+		usable, reserve, wait := s.Usable(100, c.in)
+		assert.Check(t, slices.Equal(usable, c.usable) && slices.Equal(reserve, c.reserve) && wait == c.wait, "%s: %v, %v, %d ms", c.name, usable, reserve, wait)
 	}
 }
 
@@ -150,7 +151,10 @@
 			}
 		}
 		vm := random.IntN(vms)
-		in, _ := pauses[vm].Usable(now, all)
+		in, reserve, _ := pauses[vm].Usable(now, all)
+		if len(in) == 0 {
+			in = reserve
+		}
 		v, offset := in[0], random.IntN(len(in))
 		for k := range in {
 			if c := in[(k+offset)%len(in)]; k == 0 || inFlight[vm][c.ID] < inFlight[vm][v.ID] {
--- a/internal/feed/limits.go
+++ b/internal/feed/limits.go
@@ -20,10 +20,10 @@
 	granterTimeout = 1200 * clock.Millisecond
 )
 
-// Limits keeps the requests of all VMs to a backend server within the limit that it names, and from a server that leaves. Each VM tells the VM that it follows what
-// servers say and how many requests it has for them, and is granted a part; a VM that follows no other divides the limits. All
-// methods are safe for concurrent use; times are those of Clock.Boot. The exported fields are set before Init, which is called
-// before any other method.
+// Limits keeps the requests of all VMs to a backend server within the limit that it names, and from a server that leaves. Each VM
+// tells the VM that it follows what servers say and how many requests it has for them, and is granted a part; a VM that follows no
+// other divides the limits. All methods are safe for concurrent use; times are those of Clock.Boot. The exported fields are set before
+// Init, which is called before any other method.
 type Limits struct {
 	VM     string // name of this VM
 	Domain string // its failure domain
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 
 	"shallotrun/core/backend"
 )
@@ -14,8 +15,8 @@
 
 // hasRoom reports whether the limits that the servers name leave one for another attempt of a request.
 func (p *pool) hasRoom(x *exchange) bool {
-	usable, _ := p.g.usable(p.g.State.Servers(p.g.Clock.Now(), p.service))
-	in, limited := p.withinLimits(x, usable)
+	usable, reserve, _ := p.g.usable(p.g.State.Servers(p.g.Clock.Now(), p.service))
+	in, limited := p.withinLimits(x, slices.Concat(usable, reserve))
 	return len(in) > 0 || !limited
 }
 
--- a/internal/gateway/notice.go
+++ b/internal/gateway/notice.go
@@ -34,9 +34,9 @@
 		Msg("gateway: a server says in its answer that it takes no more requests from this VM, for a time or for good")
 }
 
-// usable returns the servers that have not said that they take no requests from this VM, and if there are none the time until one
-// does, 0 for never.
-func (g *Gateway) usable(all []backend.Server) ([]backend.Server, clock.Span) {
+// usable returns the servers that have not said that they take no requests from this VM, those apart that come back from a pause and are
+// used if no other one can take a request, and if there are none the time until one does, 0 for never.
+func (g *Gateway) usable(all []backend.Server) (out, reserve []backend.Server, wait clock.Span) {
 	all = g.State.WithoutLeaving(all)
 	g.pausesMu.Lock()
 	defer g.pausesMu.Unlock()
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"errors"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -63,7 +64,19 @@
 // take the request: errLimited if one could but for the limits that servers name.
 func (p *pool) pick(now clock.Time, x *exchange) (backend.Server, error) {
 	allowed := p.g.State.Choose(now, p.service, x.request.Session, p.g.State.Servers(now, p.service))
-	usable, pause := p.g.usable(allowed)
+	usable, reserve, pause := p.g.usable(allowed)
+	v, err := p.pickAmong(now, x, usable)
+	if err != nil && len(reserve) > 0 {
+		v, err = p.pickAmong(now, x, slices.Concat(usable, reserve))
+	}
+	if errors.Is(err, errNoServer) && pause > 0 {
+		return v, &pausedError{pause}
+	}
+	return v, err
+}
+
+// pickAmong is pick among some of the servers.
+func (p *pool) pickAmong(now clock.Time, x *exchange, usable []backend.Server) (backend.Server, error) {
 	all, limited := p.withinLimits(x, usable)
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -98,8 +111,6 @@
 	switch {
 	case !ok && limited:
 		return backend.Server{}, errLimited
-	case !ok && pause > 0:
-		return backend.Server{}, &pausedError{pause}
 	case !ok:
 		return backend.Server{}, errNoServer
 	}
