gateway: each broken attempt says whether its server still accepted connections

Cause: server_ended was written only if it was true or a head had arrived, so an attempt that broke before the head, at a server whose port still accepted, could not be told from one whose server was never asked.

Change: `server_ended`, `parts` and `same` stand in the line of every attempt that broke before its answer was proven. No decision changes.

--- a/internal/gateway/ended.go
+++ b/internal/gateway/ended.go
@@ -8,12 +8,14 @@
 	"shallotrun/core/quarantine"
 )
 
-// serverEnded reports whether the process of the server has ended before it began to answer, or as it began: the connection broke
-// before the answer was proven, and the server's address refuses connections.
-func (x *exchange) serverEnded(f *Fault, why endCause) bool {
-	if f.Kind != OutcomeUnknown || why != causeNone || x.attemptProven {
-		return false
-	}
+// mayHaveEnded reports whether the process of the server may have ended before it began to answer, or as it began: the connection broke
+// before the answer was proven.
+func (x *exchange) mayHaveEnded(f *Fault, why endCause) bool {
+	return f.Kind == OutcomeUnknown && why == causeNone && !x.attemptProven
+}
+
+// serverEnded reports whether the process of the server has ended: its address refuses connections.
+func (x *exchange) serverEnded() bool {
 	if !x.g.Backend.Ended(x.server) {
 		return false
 	}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -100,17 +100,14 @@
 }
 
 // recordFault logs a failed attempt and updates the metrics.
-func (x *exchange) recordFault(f *Fault, why endCause, serverEnded bool) {
+func (x *exchange) recordFault(f *Fault, why endCause, broke, serverEnded bool) {
 	x.g.metrics.faults.WithLabelValues(f.Kind.String()).Inc()
 	l := x.g.Log.Warn()
 	if why == causeCallerGone {
 		l = x.g.Log.Info()
 	}
-	if x.headArrived && !x.firstArrived || serverEnded {
-		l.Bool("server_ended", serverEnded).Strs("parts", x.sharedParts())
-	}
-	if serverEnded {
-		l.Str("same", x.wholeRequest())
+	if broke {
+		l.Bool("server_ended", serverEnded).Strs("parts", x.sharedParts()).Str("same", x.wholeRequest())
 	}
 	l.Str("request", x.request.ID).Str("server", x.server.ID).Str("addr", x.server.Addr).Str("how", f.Kind.String()).
 		Stringer("ended", why).Bool("head", x.headArrived).Err(f.Err).Int("try", x.attempts).Int64("event", x.lastEvent).
--- a/internal/gateway/outcome.go
+++ b/internal/gateway/outcome.go
@@ -38,8 +38,9 @@
 		Failed: f.Kind != RefusedByServer, Refused: f.Kind == RefusedByServer, Unreachable: f.Kind == NotSent || f.Kind == Moved,
 	}, false)
 	x.failedServers = append(x.failedServers, x.server.ID)
-	ended := x.serverEnded(f, why)
-	x.recordFault(f, why, ended)
+	broke := x.mayHaveEnded(f, why)
+	ended := broke && x.serverEnded()
+	x.recordFault(f, why, broke, ended)
 	if ended {
 		x.recordCrash()
 	}
