gateway: servers that end before the head accuse the parts of the prompt

Cause: a crash named the shared parts of the prompt only if the head of an answer had arrived. Without it only the request itself was blamed, and each of these requests has a last part of its own.

Change: every crash names the shared parts. A crash without a head is marked, as the request may only have waited at the server: it is sent once more, and is held back from the second server on, as before.

Without the change TestPartThatEndsServersIsRefused (row "before the head") fails with 80 requests that reach servers, and TestRequestThatMayHaveWaitedIsRepeated fails.

--- a/core/quarantine/ledger.go
+++ b/core/quarantine/ledger.go
@@ -127,13 +127,15 @@
 	}
 	left := last.at.Add(repeatDelay << min(servers-1, maxDoublings)).Sub(now)
 	parts := l.suspects(last)
-	if left <= 0 || len(parts) == 0 || servers < minRepeats && !slices.ContainsFunc(parts, func(p string) bool { return !isWhole(p) }) {
+	began := !last.NoHead && slices.ContainsFunc(parts, func(p string) bool { return !isWhole(p) })
+	if left <= 0 || len(parts) == 0 || servers < minRepeats && !began {
 		return nil
 	}
 	return &Refusal{Parts: parts, Servers: servers, Repeat: true, Retry: left}
 }
 
-// minRepeats is the number of servers that have to end under a request before it is refused, if no part of a prompt may be to blame.
+// minRepeats is the number of servers that have to end under a request before it is refused, unless a server began to answer it and a
+// part of its prompt may be to blame.
 const minRepeats = 2
 
 // explained reports whether a rule in force explains the end of the server by another request than the one of the record.
--- a/core/quarantine/types.go
+++ b/core/quarantine/types.go
@@ -15,6 +15,7 @@
 	Prompt    uint64   // hash of the whole prompt, or of a request without one
 	Parts     []string // what may be to blame: shared parts of the prompt and the request itself, at most maxParts
 	Trial     bool     `cbor:",omitempty"` // the request was sent to try whether a rule still holds
+	NoHead    bool     `cbor:",omitempty"` // no head of an answer had arrived, so the request may only have waited at the server
 }
 
 // wholePrefix begins the name of the part that stands for a whole request.
--- a/core/quarantine/whole_test.go
+++ b/core/quarantine/whole_test.go
@@ -45,6 +45,29 @@
 	assert.Assert(t, check(l, clock.Time(maxAge)+4000, wholeRequest("deadly")) == nil, "the request may have been mended")
 }
 
+// Guards against a sound request that is not sent again after the first server that ended while it may only have waited there, although its
+// prompt has a part that was never answered, and against one that is sent to a third server.
+func TestRequestThatMayHaveWaitedIsRepeated(t *testing.T) {
+	q := Request{Service: "s", Workspace: "w", Prompt: 7, Parts: []string{"first", "rare", WholeRequest("one")}}
+	for _, c := range []struct {
+		name   string
+		noHead []bool // by crash
+		want   bool
+	}{
+		{"no head", []bool{true}, false},
+		{"a head", []bool{false}, true},
+		{"no head at two servers", []bool{true, true}, true},
+	} {
+		l := newLedger(1)
+		for i, noHead := range c.noHead {
+			l.RecordCrash(clock.Time(1000+i), Crash{
+				Service: "s", Server: fmt.Sprint(i), Workspace: "w", Prompt: q.Prompt, Parts: q.Parts, NoHead: noHead,
+			})
+		}
+		assert.Equal(t, check(l, 1100, q) != nil, c.want, c.name)
+	}
+}
+
 // Guards against a request that is tried at a third server while it may be to blame, against one that is refused although it was
 // answered since, and against one that is refused because a single server ended under it.
 func TestWholeRequestIsHeldBack(t *testing.T) {
--- a/internal/gateway/ended.go
+++ b/internal/gateway/ended.go
@@ -29,13 +29,13 @@
 	at clock.Time
 }
 
-// crash returns the crash of the server under this request. Parts of the prompt may be to blame once the server began to answer.
+// crash returns the crash of the server under this request.
 func (x *exchange) crash() quarantine.Crash {
 	c := quarantine.Crash{
 		Service: x.service, Server: x.server.ID + "/" + strconv.FormatInt(x.server.Born, 10), Workspace: x.workspaceName(),
-		Prompt: x.identity(), Parts: []string{x.wholeRequest()}, Trial: x.trial,
+		Prompt: x.identity(), Parts: []string{x.wholeRequest()}, Trial: x.trial, NoHead: !x.headArrived,
 	}
-	if shared := x.sharedParts(); x.headArrived && len(shared) > 0 {
+	if shared := x.sharedParts(); len(shared) > 0 {
 		c.Prompt, c.Parts = x.promptHash(), append(shared, c.Parts...)
 	}
 	return c
--- a/internal/gateway/ended_test.go
+++ b/internal/gateway/ended_test.go
@@ -15,10 +15,10 @@
 	"shallotrun/core/work"
 )
 
-// Guards against requests that share a part of their prompts and end one server after another, before the first event of their answers
-// or just after it.
+// Guards against requests that share a part of their prompts and end one server after another, before the head of their answers, before the
+// first event or just after it.
 func TestPartThatEndsServersIsRefused(t *testing.T) {
-	for _, last := range []int64{0, 1, 2} {
+	for _, last := range []int64{beforeHead, 0, 1, 2} {
 		b := &fakeBackend{deadlyPart: "deadly", deadlyLast: last, script: []step{{events: 5}}, ended: true}
 		now := clock.NewManual(1000)
 		g, s := startGatewayAt(t, b, now)
--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -112,7 +112,7 @@
 type fakeBackend struct {
 	script     []step
 	deadlyPart string // part of a prompt on which every server ends between the head and the first event
-	deadlyLast int64  // events that are sent on such a part before that
+	deadlyLast int64  // events that are sent on such a part before that, beforeHead if it ends before the head
 	deadlyBody string // body of a request on which every server ends before the head
 
 	mu          sync.Mutex
@@ -151,6 +151,9 @@
 	if r.Status == 0 {
 		r.Status = 200
 	}
+	if b.isDeadly(a) && b.deadlyLast == beforeHead {
+		return nil, &Fault{Kind: OutcomeUnknown, Err: io.EOF}
+	}
 	if !a.Stream || r.Status != 200 {
 		r.Body = strings.NewReader(fmt.Sprint("body of ", a.Server.ID))
 		return r, nil
@@ -166,6 +169,9 @@
 	return r, nil
 }
 
+// beforeHead stands for servers that end before they send the head of an answer.
+const beforeHead = -1
+
 func (b *fakeBackend) Ended(backend.Server) bool { return b.ended }
 
 // isDeadly reports whether an attempt has the deadly part or body.
--- a/internal/gateway/same_test.go
+++ b/internal/gateway/same_test.go
@@ -44,20 +44,27 @@
 
 // Guards against sound requests that are refused because they ran at servers that ended, for another reason or under another request.
 func TestRequestsAtEndedServersAreRepeated(t *testing.T) {
-	b := &fakeBackend{script: []step{{fail: true, kind: OutcomeUnknown}, {}}, ended: true}
-	now := clock.NewManual(1000)
-	g, s := startGatewayAt(t, b, now)
-	g.RetryRatio = 2
-	for i := range 20 {
-		now.Advance(clock.Second)
-		b.mu.Lock()
-		b.attempts = nil // the script starts again: the first server ends, the second one answers
-		b.mu.Unlock()
-		r := newRequest("/safe/1")
-		r.ID = fmt.Sprint("r-", i)
-		a := g.Serve(r)
-		_, answered := a.(Buffered)
-		assert.Assert(t, answered, "request %d: %+v", i, a)
-		restartServers(s)
+	for _, path := range []string{"/safe/1", "/resumable/1"} {
+		b := &fakeBackend{script: []step{{fail: true, kind: OutcomeUnknown}, {events: 5}}, ended: true}
+		now := clock.NewManual(1000)
+		g, s := startGatewayAt(t, b, now)
+		g.RetryRatio = 2
+		for i := range 20 {
+			now.Advance(clock.Second)
+			b.mu.Lock()
+			b.attempts = nil // the script starts again: the first server ends, the second one answers
+			b.mu.Unlock()
+			r := newRequest(path)
+			r.ID, r.Parts = fmt.Sprint("r-", i), []PromptPart{{"first", 10}, {fmt.Sprint("rare-", i), 10}, {fmt.Sprint("own-", i), 10}}
+			a := g.Serve(r)
+			stream, ok := a.(*Stream)
+			if ok {
+				_, err := readStream(t, stream)
+				assert.NilError(t, err)
+			}
+			_, whole := a.(Buffered)
+			assert.Assert(t, ok || whole, "%s, request %d: %+v", path, i, a)
+			restartServers(s)
+		}
 	}
 }
