gateway: a server whose port closes after its connections is asked again

Cause: whether a server's process had ended was asked once, in the moment in which the connection broke. A process that ends closes its connections and its port one after the other. Class: a judgement by one sample at the moment at which the evidence is least settled.

Change: a server that still accepts is asked again 0.1 s and 0.5 s after the break, once for the requests that broke there within 50 ms; the check after a dropped answer is the same code. A request never waits for it.

TestServerWhosePortClosesLater fails without the call in outcome.go (no crash recorded).

--- a/internal/gateway/ended.go
+++ b/internal/gateway/ended.go
@@ -2,7 +2,6 @@
 
 import (
 	"strconv"
-	"time"
 
 	"shallotrun/core/clock"
 	"shallotrun/core/quarantine"
@@ -23,10 +22,11 @@
 	return true
 }
 
-// crashAt is a crash and its time.
+// crashAt is a crash, its time and the identifier of the request.
 type crashAt struct {
 	quarantine.Crash
-	at clock.Time
+	at      clock.Time
+	request string
 }
 
 // crash returns the crash of the server under this request.
@@ -41,13 +41,16 @@
 	return c
 }
 
+// crashNow returns the crash of the server under this request at the present time.
+func (x *exchange) crashNow() crashAt { return crashAt{x.crash(), x.g.Clock.Now(), x.request.ID} }
+
 // recordCrash records that the server ended under this request. If only the request itself may be to blame, the first crash is kept
 // until the request ends: most servers end for another reason, and a request that is answered by the next one is not to blame.
 func (x *exchange) recordCrash() {
 	if x.proven {
 		return // by the answer of an earlier server
 	}
-	c := crashAt{x.crash(), x.g.Clock.Now()}
+	c := x.crashNow()
 	x.trialCrashed = x.trial
 	if len(c.Parts) == 1 && x.firstCrash == nil {
 		x.firstCrash = &c
@@ -64,32 +67,3 @@
 	}
 	x.firstCrash = nil
 }
-
-const (
-	// dropCheckDelay is how long after an answer was dropped its server is checked. A server that ends under a prompt does so soon
-	// after the head of the answer.
-	dropCheckDelay = 500 * clock.Millisecond
-	// maxDropChecks is the number of such checks that may be pending at a time.
-	maxDropChecks = 32
-)
-
-// checkAfterDrop finds out later whether the server ended as it began the answer, which was dropped after its head. It does so
-// only for a prompt with a part that is not known to be sound, as a check takes a connection.
-func (x *exchange) checkAfterDrop() {
-	g, c, v, id, at := x.g, x.crash(), x.server, x.request.ID, x.g.Clock.Now()
-	shared := x.sharedParts()
-	if len(shared) == 0 || g.State.Proven(at, x.service, shared) || g.dropChecks.Load() >= maxDropChecks {
-		return
-	}
-	g.dropChecks.Add(1)
-	time.AfterFunc(dropCheckDelay.Std(), func() {
-		defer g.dropChecks.Add(-1)
-		if !g.Backend.Ended(v) {
-			return
-		}
-		g.metrics.serversEnded.Inc()
-		g.State.RecordCrash(at, c)
-		g.Log.Warn().Str("request", id).Str("server", v.ID).Bool("server_ended", true).Strs("parts", c.Parts).
-			Msg("gateway: server ended after its answer was dropped")
-	})
-}
--- a/internal/gateway/ended_test.go
+++ b/internal/gateway/ended_test.go
@@ -138,6 +138,31 @@
 	assert.DeepEqual(t, got, map[string]float64{"p0": 3, "p1": 3})
 }
 
+// Guards against the end of a server that nobody notices because its port still accepts as the connection breaks, and against a crash for each
+// connection that breaks.
+func TestServerWhosePortClosesLater(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		ended bool
+		open  int32 // times that the port still accepts
+		want  int
+	}{
+		{"closed at once", true, 0, 1},
+		{"closed before the first later check", true, 1, 1},
+		{"closed before the second later check", true, 2, 1},
+		{"not closed", false, 0, 0},
+	} {
+		b := &fakeBackend{deadlyPart: "deadly", deadlyLast: beforeHead, script: []step{{}}, ended: c.ended}
+		b.portOpen.Store(c.open)
+		g, s := startGateway(t, b)
+		r := newRequest("/stream/1")
+		r.Parts = []PromptPart{{"first", 10}, {"deadly", 10}, {"own", 10}}
+		g.Serve(r)
+		time.Sleep((breakCheckDelays[1] + checkWindow).Std())
+		assert.Equal(t, len(s.Query(g.Clock.Now()).Reports), c.want, c.name)
+	}
+}
+
 // Guards against a server that ends under an answer that was dropped for its model's low confidence, and that nobody noticed.
 func TestServerThatEndsAfterItsAnswerWasDropped(t *testing.T) {
 	for range 50 {
--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -111,9 +111,10 @@
 // fakeBackend answers attempts by a script. The last step is repeated for all later attempts.
 type fakeBackend struct {
 	script     []step
-	deadlyPart string // part of a prompt on which every server ends between the head and the first event
-	deadlyLast int64  // events that are sent on such a part before that, beforeHead if it ends before the head
-	deadlyBody string // body of a request on which every server ends before the head
+	deadlyPart string       // part of a prompt on which every server ends between the head and the first event
+	deadlyLast int64        // events that are sent on such a part before that, beforeHead if it ends before the head
+	deadlyBody string       // body of a request on which every server ends before the head
+	portOpen   atomic.Int32 // how often the port of an ended server still accepts a connection
 
 	mu          sync.Mutex
 	attempts    []Attempt
@@ -172,7 +173,7 @@
 // beforeHead stands for servers that end before they send the head of an answer.
 const beforeHead = -1
 
-func (b *fakeBackend) Ended(backend.Server) bool { return b.ended }
+func (b *fakeBackend) Ended(backend.Server) bool { return b.ended && b.portOpen.Add(-1) < 0 }
 
 // isDeadly reports whether an attempt has the deadly part or body.
 func (b *fakeBackend) isDeadly(a *Attempt) bool {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -85,7 +85,7 @@
 
 	metrics    *metrics
 	bodyMemory *memoryLimit
-	dropChecks atomic.Int64 // pending checks of servers whose answer was dropped
+	endChecks  endChecks    // servers that are asked later whether they have ended
 	stopStart  atomic.Int64 // time at which the planned stop began, 0 before
 
 	pausesMu sync.Mutex
--- a/internal/gateway/outcome.go
+++ b/internal/gateway/outcome.go
@@ -41,8 +41,11 @@
 	broke := x.mayHaveEnded(f, why)
 	ended := broke && x.serverEnded()
 	x.recordFault(f, why, broke, ended)
-	if ended {
+	switch {
+	case ended:
 		x.recordCrash()
+	case broke:
+		x.checkAfterBreak()
 	}
 	if f.Kind != OutcomeUnknown {
 		x.notRunServers = append(x.notRunServers, x.server.ID)
