core/quarantine: requests that waited at ended servers displace no evidence

Cause: a ledger keeps 96 crashes and dropped the one whose last refusal is oldest. When a fifth of the servers ends at once, the requests that waited there are newer than the crashes that a rule rests on, whose refusals are recorded every 5 s only. The rule ended, and servers ended under the refused requests again.

Change: crashes that accuse nothing any more are dropped first, then those that no rule in force rests on.

--- a/core/quarantine/ledger.go
+++ b/core/quarantine/ledger.go
@@ -1,8 +1,8 @@
 package quarantine
 
 import (
-	"cmp"
 	"math"
+	"math/bits"
 	"slices"
 
 	"shallotrun/core/clock"
@@ -10,7 +10,7 @@
 )
 
 const (
-	// maxRecords is the number of crashes that are kept. The one whose last refusal is oldest is dropped first.
+	// maxRecords is the number of crashes that are kept.
 	maxRecords = 96
 	// maxParts is the number of parts of a request that are kept: the shared parts of its prompt, and the one for the whole request.
 	maxParts = 17
@@ -190,14 +190,44 @@
 	return l.records[i]
 }
 
-// add adds a record. It drops records that count no more, and beyond maxRecords the one whose last refusal is oldest.
+// add adds a record. It drops records that count no more, and beyond maxRecords the least useful one.
 func (l *Ledger) add(now clock.Time, r *record) {
 	l.records = append(slices.DeleteFunc(l.records, func(r *record) bool { return !r.active(now) }), r)
+	l.changed(r, r.source)
 	if len(l.records) > maxRecords {
-		oldest := slices.MinFunc(l.records, func(a, b *record) int { return cmp.Compare(a.lastRefusal, b.lastRefusal) })
-		l.records = slices.DeleteFunc(l.records, func(r *record) bool { return r == oldest })
+		dropped := l.leastUseful()
+		l.records = slices.DeleteFunc(l.records, func(r *record) bool { return r == dropped })
+		l.rulesUntil = now // the rules have to be computed again
 	}
-	l.changed(r, r.source)
+}
+
+// leastUseful returns the record to drop: one that accuses nothing any more, then one that is no evidence of a rule in force, then the one
+// whose last refusal is oldest. When many servers end at once, the requests that waited there would otherwise displace the evidence of the
+// rules, and servers would end under the refused requests again. The rules are those that were last computed.
+func (l *Ledger) leastUseful() *record {
+	if r := oldest(l.records, func(r *record) bool { return !r.accusesAny() }); r != nil {
+		return r
+	}
+	evidence := make(map[*record]bool)
+	for _, rule := range l.rules {
+		for _, r := range rule.crashes {
+			evidence[r] = true
+		}
+	}
+	if r := oldest(l.records, func(r *record) bool { return !evidence[r] }); r != nil {
+		return r
+	}
+	return oldest(l.records, func(*record) bool { return true })
+}
+
+// oldest returns the record whose last refusal is oldest among those that are of a kind, nil if there are none.
+func oldest(all []*record, is func(r *record) bool) (found *record) {
+	for _, r := range all {
+		if is(r) && (found == nil || r.lastRefusal < found.lastRefusal) {
+			found = r
+		}
+	}
+	return found
 }
 
 // clear clears those of the parts that a crash has.
@@ -231,6 +261,9 @@
 
 func (r *record) isCleared(i int) bool { return r.cleared&(1<<i) != 0 }
 
+// accusesAny reports whether any part of a crash is not cleared.
+func (r *record) accusesAny() bool { return bits.OnesCount64(r.cleared) < len(r.Parts) }
+
 // accuses reports whether a crash has a part that is not cleared.
 func (r *record) accuses(service, part string) bool {
 	i := slices.Index(r.Parts, part)
--- a/core/quarantine/trial_test.go
+++ b/core/quarantine/trial_test.go
@@ -74,14 +74,19 @@
 
 // send sends a request to a VM, which passes it on to a server unless it refuses it.
 func (f *trialFleet) send(now clock.Time, deadly bool) {
-	f.sent++
 	parts := []string{"first", "sound"}
 	if deadly {
 		parts[1] = "deadly"
 	}
-	vm, server := f.rnd.IntN(len(f.vms)), f.rnd.IntN(trialServers)
+	f.sendParts(now, deadly, parts)
+}
+
+// sendParts is send with the shared parts of the prompt.
+func (f *trialFleet) sendParts(now clock.Time, deadly bool, parts []string) {
+	f.sent++
+	vm, server := f.rnd.IntN(len(f.vms)), f.rnd.IntN(len(f.backAt))
 	for n := 0; f.backAt[server] > now && n < 20; n++ {
-		server = f.rnd.IntN(trialServers)
+		server = f.rnd.IntN(len(f.backAt))
 	}
 	if f.backAt[server] > now {
 		return // no server is there
