gateway: an entry of the next process shows that a server has ended

If a port belongs to a supervisor, it never refuses a connection, and no VM noticed the end.

Change: after a broken connection the server's entry is read for 5 s, every 0.25 s from this VM's own copy: a later incarnation, or another server that registered later at the address, shows that the process has ended.

TestServerWhosePortStaysOpen guards the decision without a network.

A load report that isn't answered could tell earlier, but a crowded server resets connections too, and requests at it would be blamed.

--- a/internal/gateway/endcheck.go
+++ b/internal/gateway/endcheck.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -15,13 +16,27 @@
 	// checkWindow is the time within which requests that broke at a server have one check together.
 	checkWindow = 50 * clock.Millisecond
 	// maxEndChecks is the number of pending checks, and maxCheckedCrashes the number of requests that have one together.
-	maxEndChecks      = 32
-	maxCheckedCrashes = 64
+	maxEndChecks      = 128
+	maxCheckedCrashes = 16
+	// portCheckTime is the time after the break of a connection up to which the server's port is asked, entryCheckTime the time up to which
+	// its entry is read, every entryCheckInterval. The port of a process that ends closes soon after its connections. If it belongs to a
+	// supervisor, only the registration of the next process shows the end, some seconds later.
+	portCheckTime      = 500 * clock.Millisecond
+	entryCheckTime     = 5 * clock.Second
+	entryCheckInterval = 250 * clock.Millisecond
 )
 
 // breakCheckDelays are the times from the break of a connection, at a server whose port still accepts, to the moments at which the server is
-// asked again. A process that ends closes its connections and its port one after the other, and a supervisor may start it again soon.
-var breakCheckDelays = []clock.Span{100 * clock.Millisecond, 500 * clock.Millisecond}
+// checked again.
+var breakCheckDelays = makeBreakCheckDelays()
+
+func makeBreakCheckDelays() []clock.Span {
+	out := []clock.Span{100 * clock.Millisecond}
+	for at := portCheckTime; at <= entryCheckTime; at += entryCheckInterval {
+		out = append(out, at)
+	}
+	return out
+}
 
 // endCheckKey identifies a pending check.
 type endCheckKey struct {
@@ -31,7 +46,7 @@
 	window  int64 // number of the checkWindow
 }
 
-// endCheck is a server that is asked later whether its process has ended, with what is recorded if it has.
+// endCheck is a server of which it is checked later whether its process has ended, with what is recorded if it has.
 type endCheck struct {
 	endCheckKey
 	server  backend.Server
@@ -86,7 +101,7 @@
 func (g *Gateway) runCheck(check *endCheck, passed clock.Span, delays []clock.Span) {
 	time.AfterFunc((delays[0] - passed).Std(), func() {
 		switch {
-		case g.Backend.Ended(check.server):
+		case g.replaced(check.server), delays[0] <= portCheckTime && g.Backend.Ended(check.server):
 			g.recordEnded(check)
 		case len(delays) > 1:
 			g.runCheck(check, delays[0], delays[1:])
@@ -96,6 +111,13 @@
 	})
 }
 
+// replaced reports whether another incarnation of a server has registered, so that its process has ended.
+func (g *Gateway) replaced(v backend.Server) bool {
+	return slices.ContainsFunc(g.State.Servers(g.Clock.Now(), v.Service), func(o backend.Server) bool {
+		return o.ID == v.ID && o.Born > v.Born || o.ID != v.ID && o.Addr == v.Addr && o.Made > v.Made
+	})
+}
+
 // recordEnded records the crashes of a server that has ended.
 func (g *Gateway) recordEnded(check *endCheck) {
 	for _, c := range g.endChecks.take(check) {
--- a/internal/gateway/ended_test.go
+++ b/internal/gateway/ended_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -10,6 +11,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"gotest.tools/v3/assert"
 
+	"shallotrun/core/backend"
 	"shallotrun/core/clock"
 	"shallotrun/core/quarantine"
 	"shallotrun/core/work"
@@ -163,6 +165,35 @@
 	}
 }
 
+// Guards against the end of a server that nobody notices because a supervisor keeps its port open for the next process.
+func TestServerWhosePortStaysOpen(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		change func(v *backend.Server)
+		want   int
+	}{
+		{"no other process", func(*backend.Server) {}, 0},
+		{"the next process under the same name", func(v *backend.Server) { v.Born++ }, 1},
+		{"the next process under another name", func(v *backend.Server) { v.ID, v.Made = "next", v.Made+1 }, 1},
+		{"an earlier process under another name", func(v *backend.Server) { v.ID, v.Made = "earlier", v.Made-1 }, 0},
+	} {
+		b := &fakeBackend{deadlyPart: "deadly", deadlyLast: beforeHead, script: []step{{}}}
+		g, s := startGateway(t, b)
+		for i := range s.servers {
+			s.servers[i].Made = 5
+		}
+		r := newRequest("/stream/1")
+		r.Parts = []PromptPart{{"first", 10}, {"deadly", 10}, {"own", 10}}
+		g.Serve(r)
+		next := slices.Clone(s.servers)
+		i := slices.IndexFunc(next, func(v backend.Server) bool { return v.ID == b.attempts[0].Server.ID })
+		c.change(&next[i])
+		s.setServers(next)
+		time.Sleep((portCheckTime + entryCheckInterval).Std())
+		assert.Equal(t, len(s.Query(g.Clock.Now()).Reports), c.want, c.name)
+	}
+}
+
 // Guards against a server that ends under an answer that was dropped for its model's low confidence, and that nobody noticed.
 func TestServerThatEndsAfterItsAnswerWasDropped(t *testing.T) {
 	for range 50 {
--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -40,6 +40,8 @@
 func (s *fakeState) Table() *catalog.Table { return s.table.Load() }
 func (s *fakeState) Fresh() bool           { return !s.stale.Load() }
 func (s *fakeState) Servers(_ clock.Time, service string) (out []backend.Server) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	for _, v := range s.servers {
 		if v.Service == service {
 			out = append(out, v)
@@ -48,6 +50,13 @@
 	return out
 }
 
+// setServers replaces the servers while the gateway runs.
+func (s *fakeState) setServers(all []backend.Server) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.servers = all
+}
+
 func (s *fakeState) Limited() map[string]int { return s.limits.Limited(s.clock.Boot()) }
 
 func (s *fakeState) RecordLimit(now, sent clock.Time, v backend.Server, n limit.Notice) bool {
