command: check reports what in a document can never take effect

Cause: validate reports only what makes a document invalid. A route that no workspace may use, a call behind a wider one or a cascade whose stages are in the wrong order was sent, and nobody noticed.

Change: `shallotctl check FILE` reports faults, entries that no request can match and limits that another entry makes ineffective, each with its line, and with -platform the differences from the document in force; exit codes 0, 1, 2; -json. Limits are not compared with learned capacity: the document has nothing of it.

--- a/internal/command/command_test.go
+++ b/internal/command/command_test.go
@@ -93,6 +93,10 @@
 	}
 	base := file("base", func(*document.Document) {})
 	mine := file("mine", func(d *document.Document) { d.Models[0].Versions[1].Share = 20 })
+	used := file("used", func(d *document.Document) {
+		d.Pools = []document.Pool{{Name: "p", Models: []string{"m"}, Slots: 1}}
+		d.Workspaces = []document.Workspace{{Name: "w", Keys: []string{strings.Repeat("0", 64)}, Allow: []string{"m"}, Rank: "normal", Weight: 1}}
+	})
 	bad := file("bad", func(d *document.Document) { d.Domains = nil })
 	theirs := documentText(t, func(d *document.Document) { d.Author = "cene"; d.Ranks.Batch = 7 })
 	other := func(f *fakeServer) { f.value = theirs; f.version++ }
@@ -108,6 +112,11 @@
 		{"missing argument", nil, []string{"rollout", "m@2"}, ExitUsage, nil},
 		{"valid", nil, []string{"validate", base}, ExitDone, []string{"valid"}},
 		{"invalid", nil, []string{"validate", bad, "-json"}, ExitInvalid, []string{`"path": "domains"`}},
+		{"check, with what differs", nil, []string{"check", used}, exitChecked, []string{"0 finding(s)", "difference(s) from revision 3"}},
+		{"check, found", nil, []string{"check", mine}, exitFound, []string{mine + ":", "unused: models[0]: no pool serves the model", "share 5 -> 20"}},
+		{"check, invalid", nil, []string{"check", bad, "-json"}, exitFound, []string{`"kind": "fault"`, `"path": "domains"`, `"line": `}},
+		{"check, no file", nil, []string{"check", mine + "x"}, exitNotChecked, []string{"no such file"}},
+		{"check, platform gone", nil, []string{"-platform", "127.0.0.1:1", "check", mine}, exitNotChecked, []string{"could not be read"}},
 		{"apply invalid", nil, []string{"apply", bad}, ExitInvalid, nil},
 		{"show", nil, []string{"show", "-json"}, ExitDone, []string{`"revision": 3`, `"author": "ana"`}},
 		{"diff", nil, []string{"diff", mine}, ExitDifferent, []string{"models[m].versions[2].share 5 -> 20"}},
--- a/internal/command/output.go
+++ b/internal/command/output.go
@@ -35,7 +35,10 @@
 	_, _ = fmt.Fprintf(c.Out, format+"\n", args...)
 }
 
-func (c *Command) printJSON(o outcome) {
+func (c *Command) printJSON(o outcome) { c.printValue(o) }
+
+// printValue prints a value as JSON.
+func (c *Command) printValue(o any) {
 	enc := json.NewEncoder(c.Out)
 	enc.SetIndent("", "  ")
 	// There is no place to report a failed write to the output.
--- a/internal/command/run.go
+++ b/internal/command/run.go
@@ -34,6 +34,8 @@
 
 commands that change nothing
   validate FILE                    report every fault of a document
+  check FILE                       report faults with their lines, entries that never match, limits that contradict each other and, with
+                                   -platform, what differs from the document in force
   show                             print the document in the platform
   diff FILE                        show what apply would change
   status                           show what is in force on the entry VMs
@@ -47,6 +49,7 @@
 exit codes
   0 done  1 failed  2 usage  3 invalid document  4 conflict  5 not reachable, nothing changed
   6 outcome unknown  7 diff found differences  8 status found something to look at
+  check: 0 nothing found  1 faults or findings  2 not checked
 
 flags
 `
@@ -134,7 +137,7 @@
 		return usageError{"a command is missing"}
 	}
 	name := c.args[0]
-	want := map[string]int{"validate": 1, "apply": 1, "show": 0, "diff": 1, "withdraw": 1, "drain": 1, "rollout": 2, "status": 0}
+	want := map[string]int{"validate": 1, "check": 1, "apply": 1, "show": 0, "diff": 1, "withdraw": 1, "drain": 1, "rollout": 2, "status": 0}
 	n, ok := want[name]
 	if !ok {
 		return usageError{fmt.Sprintf("unknown command %q, see shallotctl -help", name)}
@@ -142,12 +145,14 @@
 	if len(c.args)-1 != n {
 		return usageError{fmt.Sprintf("%s takes %d argument(s), got %d", name, n, len(c.args)-1)}
 	}
-	if name != "validate" && name != "status" && c.platform == "" {
+	if name != "validate" && name != "check" && name != "status" && c.platform == "" {
 		return usageError{"the platform's address is missing: -platform or SHALLOT_PLATFORM"}
 	}
 	switch name {
 	case "validate":
 		return c.validate()
+	case "check":
+		return c.check(ctx)
 	case "show":
 		return c.show(ctx)
 	case "diff":
