platform, core/backend: entries say for how long a server is cold

Cause: a server that has just started, or becomes cold again, says in its entry how long it stays cold, and the configuration how many requests a second it takes meanwhile. Neither was read. The time in an entry is as of a write whose time no VM knows, so each VM counts from when it gets the entry, by its monotonic clock, and passes the entry on with the time that is left. So no VM takes a server for warm too early, and one that starts later does not take it for cold that has long been warm.

--- a/core/backend/set.go
+++ b/core/backend/set.go
@@ -30,6 +30,10 @@
 	Leaving bool   // gets no new requests
 	Born    int64  // start time in Unix milliseconds, 0 if unknown
 	Made    uint64 // revision of the store at which it registered
+
+	// Cold is how much longer the server is cold: in an entry as of its write, from Set.Servers as of now; 0 if it is not.
+	Cold    clock.Span `cbor:",omitempty"`
+	ColdRev uint64     `cbor:",omitempty"` // revision of the entry that says how long it is cold, 0 if the entry says that it is not
 }
 
 // Set is the set of servers. The zero value is empty.
@@ -39,12 +43,14 @@
 	unavailable bool               // the store does not answer
 	recoveredAt clock.Time         // end of the last outage of the store, 0 before the first one
 	restoredAt  clock.Time         // when the store last came back from an older copy, 0 for never
+	coldUntil   clock.Time         // when the last of the cold servers is warm, 0 for none
 }
 
 type entry struct {
 	Server
 	missingSince clock.Time // start of the grace period of an entry that is not listed, 0 while it is listed
 	hiddenUntil  clock.Time // the entry is older than what is known of the server, and not used before, 0 for always
+	coldUntil    clock.Time // when the server is warm at the latest, 0 if its entry says that it is not cold
 }
 
 // removal is a server that was removed.
@@ -58,6 +64,9 @@
 func (s *Set) Restored(now clock.Time) {
 	s.restoredAt = now
 	s.StoreUnavailable() // servers that are not listed get the grace period
+	for _, e := range s.entries {
+		e.ColdRev = 0 // revisions are given out again
+	}
 }
 
 // Replace applies a complete list of the store: it puts the listed servers and removes all others.
@@ -87,7 +96,9 @@
 	}
 	v.Made = s.Made(v)
 	delete(s.gone, v.ID)
-	s.entries[v.ID] = &entry{Server: v}
+	until := s.warmAt(now, v)
+	s.coldUntil = max(s.coldUntil, until)
+	s.entries[v.ID] = &entry{Server: v, coldUntil: until}
 }
 
 // Made returns the revision at which a server registered, as far as this set knows: one whose entry was lost and written again keeps
@@ -142,7 +153,9 @@
 			continue
 		}
 		if e.Service == service && !e.Leaving && now >= e.hiddenUntil {
-			out = append(out, e.Server)
+			v := e.Server
+			v.Cold = max(e.coldUntil.Sub(now), 0)
+			out = append(out, v)
 		}
 	}
 	slices.SortFunc(out, func(a, b Server) int { return strings.Compare(a.ID, b.ID) })
--- a/core/catalog/types.go
+++ b/core/catalog/types.go
@@ -50,6 +50,9 @@
 	Name   string
 	Conns  int     // connections that a replica accepts from all clients together, 0 for no limit
 	Engine *Engine // nil for a plain service
+
+	// ColdRate is the number of requests a second that a cold replica takes from all VMs together, 0 for no limit.
+	ColdRate float64 `cbor:",omitempty"`
 }
 
 // Engine describes the replicas of a service that run models.
--- a/internal/feed/delta.go
+++ b/internal/feed/delta.go
@@ -219,15 +219,15 @@
 	return a == b
 }
 
-// since returns the changes after a position, or all objects if some of those changes are not kept. The changes between two eras
-// depend on what was known in the earlier one, so a VM that is in an earlier era gets all objects.
-func (h *history) since(p Position) (c Changes, err error) {
+// since returns the changes after a position, or all objects if some of those changes are not kept. asOf returns objects as they are now.
+// The changes between two eras depend on what was known in the earlier one, so a VM that is in an earlier era gets all objects.
+func (h *history) since(p Position, asOf func([]Object) []Object) (c Changes, err error) {
 	c.Rev, c.Era = h.at.Rev, h.at.Era
 	if p.Era == 0 {
 		p.Era = h.at.Era // of a VM of an earlier build
 	}
 	if p.Rev == 0 || p.Era < h.at.Era || p.Before(h.droppedAt) { // revision 0 is that of a VM that has not listed the kind
-		c.Snapshot, err = h.snapshot.get(h.generation, func() any { return slices.Collect(maps.Values(h.objects)) })
+		c.Snapshot, err = h.snapshot.get(h.generation, func() any { return asOf(slices.Collect(maps.Values(h.objects))) })
 		return c, err
 	}
 	for _, b := range h.batches {
@@ -235,9 +235,24 @@
 			c.Objects = append(c.Objects, b.Objects...)
 		}
 	}
+	c.Objects = asOf(c.Objects)
 	return c, nil
 }
 
+// asOf returns objects with the times for which servers are still cold at a time. It changes the list, not the objects in it. f.mu is
+// held.
+func (f *Feed) asOf(now clock.Time) func([]Object) []Object {
+	return func(all []Object) []Object {
+		for i, o := range all {
+			if o.Server != nil && o.Server.Cold > 0 {
+				v := f.servers.AsOf(now, *o.Server)
+				all[i].Server = &v
+			}
+		}
+		return all
+	}
+}
+
 // ChangesSince returns the changes after the given revisions of the given eras, except those of the configuration.
 func (f *Feed) ChangesSince(revs Revisions, eras Eras) (d Delta, err error) {
 	d.ConfigAge = f.Freshness.Age(f.Clock.Boot())
@@ -246,13 +261,17 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	now := f.Clock.Now()
+	if f.servers.ColdEnded(now) {
+		f.histories[Servers].generation++ // the packed objects say that servers are cold
+	}
 	d.SinceStoreAnswer = f.Clock.Boot().Sub(min(f.answeredAt[Configs], f.answeredAt[Servers]))
 	for k := range kinds {
 		if k == Configs {
 			d.Kinds[k].Rev, d.Kinds[k].Era = f.histories[k].at.Rev, f.histories[k].at.Era
 			continue
 		}
-		if d.Kinds[k], err = f.histories[k].since(Position{Era: eras[k], Rev: revs[k]}); err != nil {
+		if d.Kinds[k], err = f.histories[k].since(Position{Era: eras[k], Rev: revs[k]}, f.asOf(now)); err != nil {
 			return d, err
 		}
 	}
