core/share: a limit may have further slots that are held for longer

Cause: a slot of a limit is on its way between VMs for about a second, as it moves with messages that are exchanged anyway. In a large fleet half of a limit is not used for that reason. Change: RateSlots takes a number of further slots, and Branch a number by server. They are held for longer, so the rate stays the same; only a server that bears more requests at once may have them. Limits that servers name have none, so nothing changes for them.

--- a/core/share/branch.go
+++ b/core/share/branch.go
@@ -7,12 +7,15 @@
 	"shallotrun/core/work"
 )
 
-// Branch divides the limits that the servers of one pool name, at one VM of a tree: among this VM and those that follow it. It gets
+// Branch divides the limits of the servers of one pool, named or as they are cold, at one VM of a tree: among this VM and those that follow it. It gets
 // its own part from the VM that it follows. Each part is a lease that ends no later than the one that it comes from.
 //
 // VMs ask for their parts with messages that they exchange anyway, so a part that changes takes that long to arrive, and no
 // request waits for it. Init is called before any other method, Update before each of the others at the same time.
 type Branch struct {
+	// Further is the number of slots by server beyond those of other limits of the same rate. It is set before Update.
+	Further map[string]int
+
 	rates  map[string]float64 // limits by server, in requests a second
 	up     Holder             // what the VM that is followed grants
 	own    Holder             // the part of this VM
@@ -35,7 +38,7 @@
 	b.rates = rates
 	total := make(map[string]int, len(rates))
 	for s, rate := range rates {
-		slots, _ := RateSlots(rate)
+		slots, _ := RateSlots(rate, b.Further[s])
 		switch {
 		case owns == nil:
 			total[s] = min(slots, b.up.Slots(now, s, 0, 1))
@@ -86,7 +89,7 @@
 	if !ok {
 		return 0
 	}
-	_, hold := RateSlots(rate)
+	_, hold := RateSlots(rate, b.Further[server])
 	b.starts[server] = slices.DeleteFunc(b.starts[server], func(at clock.Time) bool { return now.Sub(at) >= hold })
 	return len(b.starts[server])
 }
@@ -105,12 +108,12 @@
 // Answer records the report of a VM that follows this one and returns its part.
 func (b *Branch) Answer(now clock.Time, r Report) (Grant, bool) { return b.owner.Poll(now, r) }
 
-// Free reports whether this VM may send a request to a server that names a limit.
+// Free reports whether this VM may send a request to a server that has a limit.
 func (b *Branch) Free(now clock.Time, server string) bool {
 	return b.taken(now, server) < b.own.Slots(now, server, 0, 1)
 }
 
-// MayTake reports whether it is the turn of a workspace, if the pool has no other servers than those that name limits.
+// MayTake reports whether it is the turn of a workspace, if the pool has no other servers than those with limits.
 func (b *Branch) MayTake(now clock.Time, workspace string) bool {
 	return b.turns.mayTake(now, workspace)
 }
@@ -143,7 +146,7 @@
 	own, all := 0.0, 0.0
 	for s, rate := range b.rates {
 		all += max(rate, minRate)
-		_, hold := RateSlots(rate)
+		_, hold := RateSlots(rate, b.Further[s])
 		own += float64(b.own.Slots(now, s, 0, 1)) / float64(hold) * float64(clock.Second)
 	}
 	wait := exchangeSpan
--- a/core/share/branch_test.go
+++ b/core/share/branch_test.go
@@ -14,7 +14,7 @@
 func TestRateSlots(t *testing.T) {
 	const window = 4 * clock.Second
 	for _, rate := range []float64{0, 0.05, 0.1, 0.3, 0.9, 1, 1.3, 2, 7.5, 20, 31, 100, 1000, 1e6} {
-		slots, hold := RateSlots(rate)
+		slots, hold := RateSlots(rate, 0)
 		assert.Assert(t, slots > 0 && hold > 0, "%v", rate)
 		most := slots * (int((window-1)/hold) + 1)
 		assert.Check(t, float64(most) <= 1.5*rate*4+5, "%v a second: %d requests in 4 s", rate, most)
