feed: a cold server has a limit that all VMs together keep

Change: core/cold turns entries and configuration into limits; internal/feed/limits.go joins them with those that servers name, the lower one counts, and core/share divides both. A server that was warm is granted nothing for 2 s, in which the other VMs learn that it is cold. The time to return of a refusal ends when the first server is warm. Where the configuration names no rate nothing changes. Not covered: a VM that does not know yet that a server it takes for warm is cold sends as before, for about a second in the tree and for as long as it reaches neither the store nor another VM.

--- a/internal/feed/apply.go
+++ b/internal/feed/apply.go
@@ -32,6 +32,9 @@
 		return
 	}
 	update(k, b)
+	if k == Servers {
+		f.Limits.ServersChanged()
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	record(&f.histories[k], b)
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -104,6 +104,24 @@
 	return f.servers.Servers(now, service)
 }
 
+// ColdRates returns the requests a second that a cold server takes from all VMs together, for the services that have such a limit.
+func (f *Feed) ColdRates() map[string]float64 {
+	t := f.Config.Table()
+	if t == nil {
+		return nil
+	}
+	var out map[string]float64
+	for i := range t.Config.Services {
+		if s := &t.Config.Services[i]; s.ColdRate > 0 {
+			if out == nil {
+				out = make(map[string]float64)
+			}
+			out[s.Name] = s.ColdRate
+		}
+	}
+	return out
+}
+
 // Fresh reports whether the configuration is proved to be recent enough for requests that need an API key.
 func (f *Feed) Fresh() bool { return f.Freshness.Fresh(f.Clock.Boot()) }
 
--- a/internal/feed/limits.go
+++ b/internal/feed/limits.go
@@ -4,11 +4,13 @@
 	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 
 	"github.com/rs/zerolog"
 
 	"shallotrun/core/backend"
 	"shallotrun/core/clock"
+	"shallotrun/core/cold"
 	"shallotrun/core/limit"
 	"shallotrun/core/share"
 )
@@ -20,8 +22,8 @@
 	granterTimeout = 1200 * clock.Millisecond
 )
 
-// Limits keeps the requests of all VMs to a backend server within the limit that it names, and from a server that leaves. Each VM
-// tells the VM that it follows what servers say and how many requests it has for them, and is granted a part; a VM that follows no
+// Limits keeps the requests of all VMs to a backend server within the limit that it names, or that the configuration has for a cold
+// one; if both do, within the lower one. It keeps them from a server that leaves. Each VM tells the VM that it follows what servers say and how many requests it has for them, and is granted a part; a VM that follows no
 // other divides the limits. All methods are safe for concurrent use; times are those of Clock.Boot. The exported fields are set before
 // Init, which is called before any other method.
 type Limits struct {
@@ -31,16 +33,24 @@
 	Servers func(service string) []backend.Server
 	// Members returns the VMs that have an entry in the store; nil means none.
 	Members func() []Member
-	Log     zerolog.Logger
+	// ColdRates returns the requests a second that a cold server takes from all VMs together, by service; nil means that no service
+	// has such a limit.
+	ColdRates func() map[string]float64
+	Log       zerolog.Logger
+
+	outdated atomic.Bool // the servers changed since the last refresh
 
 	mu          sync.Mutex
 	name        string // of this VM with its incarnation
 	table       limit.Table
 	owner       share.Ownership
 	pools       map[string]*share.Branch // by service
-	domains     map[string]string        // failure domain by server that names a limit
-	granter     string                   // VM that grants this VM its part, "" for none
-	answeredAt  clock.Time               // when it last answered
+	domains     map[string]string        // failure domain by server with a limit
+	cold        cold.Tracker
+	coldLimits  map[string]map[string]cold.Limit // of the cold servers, by service and server
+	coldRates   map[string]float64               // as of the last refresh
+	granter     string                           // VM that grants this VM its part, "" for none
+	answeredAt  clock.Time                       // when it last answered
 	refreshedAt clock.Time
 }
 
@@ -65,6 +75,10 @@
 	l.table.OnLeaving = func(s limit.Server) {
 		l.Log.Info().Str("server", s.ID).Int64("born", s.Born).Str("service", s.Service).Msg("limits: another VM says that a server leaves")
 	}
+	l.cold.OnChange = func(v backend.Server, isCold bool, rate float64) {
+		l.Log.Info().Str("server", v.ID).Int64("born", v.Born).Str("service", v.Service).Bool("cold", isCold).Int64("left_ms", int64(v.Cold)).
+			Float64("rate", rate).Msg("limits: a server becomes cold or warm")
+	}
 	l.owner = share.Ownership{VM: l.VM, Domain: l.Domain}
 	l.pools = make(map[string]*share.Branch)
 }
@@ -114,7 +128,22 @@
 	return out
 }
 
-// FreeSlots returns the servers of a service that name a limit, and for each whether this VM may send it a request now. It is nil if
+// Cold returns the number of cold servers of each service that has a limit for them.
+func (l *Limits) Cold(now clock.Time) map[string]int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.refresh(now)
+	out := make(map[string]int, len(l.coldLimits))
+	for service, in := range l.coldLimits {
+		out[service] = len(in)
+	}
+	return out
+}
+
+// ServersChanged says that Servers may return others, or others that are cold, than before. It waits for no lock.
+func (l *Limits) ServersChanged() { l.outdated.Store(true) }
+
+// FreeSlots returns the servers of a service that have a limit, and for each whether this VM may send it a request now. It is nil if
 // there are none.
 func (l *Limits) FreeSlots(now clock.Time, service string) map[string]bool {
 	l.mu.Lock()
@@ -131,7 +160,7 @@
 	return out
 }
 
-// MayTake reports whether it is the turn of a workspace, if all servers of a service name limits.
+// MayTake reports whether it is the turn of a workspace, if all servers of a service have limits.
 func (l *Limits) MayTake(now clock.Time, service, workspace string) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -139,12 +168,16 @@
 	return b == nil || b.MayTake(now, workspace)
 }
 
-// TakeSlot records that a request is sent to a server now. It returns false if the server names a limit and this VM may not send it
+// TakeSlot records that a request is sent to a server now. It returns false if the server has a limit and this VM may not send it
 // one.
 func (l *Limits) TakeSlot(now clock.Time, v backend.Server, workspace string) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.refresh(now)
+	if _, ok := l.coldLimits[v.Service][v.ID]; v.Cold > 0 && !ok && l.coldRates[v.Service] > 0 {
+		l.refreshedAt = 0 // it became cold just now
+		l.refresh(now)
+	}
 	b := l.pools[v.Service]
 	if b == nil {
 		return true
@@ -168,7 +201,11 @@
 	if b == nil {
 		return 0
 	}
-	return b.Refuse(now, workspace)
+	retry := b.Refuse(now, workspace)
+	for _, c := range l.coldLimits[service] {
+		retry = min(retry, max(c.Left, limitRefresh)) // a warm server takes it
+	}
+	return retry
 }
 
 // Query returns the message to another VM. A VM asks only one other for its part, as a part that two VMs grant would be taken twice:
@@ -247,7 +284,7 @@
 
 // refresh brings this VM's part of the limits up to date, if that was not done just now.
 func (l *Limits) refresh(now clock.Time) {
-	if now.Sub(l.refreshedAt) < limitRefresh {
+	if !l.outdated.Swap(false) && now.Sub(l.refreshedAt) < limitRefresh {
 		return
 	}
 	l.refreshedAt = now
@@ -264,12 +301,23 @@
 		owns = func(server string) bool { return l.owner.Owns(now, l.domains[server]) }
 	}
 	for service, in := range rates {
+		owns, limits := owns, l.coldLimits[service]
+		if owns != nil && len(limits) > 0 {
+			ownsAny := owns
+			owns = func(server string) bool { return !limits[server].Wait && ownsAny(server) }
+		}
 		b := l.pools[service]
 		if b == nil {
 			b = &share.Branch{}
 			b.Init(l.name)
 			l.pools[service] = b
 		}
+		b.Further = make(map[string]int, len(limits))
+		for server, c := range limits {
+			if c.Rate <= in[server] { // no lower limit counts that the server names
+				b.Further[server] = c.More
+			}
+		}
 		b.Update(now, in, owns)
 	}
 }
@@ -286,21 +334,30 @@
 	return out
 }
 
-// rates returns the limits of the present servers by service and server, and sets the domains of these servers.
+// rates returns the limits of the present servers by service and server, those that they name and those of cold ones, and sets the
+// domains of these servers.
 func (l *Limits) rates(now clock.Time) map[string]map[string]float64 {
 	limits := l.table.Limits(now)
 	l.domains = make(map[string]string, len(limits))
-	if len(limits) == 0 || l.Servers == nil {
+	l.updateCold(now)
+	if len(limits) == 0 && len(l.coldLimits) == 0 || l.Servers == nil {
 		return nil
 	}
-	out := make(map[string]map[string]float64)
+	services := make(map[string]bool)
 	for s := range limits {
-		out[s.Service] = nil
+		services[s.Service] = true
+	}
+	for service := range l.coldLimits {
+		services[service] = true
 	}
-	for service := range out {
+	out := make(map[string]map[string]float64)
+	for service := range services {
 		for _, v := range l.Servers(service) {
-			rate, ok := limits[serverKey(v)]
-			if !ok {
+			rate, named := limits[serverKey(v)]
+			if c, ok := l.coldLimits[service][v.ID]; ok && (!named || c.Rate < rate) {
+				rate, named = c.Rate, true
+			}
+			if !named {
 				continue
 			}
 			if out[service] == nil {
@@ -311,3 +368,14 @@
 	}
 	return out
 }
+
+// updateCold updates the limits of the cold servers.
+func (l *Limits) updateCold(now clock.Time) {
+	l.coldRates, l.coldLimits = nil, nil
+	if l.ColdRates == nil || l.Servers == nil {
+		return
+	}
+	if l.coldRates = l.ColdRates(); len(l.coldRates) > 0 {
+		l.coldLimits = l.cold.Update(now, l.coldRates, l.Servers)
+	}
+}
--- a/internal/feed/limits_test.go
+++ b/internal/feed/limits_test.go
@@ -33,6 +33,10 @@
 	retries []clock.Span
 	answers []simAnswer
 	ids     uint64
+
+	started func(v *simVM)            // called when a VM has been started, if it is set
+	polled  func(v, u *simVM)         // called when a VM polls, with the VM that it follows or nil, if it is set
+	sent    func(v *simVM, id string) // called for a request that is sent to a server, if it is set
 }
 
 type simVM struct {
@@ -87,6 +91,9 @@
 		Members: s.members,
 	}
 	v.limits.Init(s.ids)
+	if s.started != nil {
+		s.started(v)
+	}
 }
 
 // members are the first VMs of each domain.
@@ -154,6 +161,9 @@
 func (s *limitSim) poll(v *simVM) {
 	v.limits.Refresh(s.now)
 	u := s.upstream(v)
+	if s.polled != nil {
+		s.polled(v, u)
+	}
 	if u == nil {
 		return
 	}
@@ -182,7 +192,7 @@
 	slots := v.limits.FreeSlots(s.now, "s")
 	var in []backend.Server
 	unlimited := false
-	for _, b := range s.servers {
+	for _, b := range v.limits.Servers("s") {
 		free, named := slots[b.ID]
 		unlimited = unlimited || !named
 		if free || !named {
@@ -200,6 +210,9 @@
 	}
 	s.served[workspace]++
 	s.used++
+	if s.sent != nil {
+		s.sent(v, b.ID)
+	}
 	if told, ok := v.told[b.ID]; ok && s.now.Sub(told) >= toldSpan {
 		s.starts[b.ID] = append(s.starts[b.ID], s.now)
 	}
--- a/internal/front/daemon.go
+++ b/internal/front/daemon.go
@@ -97,6 +97,7 @@
 	d.feed.Limits.VM, d.feed.Limits.Domain, d.feed.Limits.Log = s.Name, s.Domain, d.Log
 	d.feed.Limits.Servers = func(service string) []backend.Server { return d.feed.Servers(d.clock.Now(), service) }
 	d.feed.Limits.Members = d.feed.Members
+	d.feed.Limits.ColdRates = d.feed.ColdRates
 	d.feed.Limits.Init(rand.Uint64())
 	stop, err := d.trace(ctx)
 	if err != nil {
--- a/internal/front/state.go
+++ b/internal/front/state.go
@@ -76,6 +76,9 @@
 
 func (s *state) Limited() map[string]int { return s.Limits.Limited(s.Clock.Boot()) }
 
+// Cold returns the number of cold servers of each service that has a limit for them.
+func (s *state) Cold() map[string]int { return s.Limits.Cold(s.Clock.Boot()) }
+
 func (s *state) Rules(now clock.Time) []quarantine.Rule { return s.Quarantine.Rules(now) }
 
 func (s *state) Report(now clock.Time, service string, v canary.Result) {
--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -59,6 +59,8 @@
 
 func (s *fakeState) Limited() map[string]int { return s.limits.Limited(s.clock.Boot()) }
 
+func (s *fakeState) Cold() map[string]int { return s.limits.Cold(s.clock.Boot()) }
+
 func (s *fakeState) RecordLimit(now, sent clock.Time, v backend.Server, n limit.Notice) bool {
 	return s.limits.RecordLimit(now, sent, v, n)
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -54,17 +54,19 @@
 	RecordLimit(now, sent clock.Time, v backend.Server, n limit.Notice) bool
 	// WithoutLeaving returns the servers that have not said, to this VM or another one, that they leave.
 	WithoutLeaving(all []backend.Server) []backend.Server
-	// FreeSlots returns the servers of a service that name a limit, and for each whether this VM may send it a request now. It is
+	// FreeSlots returns the servers of a service that name a limit or are cold, and for each whether this VM may send it a request now. It is
 	// nil if there are none.
 	FreeSlots(service string) map[string]bool
-	// MayTake reports whether it is the turn of a workspace, if all servers of a service name limits.
+	// MayTake reports whether it is the turn of a workspace, if all servers of a service have limits.
 	MayTake(service, workspace string) bool
-	// TakeSlot records that a request is sent to a server. It returns false if the limit that the server names does not allow it.
+	// TakeSlot records that a request is sent to a server. It returns false if the limit of the server does not allow it.
 	TakeSlot(v backend.Server, workspace string) bool
 	// RefuseForLimits records that a request is refused because of limits, and returns the time after which it may be served.
 	RefuseForLimits(service, workspace string) clock.Span
 	// Limited returns the number of servers of each service that name a limit.
 	Limited() map[string]int
+	// Cold returns the number of cold servers of each service that has a limit for them.
+	Cold() map[string]int
 	// Rules returns the parts of prompts with which requests are refused.
 	Rules(now clock.Time) []quarantine.Rule
 }
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -10,18 +10,18 @@
 // Reasons why pick selects no server.
 var (
 	errNoServer = errors.New("no backend server can take the request")
-	errLimited  = errors.New("the limits that the backend servers name are used up")
+	errLimited  = errors.New("the limits on requests to the backend servers are used up")
 )
 
-// hasRoom reports whether the limits that the servers name leave one for another attempt of a request.
+// hasRoom reports whether the limits of the servers leave one for another attempt of a request.
 func (p *pool) hasRoom(x *exchange) bool {
 	usable, reserve, _ := p.g.usable(p.g.State.Servers(p.g.Clock.Now(), p.service))
 	in, limited := p.withinLimits(x, slices.Concat(usable, reserve))
 	return len(in) > 0 || !limited
 }
 
-// withinLimits returns the servers that the limits which they name allow this VM to send the request to, and reports whether others
-// were left out. If all servers name limits, the workspaces take turns.
+// withinLimits returns the servers that their limits, named or as they are cold, allow this VM to send the request to, and reports
+// whether others were left out. If all servers have limits, the workspaces take turns.
 func (p *pool) withinLimits(x *exchange, all []backend.Server) (out []backend.Server, limited bool) {
 	slots := p.g.State.FreeSlots(p.service)
 	if len(slots) == 0 {
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -48,7 +48,7 @@
 		partsRefused: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "shallot_gateway_parts_refused_total", Help: "Attempts that were refused because servers end under prompts with the same part."}),
 		limitRefusals: prometheus.NewCounter(prometheus.CounterOpts{
-			Name: "shallot_gateway_limit_refusals_total", Help: "Attempts that were not made because of the limits that servers name."}),
+			Name: "shallot_gateway_limit_refusals_total", Help: "Attempts that were not made because of the limits that servers name, or that cold ones have."}),
 		notices: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "shallot_gateway_notices_total", Help: "Answers in which a server said that it leaves, or takes nothing from this VM for a time."}),
 	}
@@ -134,19 +134,29 @@
 	}
 }
 
-// limitCollector exports the number of servers that name a limit, by service.
+// limitCollector exports the number of servers that name a limit, and of those that are cold, by service.
 type limitCollector struct{ g *Gateway }
 
 var limitDesc = prometheus.NewDesc(
 	"shallot_gateway_limited_servers", "Servers that name a limit on the rate of requests from all VMs.", []string{"service"}, nil,
 )
 
-// Describe sends the description of the metric.
-func (c *limitCollector) Describe(ch chan<- *prometheus.Desc) { ch <- limitDesc }
+var coldDesc = prometheus.NewDesc(
+	"shallot_gateway_cold_servers", "Servers that are cold and take few requests from all VMs.", []string{"service"}, nil,
+)
 
-// Collect sends one value for each service with such a server.
+// Describe sends the descriptions of the metrics.
+func (c *limitCollector) Describe(ch chan<- *prometheus.Desc) {
+	ch <- limitDesc
+	ch <- coldDesc
+}
+
+// Collect sends one value for each service with such servers.
 func (c *limitCollector) Collect(ch chan<- prometheus.Metric) {
 	for service, n := range c.g.State.Limited() {
 		ch <- prometheus.MustNewConstMetric(limitDesc, prometheus.GaugeValue, float64(n), service)
 	}
+	for service, n := range c.g.State.Cold() {
+		ch <- prometheus.MustNewConstMetric(coldDesc, prometheus.GaugeValue, float64(n), service)
+	}
 }
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -61,7 +61,7 @@
 }
 
 // pick selects a server among those of the allowed versions and adds the attempt to its usage. It returns an error if no server can
-// take the request: errLimited if one could but for the limits that servers name.
+// take the request: errLimited if one could but for the limits of servers.
 func (p *pool) pick(now clock.Time, x *exchange) (backend.Server, error) {
 	allowed := p.g.State.Choose(now, p.service, x.request.Session, p.g.State.Servers(now, p.service))
 	usable, reserve, pause := p.g.usable(allowed)
