gateway: slow readers of large answers and events give way to others

Cause: the memory for answers over 4 KiB and for events over 16 KiB is reserved until the caller has read them, however slowly it reads. Callers that take 1.3 KB/s kept all of it, and sound requests failed: with 80 such streams of 30 KB events at each of two VMs of 112 MB, every other stream of large events ended with 502.

Change: an answer that holds memory says when its caller's connection was offered the next bytes. While others wait for memory, the watch of open requests resets the connections of callers that have accepted nothing for 2 s, those first that have held most for longest, and no more of them than needed.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -66,6 +66,8 @@
 	trialCrashed  bool           // a server ended under the trial
 	firstCrash    *crashAt       // first server that ended under this request, until it is recorded
 	abort         conn.Abort
+	largeEvent    *holder     // of the memory of the current event, nil if none is reserved
+	unreadEnded   atomic.Bool // the caller's connection was closed because it reads too slowly
 
 	ctx         context.Context // context of the request's span
 	span        trace.Span      // span of the request, nil without tracing
@@ -243,7 +245,7 @@
 	return &Attempt{
 		Request: x.request, Server: x.server, Model: x.model, Urgency: x.rank, TimeLeft: x.timeLeft(x.g.Clock.Now()),
 		Trace: x.startAttemptSpan(), LastEventID: x.lastEvent, NewConn: x.attempts > 1, Stream: x.route.Kind == catalog.Streaming,
-		Workspace: x.workspaceName(), Abort: &x.abort, Reserve: x.g.bodyMemory.try,
+		Workspace: x.workspaceName(), Abort: &x.abort, Reserve: x.reserve,
 	}
 }
 
--- a/internal/gateway/memory.go
+++ b/internal/gateway/memory.go
@@ -34,6 +34,7 @@
 // memoryLimit limits the memory of the bodies and events that are held at the same time. A body that does not fit is not read until
 // others were sent to their callers, which holds back its server as well.
 type memoryLimit struct {
+	holders
 	size   int64               // memory of large bodies and events, in bytes
 	sem    *semaphore.Weighted // memory of large bodies and events
 	medium *semaphore.Weighted // memory of medium bodies. A holder may wait for sem, a holder of sem never waits for it
@@ -49,17 +50,9 @@
 	return &memoryLimit{size: size, sem: semaphore.NewWeighted(size), medium: semaphore.NewWeighted(medium)}
 }
 
-// try reserves bytes until release is called. It returns false if so many are not free.
-func (m *memoryLimit) try(bytes int64) (release func(), ok bool) {
-	if !m.sem.TryAcquire(bytes) {
-		return nil, false
-	}
-	return func() { m.sem.Release(bytes) }, true
-}
-
-// read reads a body of a length in bytes, negative if it is not known. It returns the function that releases the memory reserved
-// for the body, nil if none was reserved.
-func (m *memoryLimit) read(ctx context.Context, body io.Reader, length int) ([]byte, func(), error) {
+// read reads a body of a length in bytes, negative if it is not known. It returns the holder of the memory reserved for the
+// body, nil if none was reserved.
+func (m *memoryLimit) read(ctx context.Context, body io.Reader, length int) ([]byte, *holder, error) {
 	most := min(maxBody, m.size)
 	if int64(length) > most {
 		return nil, nil, errTooLarge
@@ -69,33 +62,34 @@
 		return head, nil, err
 	}
 	if length > mediumBody {
-		return readReserved(ctx, m.sem, head, body, int64(length))
+		return m.readReserved(ctx, m.sem, head, body, int64(length))
 	}
 	if length >= 0 {
-		return readReserved(ctx, m.medium, head, body, int64(length))
+		return m.readReserved(ctx, m.medium, head, body, int64(length))
 	}
-	b, release, err := readReserved(ctx, m.medium, head, io.LimitReader(body, mediumBody-smallBody), mediumBody)
+	b, h, err := m.readReserved(ctx, m.medium, head, io.LimitReader(body, mediumBody-smallBody), mediumBody)
 	if err != nil || len(b) < mediumBody {
-		return b, release, err
+		return b, h, err
 	}
-	defer release()
-	return readReserved(ctx, m.sem, b, body, most)
+	defer m.keep(h, 0)
+	return m.readReserved(ctx, m.sem, b, body, most)
 }
 
-// readReserved reserves memory for at most need bytes, reads the rest of a body after head, and keeps what the body uses reserved until
-// release is called.
-func readReserved(ctx context.Context, sem *semaphore.Weighted, head []byte, body io.Reader, need int64) (_ []byte, release func(), _ error) {
-	if sem.Acquire(ctx, need) != nil {
-		return nil, nil, errNoMemory
+// readReserved reserves memory for at most need bytes, reads the rest of a body after head, and returns the holder of what the body uses.
+func (m *memoryLimit) readReserved(
+	ctx context.Context, sem *semaphore.Weighted, head []byte, body io.Reader, need int64,
+) (_ []byte, _ *holder, _ error) {
+	if err := m.acquire(ctx, sem, need); err != nil {
+		return nil, nil, err
 	}
 	b, err := readRest(head, body, need)
 	if err != nil {
 		sem.Release(need)
 		return nil, nil, err
 	}
-	rest := max(need-int64(cap(b)), 0)
-	sem.Release(rest)
-	return b, func() { sem.Release(need - rest) }, nil
+	h := m.add(&holder{sem: sem, bytes: need})
+	m.keep(h, min(int64(cap(b)), need))
+	return b, h, nil
 }
 
 // readRest reads the rest of a body after head, up to a total of most bytes.
@@ -133,17 +127,20 @@
 	x.cancel = cancel
 	x.mu.Unlock()
 	var err error
-	w.Body, w.release, err = x.g.bodyMemory.read(ctx, reply.Body, reply.Length)
+	w.Body, w.holder, err = x.g.bodyMemory.read(ctx, reply.Body, reply.Length)
 	x.mu.Lock()
 	x.cancel = nil
 	x.mu.Unlock()
+	if w.holder != nil {
+		w.holder.x = x
+	}
 	return w, err
 }
 
 // Release releases the memory reserved for the body. It is called once, after the body was sent to the caller.
 func (w *Buffered) Release() {
-	if w.release != nil {
-		w.release()
-		w.release = nil
+	if w.holder != nil {
+		w.holder.x.g.bodyMemory.keep(w.holder, 0)
+		w.holder = nil
 	}
 }
--- a/internal/gateway/memory_test.go
+++ b/internal/gateway/memory_test.go
@@ -40,15 +40,15 @@
 		{"all of the memory", body(size), size, size, nil},
 	} {
 		m := newMemoryLimit(size / bodyMemoryFraction)
-		b, release, err := m.read(t.Context(), c.body, c.length)
+		b, h, err := m.read(t.Context(), c.body, c.length)
 		assert.Check(t, errors.Is(err, c.err), "%s: %v", c.name, err)
 		if c.err == nil && c.length >= 0 {
 			assert.Equal(t, len(b), c.length, c.name)
 		}
 		assert.Check(t, m.sem.TryAcquire(size-c.held), "%s: holds more than %d", c.name, c.held)
 		m.sem.Release(size - c.held)
-		if release != nil {
-			release()
+		if h != nil {
+			m.keep(h, 0)
 		}
 		assert.Check(t, m.sem.TryAcquire(size) && m.medium.TryAcquire(size/4), "%s: memory stays reserved", c.name)
 	}
@@ -64,7 +64,7 @@
 func TestBodyMemoryIsWaitedFor(t *testing.T) {
 	const size = 1 << 20
 	m := newMemoryLimit(size / bodyMemoryFraction)
-	first, release, err := m.read(t.Context(), bytes.NewReader(make([]byte, 700<<10)), 700<<10)
+	first, h, err := m.read(t.Context(), bytes.NewReader(make([]byte, 700<<10)), 700<<10)
 	assert.NilError(t, err)
 	assert.Equal(t, len(first), 700<<10)
 	ended, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
@@ -73,8 +73,8 @@
 	assert.Check(t, errors.Is(err, errNoMemory))
 	done := make(chan int)
 	go func() {
-		b, free, _ := m.read(t.Context(), bytes.NewReader(make([]byte, 700<<10)), 700<<10)
-		free()
+		b, h, _ := m.read(t.Context(), bytes.NewReader(make([]byte, 700<<10)), 700<<10)
+		m.keep(h, 0)
 		done <- len(b)
 	}()
 	select {
@@ -82,7 +82,7 @@
 		t.Fatal("the second answer did not wait")
 	case <-time.After(50 * time.Millisecond):
 	}
-	release()
+	m.keep(h, 0)
 	assert.Equal(t, <-done, 700<<10)
 }
 
@@ -91,9 +91,9 @@
 func TestMediumBodiesStayWithinMemory(t *testing.T) {
 	const memory, bodies, size = 16 << 20, 1000, 60 << 10
 	m := newMemoryLimit(memory)
-	_, freeLarge, err := m.read(t.Context(), bytes.NewReader(make([]byte, m.size)), int(m.size))
+	_, large, err := m.read(t.Context(), bytes.NewReader(make([]byte, m.size)), int(m.size))
 	assert.NilError(t, err)
-	defer freeLarge()
+	defer m.keep(large, 0)
 	var held, most atomic.Int64
 	var wg sync.WaitGroup
 	for i := range bodies {
@@ -102,15 +102,15 @@
 			if i%2 == 0 {
 				length = -1
 			}
-			b, free, err := m.read(t.Context(), bytes.NewReader(make([]byte, size)), length)
+			b, h, err := m.read(t.Context(), bytes.NewReader(make([]byte, size)), length)
 			assert.Check(t, err == nil && len(b) == size, "%d %v", len(b), err)
 			now := held.Add(size)
 			for old := most.Load(); now > old && !most.CompareAndSwap(old, now); old = most.Load() {
 			}
 			time.Sleep(time.Millisecond)
 			held.Add(-size)
-			if free != nil {
-				free()
+			if h != nil {
+				m.keep(h, 0)
 			}
 		})
 	}
--- a/internal/gateway/outcome.go
+++ b/internal/gateway/outcome.go
@@ -86,6 +86,9 @@
 // codeGone is the code, in log lines and metrics, of a request whose caller closed its connection.
 const codeGone = "caller-gone"
 
+// codeSlow is the code of a stream that was ended because its caller read it too slowly.
+const codeSlow = "caller-slow"
+
 // retryAfter is the shortest time after which a refused caller may retry. Up to the same time is added at random, so that callers
 // that were refused together do not retry together.
 const retryAfter = 400 * clock.Millisecond
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -65,6 +65,7 @@
 		if s.err != nil {
 			return 0, s.err
 		}
+		s.offer(false)
 		s.buf, s.bufRead = s.buf[:0], 0
 		if cap(s.buf) > maxBufBytes {
 			s.buf = nil // it held a large event
@@ -72,19 +73,36 @@
 		if err := s.fill(); err != nil {
 			s.failOver(err)
 		}
+		s.offer(true)
 	}
 	n := copy(p, s.buf[s.bufRead:])
 	s.bufRead += n
 	return n, nil
 }
 
+// offer records that the caller is offered what is in buf, or that it has accepted that. Until then a large event holds memory.
+func (s *Stream) offer(begins bool) {
+	h := s.x.largeEvent
+	switch {
+	case h == nil:
+	case begins:
+		h.offer(s.x.g.Clock.Now(), len(s.buf))
+	default:
+		h.since.Store(0)
+	}
+}
+
 // Close ends the stream. A stream that has not ended by then was given up by the caller.
 func (s *Stream) Close() error {
 	if s.err == nil {
 		s.x.abortAttempt(causeCallerGone)
 		s.reply.Close(false)
 		s.x.attemptEnded(work.Result{}, false)
-		s.x.recordEnd(&work.Refusal{Code: codeGone, Status: s.Status, Ran: work.DidRun, Detail: "the caller went away"})
+		refusal := &work.Refusal{Code: codeGone, Status: s.Status, Ran: work.DidRun, Detail: "the caller went away"}
+		if s.x.unreadEnded.Load() {
+			refusal.Code, refusal.Detail = codeSlow, "the caller read too slowly, and other answers waited for the memory"
+		}
+		s.x.recordEnd(refusal)
 	}
 	s.x.g.removeOpen(s.x)
 	return nil
--- a/internal/gateway/types.go
+++ b/internal/gateway/types.go
@@ -38,6 +38,7 @@
 	Session        string       // "" for none
 	LastEventID    int64        // identifier of the last event that the caller has, NoEvent for none
 	CallerGone     func() bool  // reports whether the caller closed its connection, nil if that cannot be determined
+	EndCaller      func()       // closes the caller's connection, which makes writes to it fail; nil if that is not possible
 }
 
 // NoEvent is the event identifier that stands for the position before the first event.
@@ -56,11 +57,11 @@
 	Fields []Field
 	Body   []byte
 
-	release func() // releases the memory reserved for a large body, nil for a small one
+	holder *holder // of the memory reserved for a large body, nil for a small one
 }
 
 // Large reports whether the body has memory reserved that Release gives back.
-func (w *Buffered) Large() bool { return w.release != nil }
+func (w *Buffered) Large() bool { return w.holder != nil }
 
 func (Refused) answer()  {}
 func (Buffered) answer() {}
@@ -79,8 +80,9 @@
 	NewConn     bool       // use a new connection: an open one can lead to a server that no longer exists
 	Stream      bool       // the answer is expected to be a stream of events
 	Abort       *conn.Abort
-	// Reserve reserves bytes of memory for a large event, until release is called. It returns false if so many are not free.
-	Reserve func(bytes int64) (release func(), ok bool)
+	// Reserve reserves bytes of memory for a large event, until keep releases them but for a smaller number, at last 0. It returns false if
+	// so many are not free.
+	Reserve func(bytes int64) (keep func(bytes int64), ok bool)
 }
 
 // Reply is the answer of a backend server after its head was read.
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -45,6 +45,7 @@
 		}
 		g.mu.Unlock()
 		now := g.Clock.Now()
+		g.bodyMemory.makeRoom(now)
 		for _, x := range open {
 			x.check(now, n%callerCheckTicks == 0)
 		}
--- a/io/caller/disconnected.go
+++ b/io/caller/disconnected.go
@@ -15,3 +15,15 @@
 	}
 	return conn.Peek(c) == conn.Closed
 }
+
+// Abort closes the connection of a caller while an answer is being written to it. The write fails, also one that waits for the caller. The
+// bytes that the caller has not read are dropped, as the system would otherwise go on to hold them.
+func Abort(c net.Conn) {
+	if p, ok := c.(*progressConn); ok {
+		c = p.Conn
+	}
+	if t, ok := c.(*net.TCPConn); ok {
+		_ = t.SetLinger(0) // the connection is closed in any case
+	}
+	_ = c.Close() // it may have been closed already
+}
