gateway: bodies over 1 MiB leave a quarter of the memory to smaller ones

Cause: the memory for bodies over 64 KiB is given out in the order of arrival. Answers of several MiB whose callers read slowly, and others of the kind that wait behind them, kept out every answer over 64 KiB: with 60 answers of 4 MB read at 1.3 KB/s at each of two VMs of 112 MB, no answer of 200 KB was served within 6 s, also once slow readers give way, as the next ones take the place.

Change: bodies over 1 MiB use three quarters of that memory at most, and always enough for the largest body. TestHugeBodiesLeaveMemoryForLargeOnes fails with the whole memory in place of three quarters.

--- a/internal/gateway/memory.go
+++ b/internal/gateway/memory.go
@@ -22,6 +22,11 @@
 	bodyMemoryFraction = 0.25
 	// mediumMemoryFraction is the fraction of the VM's memory that all medium bodies together may use.
 	mediumMemoryFraction = 1.0 / 16
+	// hugeBody is the size up to which a body finds memory that larger ones cannot use, in bytes: many of those, read slowly or waiting to
+	// be read, would otherwise keep it out.
+	hugeBody = 1 << 20
+	// hugeMemoryFraction is the part of the memory of large bodies and events that all bodies over hugeBody together may use.
+	hugeMemoryFraction = 0.75
 	// defaultBodyMemory is the memory for large bodies and events if the VM's memory is not known, in bytes.
 	defaultBodyMemory = 64 << 20
 )
@@ -37,6 +42,7 @@
 	holders
 	size   int64               // memory of large bodies and events, in bytes
 	sem    *semaphore.Weighted // memory of large bodies and events
+	huge   *semaphore.Weighted // the part of sem for bodies over hugeBody. A holder may wait for sem, a holder of sem never waits for it
 	medium *semaphore.Weighted // memory of medium bodies. A holder may wait for sem, a holder of sem never waits for it
 }
 
@@ -47,7 +53,8 @@
 		size = defaultBodyMemory
 	}
 	medium := max(int64(mediumMemoryFraction/bodyMemoryFraction*float64(size)), mediumBody)
-	return &memoryLimit{size: size, sem: semaphore.NewWeighted(size), medium: semaphore.NewWeighted(medium)}
+	huge := max(int64(hugeMemoryFraction*float64(size)), min(maxBody, size)) // the largest body fits
+	return &memoryLimit{size: size, sem: semaphore.NewWeighted(size), huge: semaphore.NewWeighted(huge), medium: semaphore.NewWeighted(medium)}
 }
 
 // read reads a body of a length in bytes, negative if it is not known. It returns the holder of the memory reserved for the
@@ -79,15 +86,25 @@
 func (m *memoryLimit) readReserved(
 	ctx context.Context, sem *semaphore.Weighted, head []byte, body io.Reader, need int64,
 ) (_ []byte, _ *holder, _ error) {
+	h := &holder{sem: sem, bytes: need}
+	if need > hugeBody {
+		if err := m.acquire(ctx, m.huge, need); err != nil {
+			return nil, nil, err
+		}
+		h.huge = m.huge
+	}
 	if err := m.acquire(ctx, sem, need); err != nil {
+		if h.huge != nil {
+			h.huge.Release(need)
+		}
 		return nil, nil, err
 	}
+	m.add(h)
 	b, err := readRest(head, body, need)
 	if err != nil {
-		sem.Release(need)
+		m.keep(h, 0)
 		return nil, nil, err
 	}
-	h := m.add(&holder{sem: sem, bytes: need})
 	m.keep(h, min(int64(cap(b)), need))
 	return b, h, nil
 }
--- a/internal/gateway/unread.go
+++ b/internal/gateway/unread.go
@@ -26,7 +26,8 @@
 type holder struct {
 	x      *exchange
 	sem    *semaphore.Weighted
-	bytes  int64 // reserved
+	huge   *semaphore.Weighted // the bytes are reserved there too, nil for none
+	bytes  int64               // reserved
 	stream bool
 	ended  bool // its caller's connection was closed to free the memory
 
@@ -80,6 +81,9 @@
 	if rest := h.bytes - bytes; rest > 0 {
 		h.bytes = bytes
 		h.sem.Release(rest)
+		if h.huge != nil {
+			h.huge.Release(rest)
+		}
 	}
 	if bytes == 0 {
 		delete(m.all, h)
@@ -120,7 +124,7 @@
 		var slow []*holder
 		for h := range m.all {
 			switch {
-			case h.sem != sem:
+			case h.sem != sem && h.huge != sem:
 			case h.ended:
 				need -= h.bytes
 			case h.readsSlowly(now):
--- a/internal/gateway/unread_test.go
+++ b/internal/gateway/unread_test.go
@@ -81,3 +81,17 @@
 	_, _, err = m.read(ctx, &failingReader{}, size)
 	assert.Check(t, errors.Is(err, errBroken))
 }
+
+// Guards against bodies of several MiB whose callers read slowly, or that wait for each other, which keep out all answers over 64 KiB.
+func TestHugeBodiesLeaveMemoryForLargeOnes(t *testing.T) {
+	const size = 20 << 20
+	m := newMemoryLimit(size / bodyMemoryFraction)
+	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+	defer cancel()
+	for range size / (4 << 20) {
+		go func() { _, _, _ = m.read(ctx, bytes.NewReader(make([]byte, 4<<20)), 4<<20) }()
+	}
+	time.Sleep(50 * time.Millisecond) // until the first of them hold what they may, and the others wait
+	_, _, err := m.read(ctx, bytes.NewReader(make([]byte, hugeBody)), hugeBody)
+	assert.NilError(t, err)
+}
