io/caller: the system holds no megabytes for a caller that does not read

Cause: the send buffer of a connection grows to 4 MB where its caller reads slowly, and these bytes are in no bound of the VM's memory: 180 such callers hold several times the memory of the smallest VMs. A server is read on until then, so its work for callers that do not read goes on as well.

Change: a send buffer of 128 KiB for callers' connections, of which the system makes twice as much; no answer of today's routes is larger, so they are still taken from their servers at once.

--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -129,6 +129,11 @@
 	}
 }
 
+// sendBuffer bounds the bytes that the system holds of the answers to one caller, about twice as many. It would else grow to several MB for
+// a caller that reads slowly, which the VM's memory does not allow for. It is above what a link of 200 Mbit/s carries in a round trip of a
+// few milliseconds, so that callers who read at once notice nothing.
+const sendBuffer = 128 << 10
+
 // listener sets a progress timeout for the writes of each accepted connection.
 type listener struct {
 	net.Listener
@@ -140,6 +145,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if t, ok := c.(*net.TCPConn); ok {
+		_ = t.SetWriteBuffer(sendBuffer) // it fails only for a connection that is closed already
+	}
 	return &progressConn{Conn: c, timeout: l.timeout}, nil
 }
 
