io/caller: large bodies that servers do not read leave memory for small uploads

Cause: all bodies over 4 KiB share one memory. Uploads of 4 MB to servers that read them slowly hold it until their deadlines, and every smaller upload was refused: with 20 of them open at each of two VMs of 112 MB, 212 of 247 uploads of 10 KB got 503.

Change: bodies of known length up to 64 KiB may use an eighth more. TestLargeBodiesLeaveMemoryForMediumOnes failed before.

--- a/io/caller/bodies.go
+++ b/io/caller/bodies.go
@@ -16,6 +16,11 @@
 	smallBody = 4 << 10
 	// smallChunked is the size of a body in chunks for which half of the memory is kept, in bytes.
 	smallChunked = 2 * smallBody
+	// mediumBody is the size up to which a body of known length may use more memory than larger ones, in bytes: servers that read large
+	// bodies slowly would otherwise keep it out.
+	mediumBody = 64 << 10
+	// mediumFraction is the size of that additional memory, as a part of the memory for all bodies.
+	mediumFraction = 1.0 / 8
 	// defaultBodyMemory is the memory for bodies if the server's BodyMemory is not set, in bytes.
 	defaultBodyMemory = 64 << 20
 	// memoryRetry is the time after which a caller may send a body again for which no memory was free.
@@ -35,7 +40,7 @@
 	total       int64         // memory for bodies, in bytes
 
 	mu   sync.Mutex
-	free int64
+	free int64 // of total, below 0 if medium bodies use the additional memory
 	held map[*fasthttp.RequestHeader]*reservation
 }
 
@@ -62,7 +67,11 @@
 	m.held[h] = r
 	if n != chunkedBody {
 		need := allocated(n)
-		if r.limited = !m.reserve(r, need); r.limited {
+		var more int64
+		if n <= mediumBody {
+			more = int64(mediumFraction * float64(m.total))
+		}
+		if r.limited = !m.reserve(r, need, more); r.limited {
 			return fasthttp.RequestConfig{MaxRequestBodySize: 1}
 		}
 		return fasthttp.RequestConfig{MaxRequestBodySize: m.maxBody}
@@ -71,7 +80,7 @@
 	// While a buffer grows, the old one and the new one exist.
 	m.sweep()
 	most := m.chunkedLimit()
-	if !m.reserve(r, 2*most) {
+	if !m.reserve(r, 2*most, 0) {
 		r.limited = true
 		return fasthttp.RequestConfig{MaxRequestBodySize: smallBody}
 	}
@@ -91,12 +100,12 @@
 // allocated returns a bound on the size of the buffer for a body of n bytes, as fasthttp rounds it up to a power of two.
 func allocated(n int) int64 { return int64(1) << bits.Len64(uint64(max(n-1, 0))) }
 
-// reserve adds memory to a reservation. It returns false if so much is not free.
-func (m *bodyMemory) reserve(r *reservation, bytes int64) bool {
-	if bytes > m.free {
+// reserve adds memory to a reservation. It returns false if so much is not free, with more for this body.
+func (m *bodyMemory) reserve(r *reservation, bytes, more int64) bool {
+	if bytes > m.free+more {
 		m.sweep()
 	}
-	if bytes > m.free {
+	if bytes > m.free+more {
 		return false
 	}
 	m.free -= bytes
--- a/io/caller/bodies_test.go
+++ b/io/caller/bodies_test.go
@@ -208,3 +208,28 @@
 		assert.Assert(t, time.Now().Before(end), "%d bytes are still reserved", s.used(memory))
 	}
 }
+
+// Guards against small uploads that are refused for as long as servers do not read the large ones that use up the memory.
+func TestLargeBodiesLeaveMemoryForMediumOnes(t *testing.T) {
+	const memory = 4 << 20
+	s := newTestServer(t, memory, 0)
+	var wg sync.WaitGroup
+	for range 4 {
+		wg.Go(func() { s.send(t, 1<<20, false) })
+	}
+	s.wait(t, 4)
+	for range memory / 8 / mediumBody {
+		wg.Go(func() {
+			status, _, _ := s.send(t, mediumBody, false)
+			assert.Check(t, status == 200, "%d", status)
+		})
+	}
+	s.wait(t, memory/8/mediumBody)
+	status, _, _ := s.send(t, mediumBody, false)
+	assert.Equal(t, status, 503, "the memory has no bound")
+	for range 4 + memory/8/mediumBody {
+		s.answer <- struct{}{}
+	}
+	wg.Wait()
+	assert.Check(t, s.used(memory) == 0, "%d bytes stay reserved", s.used(memory))
+}
