gateway: a body of known length is read into one buffer

Cause: the buffer of a body doubled as it grew. While it did, the old one and the new one existed, half as much again as is reserved for the body, and both waited for the garbage collector.

Change: a body whose length its head gives has a buffer of that size from the start.

--- a/internal/gateway/memory.go
+++ b/internal/gateway/memory.go
@@ -69,22 +69,23 @@
 		return head, nil, err
 	}
 	if length > mediumBody {
-		return m.readReserved(ctx, m.sem, head, body, int64(length))
+		return m.readReserved(ctx, m.sem, head, body, int64(length), length)
 	}
 	if length >= 0 {
-		return m.readReserved(ctx, m.medium, head, body, int64(length))
+		return m.readReserved(ctx, m.medium, head, body, int64(length), length)
 	}
-	b, h, err := m.readReserved(ctx, m.medium, head, io.LimitReader(body, mediumBody-smallBody), mediumBody)
+	b, h, err := m.readReserved(ctx, m.medium, head, io.LimitReader(body, mediumBody-smallBody), mediumBody, 2*smallBody)
 	if err != nil || len(b) < mediumBody {
 		return b, h, err
 	}
 	defer m.keep(h, 0)
-	return m.readReserved(ctx, m.sem, b, body, most)
+	return m.readReserved(ctx, m.sem, b, body, most, 2*mediumBody)
 }
 
-// readReserved reserves memory for at most need bytes, reads the rest of a body after head, and returns the holder of what the body uses.
+// readReserved reserves memory for at most need bytes, reads the rest of a body after head, and returns the holder of what the body uses. A
+// body of unknown length is expected to have a few bytes more than head.
 func (m *memoryLimit) readReserved(
-	ctx context.Context, sem *semaphore.Weighted, head []byte, body io.Reader, need int64,
+	ctx context.Context, sem *semaphore.Weighted, head []byte, body io.Reader, need int64, expected int,
 ) (_ []byte, _ *holder, _ error) {
 	h := &holder{sem: sem, bytes: need}
 	if need > hugeBody {
@@ -100,7 +101,7 @@
 		return nil, nil, err
 	}
 	m.add(h)
-	b, err := readRest(head, body, need)
+	b, err := readRest(head, body, need, expected)
 	if err != nil {
 		m.keep(h, 0)
 		return nil, nil, err
@@ -109,9 +110,10 @@
 	return b, h, nil
 }
 
-// readRest reads the rest of a body after head, up to a total of most bytes.
-func readRest(head []byte, body io.Reader, most int64) ([]byte, error) {
-	b := make([]byte, len(head), 2*len(head))
+// readRest reads the rest of a body after head, up to a total of most bytes. A buffer for the expected size is allocated at once: while one
+// grows, the old one and the new one exist, which is more than the memory reserved for the body.
+func readRest(head []byte, body io.Reader, most int64, expected int) ([]byte, error) {
+	b := make([]byte, len(head), max(expected, len(head))+1) // with room to see the end
 	copy(b, head)
 	for {
 		if len(b) == cap(b) {
