place, load, gateway: servers whose prompt memory is full are left out

Cause: placement knew the prompt tokens that servers have still to read, not the tokens that running requests hold. A server with few requests of long prompts looked idle, so VMs gave its memory away twice; it then lets the request wait, or preempts another one and reads that prompt in again.

Change: each attempt counts the tokens of its prompt and of the answer that it expects at its server until it ends. VMs pool these sums with the counts in flight: in a list beside the uses, TokensHeld, left out when empty, as uses are encoded by position and earlier builds could not decode one more field. Placement leaves out servers for whose memory (Engine.Memory) the request is too large while another has room; if none has, it takes those with at least the mean room. Parts that requests share count for each of them, so the sums are too high rather than too low.

--- a/core/load/aggregator.go
+++ b/core/load/aggregator.go
@@ -11,6 +11,7 @@
 	SinceLastByte clock.Span // time since the last byte that any of them received from the server
 	LogSlowdown   int        // sum over streams of the natural logarithm of the slowdown, in hundredths
 	Streams       int        // number of streams in that sum, decayed
+	TokensHeld    int        `cbor:"-"` // tokens of memory that the requests in flight hold there or will; see HeldTokens
 }
 
 // Aggregator holds the latest report of each VM and the sums over them. The sums are updated with each report rather than
@@ -29,8 +30,8 @@
 
 // total is the sum over all current reports for a server.
 type total struct {
-	vms, inFlight, pendingTokens, logSlowdown, streams int
-	lastByte                                           clock.Time // latest time at which any VM received a byte from the server
+	vms, inFlight, pendingTokens, logSlowdown, streams, tokensHeld int
+	lastByte                                                       clock.Time // latest time at which any VM received a byte from the server
 }
 
 // Put replaces the report of a VM. The caller must not change uses afterwards.
@@ -47,7 +48,7 @@
 			lastByte = max(lastByte, s.lastByte)
 		}
 		a.totals[u.Server] = total{s.vms + 1, s.inFlight + u.InFlight, s.pendingTokens + u.PendingTokens,
-			s.logSlowdown + u.LogSlowdown, s.streams + u.Streams, lastByte}
+			s.logSlowdown + u.LogSlowdown, s.streams + u.Streams, s.tokensHeld + u.TokensHeld, lastByte}
 	}
 }
 
@@ -61,6 +62,7 @@
 		}
 		s.inFlight, s.pendingTokens, s.logSlowdown, s.streams = s.inFlight-u.InFlight, s.pendingTokens-u.PendingTokens,
 			s.logSlowdown-u.LogSlowdown, s.streams-u.Streams
+		s.tokensHeld -= u.TokensHeld
 		a.totals[u.Server] = s
 	}
 	delete(a.reports, from)
@@ -80,7 +82,7 @@
 	v := Totals{At: now, Uses: make(map[string]Usage, len(a.totals))}
 	for server, s := range a.totals {
 		v.Uses[server] = Usage{Server: server, InFlight: s.inFlight, PendingTokens: s.pendingTokens,
-			SinceLastByte: now.Sub(s.lastByte), LogSlowdown: s.logSlowdown, Streams: s.streams}
+			SinceLastByte: now.Sub(s.lastByte), LogSlowdown: s.logSlowdown, Streams: s.streams, TokensHeld: s.tokensHeld}
 	}
 	for _, u := range a.reports[exclude].usage {
 		if a.totals[u.Server].vms == 1 {
@@ -90,6 +92,7 @@
 		s := v.Uses[u.Server]
 		s.InFlight, s.PendingTokens, s.LogSlowdown, s.Streams = s.InFlight-u.InFlight, s.PendingTokens-u.PendingTokens,
 			s.LogSlowdown-u.LogSlowdown, s.Streams-u.Streams
+		s.TokensHeld -= u.TokensHeld
 		v.Uses[u.Server] = s
 	}
 	return v
@@ -110,6 +113,7 @@
 			u.PendingTokens += sum.PendingTokens
 			u.LogSlowdown += sum.LogSlowdown
 			u.Streams += sum.Streams
+			u.TokensHeld += sum.TokensHeld
 			u.SinceLastByte = min(u.SinceLastByte, sum.SinceLastByte)
 		}
 		v.Uses[u.Server] = u
--- a/core/place/placer.go
+++ b/core/place/placer.go
@@ -110,7 +110,8 @@
 	// of the candidates are ejected: if more than half fail, the cause is probably not the servers.
 	in = prefer(in, 0, func(c Candidate) bool { return !p.unreachable(c.Name, now) })
 	in = prefer(in, (len(all)-1)/2, func(c Candidate) bool { return !p.ejected(c.Name, now) })
-	return prefer(in, 0, func(c Candidate) bool { return !p.refusing(c.Name, now) })
+	in = prefer(in, 0, func(c Candidate) bool { return !p.refusing(c.Name, now) })
+	return withRoom(in, req.Memory)
 }
 
 // prefer returns the candidates that pass, or all of them if at most floor pass.
--- a/core/place/types.go
+++ b/core/place/types.go
@@ -18,6 +18,10 @@
 	OthersInFlight int
 	// PendingTokens is the number of prompt tokens that the server has still to prefill, for this VM and the others.
 	PendingTokens int
+	// TokensHeld is the number of tokens that requests in flight hold in the server's memory or will hold before they end, for this VM and
+	// the others.
+	TokensHeld int
+	Memory     int // tokens that the server's memory can hold, 0 if that is not known
 	// Slowdown is the factor by which the server generates more slowly than the others, 0 to take it from this VM's own results.
 	Slowdown float64
 	Load     work.Load // latest load report of the server
@@ -31,6 +35,7 @@
 	Session string   // session identifier, "" for none
 	Prefix  uint64   // hash of the first part of the prompt, 0 for none
 	Tokens  int      // prompt tokens whose prefill a cached session or prefix saves
+	Memory  int      // tokens that the request will hold in a server's memory, 0 if that is not known
 	Exclude []string // servers that must not be selected, usually those already tried
 }
 
--- a/internal/feed/delta.go
+++ b/internal/feed/delta.go
@@ -24,7 +24,8 @@
 	Kinds            [kinds]Changes
 	Reports          []OrderReport      // of the running orders, over all other VMs
 	Loads            []load.Usage       // of all other VMs at the backend servers, if HasLoads
-	HasLoads         bool               `cbor:"Counted"` // the reply contains loads; many loads are sent less often than the rest
+	TokensHeld       []int              `cbor:",omitempty"` // of Loads, in their order; from builds that know it
+	HasLoads         bool               `cbor:"Counted"`    // the reply contains loads; many loads are sent less often than the rest
 	Crashes          quarantine.Message // crashes of backend servers that the querying VM lacks
 	Limits           LimitReply         // limits that servers name, and the querying VM's part of them
 	ShouldJoin       bool               `cbor:"Stand"`          // the querying VM should write its entry to the store, by which others find it
@@ -43,6 +44,7 @@
 	Limits  LimitQuery         // limits that servers name, and what the querying VM wants of them
 	VM      Member             // the querying VM
 
+	TokensHeld       []int      `cbor:",omitempty"`        // of Loads, in their order; from builds that know it
 	SinceStoreAnswer clock.Span `cbor:"Quiet,omitempty"`   // time since the store's last answer, if the querying VM was asked to read it; 0 otherwise
 	ObjectsOnly      bool       `cbor:"Objects,omitempty"` // the reply has only objects of the store: the querying VM does not follow the one queried
 }
@@ -54,6 +56,7 @@
 		Reports: f.Orders.Report(now), Loads: f.Loads.Report(now), Crashes: f.Quarantine.Query(now),
 		Limits: f.Limits.Query(f.Clock.Boot(), to),
 	}
+	q.TokensHeld = load.HeldTokens(q.Loads)
 	for k, p := range f.positions() {
 		q.Revs[k], q.Eras[k] = p.Rev, p.Era
 	}
@@ -115,7 +118,9 @@
 	if !q.ObjectsOnly {
 		now := f.Clock.Now()
 		d.Reports = f.Orders.Exchange(now, from, q.Reports)
+		load.SetHeldTokens(q.Loads, q.TokensHeld)
 		d.Loads, d.HasLoads = f.Loads.Exchange(now, from, q.Loads)
+		d.TokensHeld = load.HeldTokens(d.Loads)
 		d.Crashes = f.Quarantine.Reply(now, q.Crashes)
 		d.Limits = f.Limits.Reply(f.Clock.Boot(), q.VM, q.Limits)
 	}
@@ -294,6 +299,7 @@
 	f.Quarantine.Accept(now, d.Crashes)
 	f.Limits.Accept(f.Clock.Boot(), from, d.Limits)
 	if d.HasLoads {
+		load.SetHeldTokens(d.Loads, d.TokensHeld)
 		f.Loads.SetUpstream(now, d.Loads)
 	}
 	return err
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -42,6 +42,7 @@
 	headArrived   bool           // the head of an answer arrived in the current attempt
 	firstArrived  bool           // the first event of a stream, or all of another answer, arrived in the current attempt
 	pendingTokens int            // prompt tokens that the attempt adds to the server, weighted as if for the largest model
+	tokensHeld    int            // tokens that the attempt holds in the server's memory or will hold
 	backlog       float64        // mean backlog of the servers when the attempt was placed, in milliseconds
 	usageAge      clock.Span     // age of the other VMs' usage at that time, unknownAge if there was none
 	attemptStart  clock.Time     // start of the current attempt
@@ -228,7 +229,7 @@
 
 // placeRequest returns the placement request. It has a prefix only on a route with cache affinity.
 func (x *exchange) placeRequest() place.Request {
-	req := place.Request{Model: "", Exclude: x.failedServers}
+	req := place.Request{Model: "", Memory: x.memoryTokens(), Exclude: x.failedServers}
 	if !x.route.Affine || len(x.request.Parts) < 2 {
 		return req
 	}
@@ -240,6 +241,20 @@
 	return req
 }
 
+// memoryTokens returns the tokens that the request will hold in a server's memory when it ends, 0 if that is not known. Parts that several
+// requests share count for each of them, as what other VMs' requests share is not known: the sum is too high rather than too low.
+func (x *exchange) memoryTokens() int {
+	if x.spec == nil || x.spec.Engine == nil {
+		return 0
+	}
+	r := x.request
+	answer := r.MaxTokens
+	if r.ExpectedTokens > 0 && r.ExpectedTokens < answer {
+		answer = r.ExpectedTokens
+	}
+	return max(r.PromptTokens, 0) + max(answer, 0)
+}
+
 // newAttempt returns the attempt at the selected server and starts its span.
 func (x *exchange) newAttempt() *Attempt {
 	return &Attempt{
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -25,6 +25,7 @@
 	limitRefusals prometheus.Counter
 	notices       prometheus.Counter
 	unreadEnded   prometheus.Counter
+	withoutRoom   prometheus.Counter
 }
 
 func newMetrics(reg prometheus.Registerer) *metrics {
@@ -52,13 +53,15 @@
 			Name: "shallot_gateway_limit_refusals_total", Help: "Attempts that were not made because of the limits that servers name, or that cold ones have."}),
 		notices: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "shallot_gateway_notices_total", Help: "Answers in which a server said that it leaves, or takes nothing from this VM for a time."}),
+		withoutRoom: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "shallot_gateway_without_room_total", Help: "Attempts sent to a server whose prompt memory had no room, as no other had."}),
 		unreadEnded: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "shallot_gateway_unread_ended_total", Help: "Answers that were ended because their callers read too slowly and others needed the memory."}),
 	}
 	if reg != nil {
 		reg.MustRegister(
 			m.answers, m.faults, m.seconds, m.firstSeconds, m.retries, m.resumes, m.open, m.attempts, m.reports, m.dropped, m.serversEnded,
-			m.partsRefused, m.limitRefusals, m.notices, m.unreadEnded,
+			m.partsRefused, m.limitRefusals, m.notices, m.unreadEnded, m.withoutRoom,
 		)
 	}
 	return m
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -37,6 +37,7 @@
 	inFlight        int        // requests in flight
 	awaitingFirst   int        // those of them without a first answer
 	pendingTokens   int        // prompt tokens of those, weighted as if for the largest model
+	tokensHeld      int        // tokens that the requests in flight hold in the server's memory or will hold
 	busySince       clock.Time // time since which there are requests in flight
 	lastByte        clock.Time // time of the last byte from the server, 0 for none
 	reportPending   bool       // a load report was requested and has not come yet
@@ -91,11 +92,16 @@
 		if x.spec != nil && x.spec.Conns > 0 {
 			c.Slots = max(x.spec.Conns/connDivisor, 1)
 		}
+		if x.spec != nil && x.spec.Engine != nil {
+			c.Memory = x.spec.Engine.Memory
+		}
 		if u := p.servers[v.ID]; u != nil {
 			c.OwnInFlight, c.AwaitingFirstToken, c.PendingTokens = u.inFlight, u.awaitingFirst, u.pendingTokens
+			c.TokensHeld = u.tokensHeld
 		}
 		o := others[v.ID]
 		c.OthersInFlight, c.PendingTokens = o.InFlight, c.PendingTokens+o.PendingTokens
+		c.TokensHeld += o.TokensHeld
 		c.Slowdown = p.slowdowns.Slowdown(now, v.ID, o)
 		p.candidates = append(p.candidates, c)
 	}
@@ -127,6 +133,11 @@
 	u.awaitingFirst++
 	x.pendingTokens = x.prefillTokens()
 	u.pendingTokens += x.pendingTokens
+	x.tokensHeld = req.Memory
+	if c := p.candidates[slices.IndexFunc(p.candidates, func(c place.Candidate) bool { return c.Name == name })]; c.Memory > 0 && c.Room() < req.Memory {
+		p.g.metrics.withoutRoom.Inc()
+	}
+	u.tokensHeld += x.tokensHeld
 	return all[i], nil
 }
 
@@ -163,7 +174,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for name, u := range p.servers {
-		v := load.Usage{Server: name, InFlight: u.inFlight, PendingTokens: u.pendingTokens, SinceLastByte: u.sinceLastByte(now)}
+		v := load.Usage{Server: name, InFlight: u.inFlight, PendingTokens: u.pendingTokens, SinceLastByte: u.sinceLastByte(now), TokensHeld: u.tokensHeld}
 		v.LogSlowdown, v.Streams = p.slowdowns.Report(now, name)
 		out = append(out, v)
 	}
@@ -190,7 +201,7 @@
 const noByteSpan = clock.Span(3600_000)
 
 // attemptEnded records the end of an attempt and removes it from the server's usage.
-func (p *pool) attemptEnded(server string, firstArrived bool, tokens int, r work.Result) {
+func (p *pool) attemptEnded(server string, firstArrived bool, tokens, held int, r work.Result) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.placer.Report(p.g.Clock.Now(), r)
@@ -202,6 +213,7 @@
 		u.awaitingFirst--
 		u.pendingTokens -= tokens
 	}
+	u.tokensHeld -= held
 	if u.inFlight--; u.inFlight <= 0 {
 		delete(p.servers, server)
 	}
