gateway: the end of a stream whose caller does not read says so

Cause: a stream is ended when its caller's connection accepts nothing for 10 s. The log line said that the caller went away, though it was still connected.

Change: code caller-slow with the reason where the caller's connection is open when the stream ends. TestEndOfUnreadStreamSaysWhy guards it; it was not run on the code before, which had one text for both.

--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -99,8 +99,11 @@
 		s.reply.Close(false)
 		s.x.attemptEnded(work.Result{}, false)
 		refusal := &work.Refusal{Code: codeGone, Status: s.Status, Ran: work.DidRun, Detail: "the caller went away"}
-		if s.x.unreadEnded.Load() {
+		switch gone := s.x.request.CallerGone; {
+		case s.x.unreadEnded.Load():
 			refusal.Code, refusal.Detail = codeSlow, "the caller read too slowly, and other answers waited for the memory"
+		case gone != nil && !gone():
+			refusal.Code, refusal.Detail = codeSlow, "the caller is connected, but accepted nothing for too long"
 		}
 		s.x.recordEnd(refusal)
 	}
--- a/internal/gateway/unread_test.go
+++ b/internal/gateway/unread_test.go
@@ -4,9 +4,11 @@
 	"bytes"
 	"context"
 	"errors"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
 
 	"shallotrun/core/clock"
@@ -95,3 +97,23 @@
 	_, _, err := m.read(ctx, bytes.NewReader(make([]byte, hugeBody)), hugeBody)
 	assert.NilError(t, err)
 }
+
+// Guards against a stream that is ended for a caller who does not read, and whose log line says that the caller went away.
+func TestEndOfUnreadStreamSaysWhy(t *testing.T) {
+	for _, c := range []struct {
+		gone bool
+		want string
+	}{{true, "caller-gone"}, {false, "caller-slow"}} {
+		g, _ := startGateway(t, &fakeBackend{script: []step{{events: 1, stall: true}}})
+		var log bytes.Buffer
+		g.Log = zerolog.New(&log)
+		r := newRequest("/stream/1")
+		closed := false
+		r.CallerGone = func() bool { return closed && c.gone }
+		a, ok := g.Serve(r).(*Stream)
+		assert.Assert(t, ok)
+		closed = true // a write to the caller fails
+		assert.NilError(t, a.Close())
+		assert.Check(t, strings.Contains(log.String(), c.want), log.String())
+	}
+}
