feed: the simulation of limits lists its VMs once

Cause: a fifth of the processor time of the simulated fleets went into the same list of VMs, made anew at each refresh of each VM. Change: the list is made once; the checks are the same.

--- a/internal/feed/limits_test.go
+++ b/internal/feed/limits_test.go
@@ -20,6 +20,7 @@
 	rand    *rand.Rand
 	now     clock.Time
 	vms     []*simVM
+	listed  []Member // VMs with an entry, once all VMs were started
 	servers []backend.Server
 	rates   map[string]float64 // limit by server, absent for none
 	load    float64            // requests a second, to VMs at random
@@ -97,14 +98,17 @@
 }
 
 // members are the first VMs of each domain.
-func (s *limitSim) members() (out []Member) {
+func (s *limitSim) members() []Member {
+	if s.listed != nil {
+		return s.listed
+	}
 	n := make(map[string]int)
 	for _, v := range s.vms {
 		if n[v.domain]++; n[v.domain] <= 4 {
-			out = append(out, Member{Name: v.name, Domain: v.domain})
+			s.listed = append(s.listed, Member{Name: v.name, Domain: v.domain})
 		}
 	}
-	return out
+	return s.listed
 }
 
 func (s *limitSim) up(v *simVM) bool { return s.now >= v.downUntil }
