feed: test of the watch span of evacuations

Cause: nothing checked that a silent connection to the store leaves half of the bound for reading and passing on. Change: a table of bounds.

--- a/internal/feed/evacuated_test.go
+++ b/internal/feed/evacuated_test.go
@@ -199,3 +199,12 @@
 	o := canary.Order{Service: "s", Target: "v2", Duration: 10 * clock.Second, State: canary.Running, Rev: rev}
 	return Batch{Rev: rev, Objects: []Object{{Name: "s", Order: &o}}}
 }
+
+// Guards against a silent connection to the store by which an evacuation comes too late: the watch has to end in half of the bound.
+func TestWatchOfEvacuationsFitsBound(t *testing.T) {
+	for _, tt := range []struct{ within, want clock.Span }{{5000, 2500}, {60000, 4000}, {200, minEvacuationWatch}} {
+		f := &Feed{EvacuateWithin: tt.within}
+		assert.Equal(t, f.watchSpan(Evacuations), tt.want, "bound of %d ms", tt.within)
+		assert.Equal(t, f.watchSpan(Orders), watchTimeout[Orders])
+	}
+}
