--- a/core/place/cacheaffinity.go
+++ b/core/place/cacheaffinity.go
@@ -32,10 +32,15 @@
 // send everything to the same server. A hot prefix is soon in every cache, and sending it to one server would overload that
 // server before the reports show it, so it is placed by load alone.
 func (p *Placer) pickAffinity(now clock.Time, pol CacheAffinity, req Request, in []Candidate) Candidate {
+	return p.pickBest(now, pol, req, in, p.sampleTwo(fewestOwn(in)))
+}
+
+// pickBest returns the best of the drawn servers and those that may have the prefix cached.
+func (p *Placer) pickBest(now clock.Time, pol CacheAffinity, req Request, in, drawn []Candidate) Candidate {
 	pol = pol.defaults()
 	wait := func(c Candidate) float64 { return p.wait(pol, c) }
 	prefill := prefillWeight * pol.PrefillTime * float64(req.Tokens)
-	best := p.lowest(p.sampleTwo(fewestOwn(in)), func(c Candidate) float64 { return p.coarseWait(pol, c) })
+	best := p.lowest(drawn, func(c Candidate) float64 { return p.coarseWait(pol, c) })
 	k, ok := req.key()
 	gap := pol.HotGap
 	if req.Session != "" {
--- a/core/place/place_test.go
+++ b/core/place/place_test.go
@@ -13,7 +13,7 @@
 )
 
 func policies() []Policy {
-	return []Policy{Random{}, RoundRobin{}, LeastConnections{}, TwoChoices{}, CacheAffinity{}}
+	return []Policy{Random{}, RoundRobin{}, LeastConnections{}, TwoChoices{}, CacheAffinity{}, LearnedCapacity{}}
 }
 
 func candidates(n int) []Candidate {
--- a/core/place/placer.go
+++ b/core/place/placer.go
@@ -86,6 +86,8 @@
 		return p.lowest(p.sampleTwo(in), func(c Candidate) float64 { return p.estimate(c) })
 	case CacheAffinity:
 		return p.pickAffinity(now, pol, req, in)
+	case LearnedCapacity:
+		return p.pickLearned(now, pol, req, in)
 	}
 	return in[0]
 }
@@ -94,7 +96,7 @@
 // prefers servers that are not known to lack the version, that can be reached, that are not ejected and that did not refuse
 // lately.
 func (p *Placer) eligible(now clock.Time, req Request, all []Candidate) []Candidate {
-	var in []Candidate
+	in := make([]Candidate, 0, len(all))
 	for _, c := range all {
 		full := c.Slots > 0 && c.OwnInFlight >= c.Slots
 		if !full && !(c.HasLoad && c.Load.Leaving) && !slices.Contains(req.Exclude, c.Name) {
@@ -116,7 +118,7 @@
 
 // prefer returns the candidates that pass, or all of them if at most floor pass.
 func prefer(in []Candidate, floor int, pass func(Candidate) bool) []Candidate {
-	var out []Candidate
+	out := make([]Candidate, 0, len(in))
 	for _, c := range in {
 		if pass(c) {
 			out = append(out, c)
--- a/core/place/types.go
+++ b/core/place/types.go
@@ -1,6 +1,7 @@
 package place
 
 import (
+	"shallotrun/core/capacity"
 	"shallotrun/core/clock"
 	"shallotrun/core/work"
 )
@@ -24,8 +25,10 @@
 	Memory     int // tokens that the server's memory can hold, 0 if that is not known
 	// Slowdown is the factor by which the server generates more slowly than the others, 0 to take it from this VM's own results.
 	Slowdown float64
-	Load     work.Load // latest load report of the server
-	HasLoad  bool      // whether there is such a report
+	// Learned is what was learned about the server, for LearnedCapacity.
+	Learned capacity.Estimate
+	Load    work.Load // latest load report of the server
+	HasLoad bool      // whether there is such a report
 }
 
 // Request is the request to place.
@@ -66,8 +69,13 @@
 	HotGap clock.Span
 }
 
+// LearnedCapacity is CacheAffinity with servers drawn in proportion to what they were learned to take, and with the slots up to
+// which their answers take no longer than they should.
+type LearnedCapacity struct{ CacheAffinity CacheAffinity }
+
 func (Random) policy()           {}
 func (RoundRobin) policy()       {}
 func (LeastConnections) policy() {}
 func (TwoChoices) policy()       {}
 func (CacheAffinity) policy()    {}
+func (LearnedCapacity) policy()  {}
