gateway: the learned capacity, behind a switch that is off

Model servers and plain services give the same evidence: the time to the first event of a stream or to the whole other answer, by route or model and size, goes to core/capacity. The evidence travels in a field of its own beside the loads, left out if there is none: load.Usage is encoded by position, and a VM of an earlier build could not read a longer one. Setting [capacity] learn = on|off, off by default; then nothing is learned or sent, and placement is CacheAffinity as before. A line says when a server's capacity falls below half of that of the others, or recovers above 0.75; shallot_gateway_capacity{service} is a histogram of the servers' factors.

TestLearnSwitch, TestEvidenceInMessages (older builds in both directions, the same bytes without evidence) and TestEvidenceIsSummed pass; so do the tests of internal/gateway, core/load and internal/settings with -race, and of internal/feed and internal/follow without.

--- a/core/load/aggregator.go
+++ b/core/load/aggregator.go
@@ -1,6 +1,9 @@
 package load
 
-import "shallotrun/core/clock"
+import (
+	"shallotrun/core/capacity"
+	"shallotrun/core/clock"
+)
 
 // Usage is the load that one VM, or several together, put on a backend server. It is encoded by position.
 type Usage struct {
@@ -12,6 +15,43 @@
 	LogSlowdown   int        // sum over streams of the natural logarithm of the slowdown, in hundredths
 	Streams       int        // number of streams in that sum, decayed
 	TokensHeld    int        `cbor:"-"` // tokens of memory that the requests in flight hold there or will; see HeldTokens
+	// Evidence is what the answers show about the server's capacity. It is no part of the encoding, since a VM of an earlier build
+	// reads nothing but exactly the fields above: [Learned] carries it.
+	Evidence capacity.Evidence `cbor:"-"`
+}
+
+// Learned is the evidence of a Usage in a message. It is encoded by position.
+type Learned struct {
+	_        struct{} `cbor:",toarray"`
+	Server   string
+	Evidence capacity.Evidence
+}
+
+// Split returns the evidence in uses, nil if there is none.
+func Split(uses []Usage) (out []Learned) {
+	for _, u := range uses {
+		if !u.Evidence.Empty() {
+			out = append(out, Learned{Server: u.Server, Evidence: u.Evidence})
+		}
+	}
+	return out
+}
+
+// Join adds the valid evidence of a message to its uses.
+func Join(uses []Usage, learned []Learned) []Usage {
+	if len(learned) == 0 {
+		return uses
+	}
+	by := make(map[string]capacity.Evidence, len(learned))
+	for _, v := range learned {
+		if v.Evidence.Valid() {
+			by[v.Server] = v.Evidence
+		}
+	}
+	for i := range uses {
+		uses[i].Evidence = by[uses[i].Server]
+	}
+	return uses
 }
 
 // Aggregator holds the latest report of each VM and the sums over them. The sums are updated with each report rather than
@@ -32,6 +72,7 @@
 type total struct {
 	vms, inFlight, pendingTokens, logSlowdown, streams, tokensHeld int
 	lastByte                                                       clock.Time // latest time at which any VM received a byte from the server
+	evidence                                                       capacity.Evidence
 }
 
 // Put replaces the report of a VM. The caller must not change uses afterwards.
@@ -48,7 +89,7 @@
 			lastByte = max(lastByte, s.lastByte)
 		}
 		a.totals[u.Server] = total{s.vms + 1, s.inFlight + u.InFlight, s.pendingTokens + u.PendingTokens,
-			s.logSlowdown + u.LogSlowdown, s.streams + u.Streams, s.tokensHeld + u.TokensHeld, lastByte}
+			s.logSlowdown + u.LogSlowdown, s.streams + u.Streams, s.tokensHeld + u.TokensHeld, lastByte, s.evidence.Plus(u.Evidence)}
 	}
 }
 
@@ -63,6 +104,7 @@
 		s.inFlight, s.pendingTokens, s.logSlowdown, s.streams = s.inFlight-u.InFlight, s.pendingTokens-u.PendingTokens,
 			s.logSlowdown-u.LogSlowdown, s.streams-u.Streams
 		s.tokensHeld -= u.TokensHeld
+		s.evidence = s.evidence.Minus(u.Evidence)
 		a.totals[u.Server] = s
 	}
 	delete(a.reports, from)
@@ -82,7 +124,7 @@
 	v := Totals{At: now, Uses: make(map[string]Usage, len(a.totals))}
 	for server, s := range a.totals {
 		v.Uses[server] = Usage{Server: server, InFlight: s.inFlight, PendingTokens: s.pendingTokens,
-			SinceLastByte: now.Sub(s.lastByte), LogSlowdown: s.logSlowdown, Streams: s.streams, TokensHeld: s.tokensHeld}
+			SinceLastByte: now.Sub(s.lastByte), LogSlowdown: s.logSlowdown, Streams: s.streams, TokensHeld: s.tokensHeld, Evidence: s.evidence}
 	}
 	for _, u := range a.reports[exclude].usage {
 		if a.totals[u.Server].vms == 1 {
@@ -93,6 +135,7 @@
 		s.InFlight, s.PendingTokens, s.LogSlowdown, s.Streams = s.InFlight-u.InFlight, s.PendingTokens-u.PendingTokens,
 			s.LogSlowdown-u.LogSlowdown, s.Streams-u.Streams
 		s.TokensHeld -= u.TokensHeld
+		s.Evidence = s.Evidence.Minus(u.Evidence)
 		v.Uses[u.Server] = s
 	}
 	return v
@@ -114,6 +157,7 @@
 			u.LogSlowdown += sum.LogSlowdown
 			u.Streams += sum.Streams
 			u.TokensHeld += sum.TokensHeld
+			u.Evidence = u.Evidence.Plus(sum.Evidence)
 			u.SinceLastByte = min(u.SinceLastByte, sum.SinceLastByte)
 		}
 		v.Uses[u.Server] = u
--- a/internal/feed/delta.go
+++ b/internal/feed/delta.go
@@ -24,8 +24,9 @@
 	Kinds            [kinds]Changes
 	Reports          []OrderReport      // of the running orders, over all other VMs
 	Loads            []load.Usage       // of all other VMs at the backend servers, if HasLoads
-	TokensHeld       []int              `cbor:",omitempty"` // of Loads, in their order; from builds that know it
-	HasLoads         bool               `cbor:"Counted"`    // the reply contains loads; many loads are sent less often than the rest
+	TokensHeld       []int              `cbor:",omitempty"`        // of Loads, in their order; from builds that know it
+	Learned          []load.Learned     `cbor:"Learned,omitempty"` // the evidence in Loads; unknown to a VM of an earlier build
+	HasLoads         bool               `cbor:"Counted"`           // the reply contains loads; many loads are sent less often than the rest
 	Crashes          quarantine.Message // crashes of backend servers that the querying VM lacks
 	Limits           LimitReply         // limits that servers name, and the querying VM's part of them
 	ShouldJoin       bool               `cbor:"Stand"`          // the querying VM should write its entry to the store, by which others find it
@@ -40,6 +41,7 @@
 	Newer   Packed             // that catalog.Config, if the VM queried has an older one
 	Reports []OrderReport      // of the running orders, with the results of the querying VM and of those that follow it
 	Loads   []load.Usage       // of the same VMs at the backend servers
+	Learned []load.Learned     `cbor:"Learned,omitempty"` // the evidence in Loads; unknown to a VM of an earlier build
 	Crashes quarantine.Message // crashes of backend servers that the VM queried lacks
 	Limits  LimitQuery         // limits that servers name, and what the querying VM wants of them
 	VM      Member             // the querying VM
@@ -56,7 +58,7 @@
 		Reports: f.Orders.Report(now), Loads: f.Loads.Report(now), Crashes: f.Quarantine.Query(now),
 		Limits: f.Limits.Query(f.Clock.Boot(), to),
 	}
-	q.TokensHeld = load.HeldTokens(q.Loads)
+	q.TokensHeld, q.Learned = load.HeldTokens(q.Loads), load.Split(q.Loads)
 	for k, p := range f.positions() {
 		q.Revs[k], q.Eras[k] = p.Rev, p.Era
 	}
@@ -119,8 +121,8 @@
 		now := f.Clock.Now()
 		d.Reports = f.Orders.Exchange(now, from, q.Reports)
 		load.SetHeldTokens(q.Loads, q.TokensHeld)
-		d.Loads, d.HasLoads = f.Loads.Exchange(now, from, q.Loads)
-		d.TokensHeld = load.HeldTokens(d.Loads)
+		d.Loads, d.HasLoads = f.Loads.Exchange(now, from, load.Join(q.Loads, q.Learned))
+		d.TokensHeld, d.Learned = load.HeldTokens(d.Loads), load.Split(d.Loads)
 		d.Crashes = f.Quarantine.Reply(now, q.Crashes)
 		d.Limits = f.Limits.Reply(f.Clock.Boot(), q.VM, q.Limits)
 	}
@@ -300,7 +302,7 @@
 	f.Limits.Accept(f.Clock.Boot(), from, d.Limits)
 	if d.HasLoads {
 		load.SetHeldTokens(d.Loads, d.TokensHeld)
-		f.Loads.SetUpstream(now, d.Loads)
+		f.Loads.SetUpstream(now, load.Join(d.Loads, d.Learned))
 	}
 	return err
 }
--- a/internal/feed/loads.go
+++ b/internal/feed/loads.go
@@ -16,19 +16,22 @@
 	linkFraction = 0.1
 	// usageSize is the approximate encoded size of a load.Usage, in bytes.
 	usageSize = 25
+	// learnedSize is that of a load.Learned.
+	learnedSize = 50
 	// maxSendInterval is the longest time between two replies with loads. Together with the latency of a reply it is below
 	// loadTTL, so the loads do not expire in between.
 	maxSendInterval = 800 * clock.Millisecond
 )
 
 // Loads sums the load that the VMs put on the backend servers. Each VM sends the sum over itself and the VMs that follow it to
-// the VM that it follows, and gets back the sum over all others. All methods are safe for concurrent use. Usage and LinkMbps
-// are set before the feed runs.
+// the VM that it follows, and gets back the sum over all others. All methods are safe for concurrent use. Usage, LinkMbps
+// and Learn are set before the feed runs.
 type Loads struct {
 	// Usage returns this VM's own load; nil means none.
 	Usage func() []load.Usage
 	// LinkMbps is the bandwidth of this VM's link in Mbit/s. 0 means unknown: every reply then contains loads.
 	LinkMbps int
+	Learn    bool // the loads contain evidence of the servers' capacity
 
 	mu              sync.Mutex
 	followerReports load.Aggregator
@@ -76,7 +79,11 @@
 		return 0
 	}
 	const bytes = 1e6 / 8 // in a Mbit
-	all := float64(len(l.lastSent) * max(l.followerReports.Servers(), len(l.upstreamTotals.Uses)) * usageSize)
+	size := usageSize
+	if l.Learn {
+		size += learnedSize
+	}
+	all := float64(len(l.lastSent) * max(l.followerReports.Servers(), len(l.upstreamTotals.Uses)) * size)
 	return min(clock.Span(all/(linkFraction*bytes*float64(l.LinkMbps))*float64(clock.Second)), maxSendInterval)
 }
 
--- a/internal/front/daemon.go
+++ b/internal/front/daemon.go
@@ -88,14 +88,14 @@
 	d.gateway = &gateway.Gateway{
 		Domain: s.Domain, State: &state{d.feed}, Backend: d.Backend, Clock: d.clock, Log: d.Log, Registry: registry,
 		RetryRatio: retryFraction * s.Retries, Grace: s.Grace - stopReserve, Worth: s.Worth,
-		Memory: int64(s.Memory) << 20,
+		Memory: int64(s.Memory) << 20, Learn: s.Learn,
 	}
 	d.feed.Orders.Share = s.Exposed
 	d.feed.Orders.Usable = func(all []backend.Server) []backend.Server {
 		usable, _, _ := d.feed.Evacuated.Split(d.clock.Now(), all)
 		return usable
 	}
-	d.feed.Loads.Usage, d.feed.Loads.LinkMbps = d.gateway.Usage, s.Link
+	d.feed.Loads.Usage, d.feed.Loads.LinkMbps, d.feed.Loads.Learn = d.gateway.Usage, s.Link, s.Learn
 	d.feed.Quarantine.Log = d.Log
 	d.feed.Quarantine.Init(rand.Uint64())
 	d.feed.Limits.VM, d.feed.Limits.Domain, d.feed.Limits.Log = s.Name, s.Domain, d.Log
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -11,6 +11,7 @@
 
 	"shallotrun/core/backend"
 	"shallotrun/core/canary"
+	"shallotrun/core/capacity"
 	"shallotrun/core/catalog"
 	"shallotrun/core/clock"
 	"shallotrun/core/models"
@@ -43,6 +44,7 @@
 	firstArrived  bool           // the first event of a stream, or all of another answer, arrived in the current attempt
 	pendingTokens int            // prompt tokens that the attempt adds to the server, weighted as if for the largest model
 	tokensHeld    int            // tokens that the attempt holds in the server's memory or will hold
+	learning      capacity.Token // of the current attempt, 0 if the capacity is not learned
 	backlog       float64        // mean backlog of the servers when the attempt was placed, in milliseconds
 	usageAge      clock.Span     // age of the other VMs' usage at that time, unknownAge if there was none
 	attemptStart  clock.Time     // start of the current attempt
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -88,6 +88,7 @@
 	RetryRatio float64      // retry budget: retries allowed per request of a service
 	Worth      float64      // value of a correct answer, in the unit of the models' cost
 	Memory     int64        // memory of the VM in bytes, 0 if it is not known
+	Learn      bool         // learn how many requests each server takes well, and place requests by it
 	Grace      clock.Span   // time between the start of a planned stop and the end of the process
 
 	metrics    *metrics
@@ -110,6 +111,9 @@
 	g.metrics, g.bodyMemory = newMetrics(g.Registry), newMemoryLimit(g.Memory)
 	if g.Registry != nil {
 		g.Registry.MustRegister(&ruleCollector{g}, &limitCollector{g}, evacuatedGauge(g))
+		if g.Learn {
+			g.Registry.MustRegister(g.metrics.capacity)
+		}
 	}
 }
 
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -26,6 +26,7 @@
 	notices       prometheus.Counter
 	unreadEnded   prometheus.Counter
 	withoutRoom   prometheus.Counter
+	capacity      *prometheus.HistogramVec // label service; registered only if the capacity is learned
 }
 
 func newMetrics(reg prometheus.Registerer) *metrics {
@@ -57,6 +58,9 @@
 			Name: "shallot_gateway_without_room_total", Help: "Attempts sent to a server whose prompt memory had no room, as no other had."}),
 		unreadEnded: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "shallot_gateway_unread_ended_total", Help: "Answers that were ended because their callers read too slowly and others needed the memory."}),
+		capacity: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "shallot_gateway_capacity", Help: "Learned capacity of a service's servers relative to the others, at each estimate.",
+			Buckets: []float64{0.1, 0.2, 0.35, 0.5, 0.75, 0.9, 1.1, 1.5, 2}}, []string{"service"}),
 	}
 	if reg != nil {
 		reg.MustRegister(
--- a/internal/gateway/outcome.go
+++ b/internal/gateway/outcome.go
@@ -184,6 +184,7 @@
 	now := x.g.Clock.Now()
 	r.Server, r.First, r.Total, r.Tokens = x.server.ID, x.timeToFirst, now.Sub(x.attemptStart), x.events
 	x.pool.attemptEnded(x.server.ID, x.firstArrived, x.pendingTokens, x.tokensHeld, r)
+	x.learnEnd(now, r)
 	if x.events > minIntervalEvents {
 		x.pool.addEventInterval(x.server.ID, x.model, x.eventInterval(now))
 	}
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -26,6 +26,7 @@
 	chooser      models.Chooser
 	slowdowns    load.Slowdowns
 	prefillTimes prefillTimes
+	learned      learned
 	lateness     float64                 // smoothed time to the first event, as a multiple of the objective
 	backlog      float64                 // mean time that the servers need for their pending prompt tokens, in milliseconds
 	servers      map[string]*serverState // by server, only those with requests in flight
@@ -54,7 +55,7 @@
 	return &pool{
 		g: g, service: service, servers: make(map[string]*serverState), prefillTimes: make(prefillTimes),
 		placer: place.Placer{
-			Domain: g.Domain, Policy: place.CacheAffinity{PrefillTime: defaultPrefillTime},
+			Domain: g.Domain, Policy: g.policy(),
 			Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		},
 		budget: retry.Budget{Ratio: g.RetryRatio}, chooser: models.Chooser{Worth: g.Worth},
@@ -64,7 +65,9 @@
 // pick selects a server among those of the allowed versions and adds the attempt to its usage. It returns an error if no server can
 // take the request: errLimited if one could but for the limits of servers.
 func (p *pool) pick(now clock.Time, x *exchange) (backend.Server, error) {
-	allowed := p.g.State.Choose(now, p.service, x.request.Session, p.g.State.Servers(now, p.service))
+	servers := p.g.State.Servers(now, p.service)
+	p.estimate(now, servers)
+	allowed := p.g.State.Choose(now, p.service, x.request.Session, servers)
 	usable, reserve, none := p.g.usable(allowed)
 	v, err := p.pickAmong(now, x, usable)
 	if err != nil && len(reserve) > 0 {
@@ -103,6 +106,7 @@
 		c.OthersInFlight, c.PendingTokens = o.InFlight, c.PendingTokens+o.PendingTokens
 		c.TokensHeld += o.TokensHeld
 		c.Slowdown = p.slowdowns.Slowdown(now, v.ID, o)
+		c.Learned = p.learned.estimates[v.ID]
 		p.candidates = append(p.candidates, c)
 	}
 	p.backlog = backlog(p.candidates)
@@ -129,6 +133,7 @@
 		u = &serverState{busySince: now}
 		p.servers[name] = u
 	}
+	p.learnStart(now, x, all[i], u.inFlight+others[name].InFlight)
 	u.inFlight++
 	u.awaitingFirst++
 	x.pendingTokens = x.prefillTokens()
@@ -173,6 +178,7 @@
 func (p *pool) usage(now clock.Time, out []load.Usage) []load.Usage {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	from := len(out)
 	for name, u := range p.servers {
 		v := load.Usage{Server: name, InFlight: u.inFlight, PendingTokens: u.pendingTokens, SinceLastByte: u.sinceLastByte(now), TokensHeld: u.tokensHeld}
 		v.LogSlowdown, v.Streams = p.slowdowns.Report(now, name)
@@ -186,7 +192,7 @@
 		v.LogSlowdown, v.Streams = p.slowdowns.Report(now, name)
 		out = append(out, v)
 	}
-	return out
+	return p.learnUsage(now, out, from)
 }
 
 // sinceLastByte returns the time since the last byte from the server.
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -165,6 +165,9 @@
 		if ev.ID > s.newestEvent {
 			s.newestEvent = ev.ID
 			x.firstAnswer()
+			if x.events == 0 {
+				x.learnEnd(x.g.Clock.Now(), work.Result{First: x.timeToFirst})
+			}
 			x.events++
 			x.checkProof()
 			if x.events == intervalReportEvents {
--- a/internal/settings/front.go
+++ b/internal/settings/front.go
@@ -31,6 +31,7 @@
 	Retries  float64    // extra attempts per request that the fleet may make
 	Exposed  float64    // share of a service's requests that a bad version may get, 0 means 0.15
 	Worth    float64    // value of a correct answer, in units of the models' cost
+	Learn    bool       // learn how many requests each server takes well
 	Trace    Trace      // export of traces
 	Level    string     // least level of the log lines: debug, info, warn or error
 }
@@ -65,6 +66,7 @@
 	{"bounds", "retries", true, func(f *Front, v string) error { return number(&f.Retries, v) }},
 	{"bounds", "exposed", false, func(f *Front, v string) error { return fraction(&f.Exposed, v) }},
 	{"models", "worth", false, func(f *Front, v string) error { return number(&f.Worth, v) }},
+	{"capacity", "learn", false, func(f *Front, v string) error { return onOff(&f.Learn, v) }},
 	{"trace", "url", false, func(f *Front, v string) error { return httpURL(&f.Trace.URL, v) }},
 	{"trace", "sample", false, func(f *Front, v string) error { return integer(&f.Trace.Sample, v, 0, 1000) }},
 	{"log", "level", false, func(f *Front, v string) error { return choice(&f.Level, v, "debug", "info", "warn", "error") }},
@@ -164,6 +166,15 @@
 	return nil
 }
 
+// onOff reads a switch.
+func onOff(to *bool, v string) error {
+	if v != "on" && v != "off" {
+		return oops.Errorf("%q, want on or off", v)
+	}
+	*to = v == "on"
+	return nil
+}
+
 // fraction reads a number from 0 to 1.
 func fraction(to *float64, v string) error {
 	n, err := strconv.ParseFloat(v, 64)
--- a/internal/settings/front_test.go
+++ b/internal/settings/front_test.go
@@ -35,6 +35,9 @@
 		Name: "a-1", Domain: "a", Memory: 134, Cores: 1, Callers: "127.0.0.1:8000", Ready: "127.0.0.1:8001",
 		Store: "127.0.0.1:8002", Revoke: 5000, Apply: 2000, Evacuate: 5000, Grace: 8 * clock.Second, Retries: 0.9, Level: "info", Worth: 2,
 	})
+	f, err = ParseFront("x.ini", []byte(validFront+"[capacity]\nlearn = on\n"))
+	assert.NilError(t, err)
+	assert.Check(t, f.Learn)
 	for _, c := range []struct{ old, new, want string }{
 		{"name = a-1", "", "x.ini: [vm] name: missing"},
 		{"name = a-1", "nam = a-1", "x.ini: [vm] nam: unknown key"},
@@ -43,6 +46,7 @@
 		{"evacuate = 5000", "evacuate = 0", "x.ini: [bounds] evacuate:"},
 		{"[store]", "[sore]", "x.ini: [sore]: unknown section"},
 		{"grace = 8", "grace = 8\nexposed = 15", "x.ini: [bounds] exposed:"},
+		{"[store]", "[capacity]\nlearn = yes\n[store]", `x.ini: [capacity] learn: "yes", want on or off`},
 		{"retries = 0.9", "retries = 0.9\nretries = 1", "x.ini: [bounds] retries: the key occurs twice"},
 	} {
 		_, err := ParseFront("x.ini", []byte(strings.Replace(validFront, c.old, c.new, 1)))
