--- a/core/capacity/fleet_test.go
+++ b/core/capacity/fleet_test.go
@@ -112,6 +112,7 @@
 	for i := range s.sent {
 		s.sent[i] = make([]int, simTime/clock.Second+1)
 	}
+	_, learns := s.policy.(place.LearnedCapacity)
 	var open flights
 	all := make([]place.Candidate, len(s.servers))
 	var sum, n float64
@@ -146,7 +147,9 @@
 		if s.servers[i].born != nil {
 			who.Born = s.servers[i].born(now)
 		}
-		f.token = learners[vm].Start(now, capacity.Request{Server: who, Class: "c", Size: size, InFlight: max(s.counts[0][i], own[vm][i]), Slots: simSlots})
+		if learns {
+			f.token = learners[vm].Start(now, capacity.Request{Server: who, Class: "c", Size: size, InFlight: max(s.counts[0][i], own[vm][i]), Slots: simSlots})
+		}
 		heap.Push(&open, f)
 		inFlight[i]++
 		own[vm][i]++
