feed: packed servers are cold for no longer than the servers are

Cause: the packed list of all servers, which VMs that start get, was packed anew only when the last cold server was warm. A VM that started later took servers for cold for up to the whole time again, had a limit for them that no other VM had, and so got no part of it.

Change: while any server is cold the list is packed anew after 250 ms.

Measured: TestLaterVMTakesNoWarmServerForCold demanded the fault (3,000 ms after 1,000); it now demands what is left, and failed before ("1000 ms later: cold for 3000 ms").

--- a/core/backend/cold.go
+++ b/core/backend/cold.go
@@ -29,11 +29,13 @@
 	return v
 }
 
-// ColdEnded reports whether the last of the cold servers has become warm since the last call.
-func (s *Set) ColdEnded(now clock.Time) bool {
-	if s.coldUntil == 0 || now < s.coldUntil {
+// AnyCold reports whether a server is cold, or the last one became warm since the last call.
+func (s *Set) AnyCold(now clock.Time) bool {
+	if s.coldUntil == 0 {
 		return false
 	}
-	s.coldUntil = 0
+	if now >= s.coldUntil {
+		s.coldUntil = 0
+	}
 	return true
 }
--- a/core/backend/cold_test.go
+++ b/core/backend/cold_test.go
@@ -43,9 +43,9 @@
 	var s, later Set
 	s.Put(1000, entry)
 	assert.Equal(t, s.AsOf(3000, entry).Cold, clock.Span(1000))
-	assert.Check(t, !s.ColdEnded(3999))
-	assert.Check(t, s.ColdEnded(4000))
-	assert.Check(t, !s.ColdEnded(5000))
+	assert.Check(t, s.AnyCold(3999))
+	assert.Check(t, s.AnyCold(4000), "the last one became warm since the last call")
+	assert.Check(t, !s.AnyCold(5000))
 	later.Put(90_000, s.AsOf(90_000, entry))
 	assert.Equal(t, left(&later, 90_000), clock.Span(0))
 	again := entry
--- a/internal/feed/cold_entries_test.go
+++ b/internal/feed/cold_entries_test.go
@@ -20,7 +20,7 @@
 	for _, c := range []struct {
 		later clock.Span
 		want  clock.Span
-	}{{0, 3000}, {1000, 3000}, {2000, 0}, {60_000, 0}} { // packed objects are the same until the server is warm
+	}{{0, 3000}, {1000, 2000}, {1700, 300}, {300, 0}, {60_000, 0}} {
 		a.Clock.Advance(c.later)
 		b := &Feed{Clock: a.Clock}
 		d, err := a.ChangesSince(b.ObjectsQuery().Revs, b.ObjectsQuery().Eras)
--- a/internal/feed/delta.go
+++ b/internal/feed/delta.go
@@ -260,6 +260,17 @@
 	}
 }
 
+// coldRenewal is the age up to which packed servers may say for how long they are cold.
+const coldRenewal = 250 * clock.Millisecond
+
+// renewColdTimes has the servers packed anew if the packed ones say for how long servers are cold, and are too old. f.mu is held.
+func (f *Feed) renewColdTimes(now clock.Time) {
+	if now.Sub(f.coldPackedAt) >= coldRenewal && f.servers.AnyCold(now) {
+		f.coldPackedAt = now
+		f.histories[Servers].generation++
+	}
+}
+
 // ChangesSince returns the changes after the given revisions of the given eras, except those of the configuration.
 func (f *Feed) ChangesSince(revs Revisions, eras Eras) (d Delta, err error) {
 	d.ConfigAge = f.Freshness.Age(f.Clock.Boot())
@@ -269,9 +280,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.Clock.Now()
-	if f.servers.ColdEnded(now) {
-		f.histories[Servers].generation++ // the packed objects say that servers are cold
-	}
+	f.renewColdTimes(now)
 	d.SinceStoreAnswer = f.Clock.Boot().Sub(min(f.answeredAt[Configs], f.answeredAt[Servers]))
 	for k := range kinds {
 		if k == Evacuations && !f.listed[k] {
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -67,6 +67,7 @@
 	members      map[string]Member
 	lostMembers  map[string]clock.Time // by VM whose entry the store lost: until when it stays
 	packedConfig packedCache           // of the configuration in use
+	coldPackedAt clock.Time            // when the servers were last packed anew because some of them are cold
 	peerConfigs  map[string]uint64     // version of the configuration by VM, as of its last reply
 
 	isUntold       bool          // the VM that last replied has not listed the evacuations
