gateway: a stream whose caller reads a large event steadily is not ended

Cause: the time since which a caller has accepted nothing was set when a large event arrived, and not when the caller took a part of it. One that read 256 KiB at 60 KB/s was taken for one that accepts nothing, and its connection reset when others waited for memory.

Change: each Read records what is left.

Measured: TestStreamThatIsReadIsNotSlow failed before.

--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -73,20 +73,20 @@
 		if err := s.fill(); err != nil {
 			s.failOver(err)
 		}
-		s.offer(true)
 	}
+	s.offer(true)
 	n := copy(p, s.buf[s.bufRead:])
 	s.bufRead += n
 	return n, nil
 }
 
-// offer records that the caller is offered what is in buf, or that it has accepted that. Until then a large event holds memory.
+// offer records that the caller is offered the rest of buf, or that it has accepted all of it. Until then a large event holds memory.
 func (s *Stream) offer(begins bool) {
 	h := s.x.largeEvent
 	switch {
 	case h == nil:
 	case begins:
-		h.offer(s.x.g.Clock.Now(), len(s.buf))
+		h.offer(s.x.g.Clock.Now(), len(s.buf)-s.bufRead)
 	default:
 		h.since.Store(0)
 	}
--- a/internal/gateway/unread_test.go
+++ b/internal/gateway/unread_test.go
@@ -64,7 +64,26 @@
 	}
 }
 
-// Guards against the same at the watch of open requests: an answer waits for the memory until its deadline.
+// Guards against a stream that is ended although its caller reads it, only because a large event takes longer than the limit.
+func TestStreamThatIsReadIsNotSlow(t *testing.T) {
+	now := clock.NewManual(1000)
+	g, _ := startGatewayAt(t, &fakeBackend{script: []step{{}}}, now)
+	const event = 200 << 10
+	h := &holder{stream: true, bytes: event}
+	s := &Stream{x: &exchange{g: g, largeEvent: h}, buf: make([]byte, event)}
+	h.offer(now.Now(), event)
+	p := make([]byte, event/4)
+	for range 4 {
+		_, err := s.Read(p)
+		assert.NilError(t, err)
+		now.Advance(unreadLimit - 1)
+		assert.Check(t, !h.readsSlowly(now.Now()))
+	}
+	now.Advance(1)
+	assert.Check(t, h.readsSlowly(now.Now()), "the caller has accepted nothing for the whole limit")
+}
+
+// Guards against slow readers that are not ended while an answer waits for the memory.
 func TestAnswerWaitsForNoSlowReader(t *testing.T) {
 	const size = 1 << 20
 	g, _ := startGateway(t, &fakeBackend{script: []step{{}}})
