front: the bound on evacuations counts also where it is the only one

Cause: without `apply` in the settings the shorter of the two bounds was taken to be 0, which stands for 2 s, so an evacuation bound of 1 s was exceeded behind a silent upstream.

Change: the default is named once, in follow, and the shorter bound counts.

--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -1,6 +1,7 @@
 package follow
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net"
@@ -18,6 +19,9 @@
 	"shallotrun/io/peer"
 )
 
+// DefaultApply is the time within which a change in the store must be in force if the settings name none.
+const DefaultApply = 2 * clock.Second
+
 const (
 	// pollInterval is the interval at which a VM polls its upstream, the VM that it follows.
 	pollInterval = 300 * clock.Millisecond
@@ -46,7 +50,7 @@
 	Self        feed.Member
 	Incarnation uint64 // of this process
 	Feed        *feed.Feed
-	ApplyWithin clock.Span // within which a change in the store must be in force, 0 means 2 s
+	ApplyWithin clock.Span // within which a change in the store must be in force, 0 means DefaultApply
 	Clock       clock.Clock
 	Log         zerolog.Logger
 
@@ -210,10 +214,7 @@
 // The candidate that is next in the order stops following it first, so that the others find a VM that reads the store. A VM
 // that is no candidate searches for that one from then on, which takes some polls.
 func (f *Follower) maxStoreSilence() clock.Span {
-	bound := f.ApplyWithin
-	if bound == 0 {
-		bound = 2 * clock.Second
-	}
+	bound := cmp.Or(f.ApplyWithin, DefaultApply)
 	if len(f.upstreams(f.Clock.Now())) <= 1 || !f.isCandidate() {
 		return minSilence
 	}
--- a/internal/front/daemon.go
+++ b/internal/front/daemon.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"net"
@@ -205,7 +206,7 @@
 		Self: feed.Member{
 			Name: d.Settings.Name, Domain: d.Settings.Domain, Addr: d.Settings.Peers, CPU: d.Settings.Power,
 		},
-		Incarnation: uint64(d.clock.Wall()), Feed: d.feed, ApplyWithin: d.applyWithin(), Clock: d.clock, Log: d.Log,
+		Incarnation: uint64(d.clock.Wall()), Feed: d.feed, ApplyWithin: applyWithin(d.Settings), Clock: d.clock, Log: d.Log,
 	}
 	f.Init()
 	ctx, stop := context.WithCancel(ctx)
@@ -214,12 +215,13 @@
 	return func() { stop(); <-done }
 }
 
-// applyWithin returns the time within which any change in the store must be in force, 0 if the settings name none.
-func (d *Daemon) applyWithin() clock.Span {
-	if d.Settings.Evacuate > 0 && d.Settings.Apply > 0 {
-		return min(d.Settings.Apply, d.Settings.Evacuate)
+// applyWithin returns the time within which any change in the store must be in force.
+func applyWithin(s *settings.Front) clock.Span {
+	bound := cmp.Or(s.Apply, follow.DefaultApply)
+	if s.Evacuate > 0 {
+		bound = min(bound, s.Evacuate)
 	}
-	return d.Settings.Apply
+	return bound
 }
 
 // ready reports whether the balancer should send new connections to this VM.
