core/evacuation, feed: evacuations that the store lost end in time, with a line

Cause: a second list of a store that came back from an older copy ended at once what the first one had kept for 2 s. And an evacuation that nobody wrote again ended without the line that operators look for.

Change: what is kept stays until then; its end is logged.

Measured: TestReplaceNamesChanges failed before ("end before they can be written again").

--- a/core/evacuation/set.go
+++ b/core/evacuation/set.go
@@ -58,6 +58,7 @@
 		case keep > 0:
 			e.until = now.Add(keep)
 			s.domains[d] = e
+		case e.until > now: // it was kept for an earlier list of the same copy of the store
 		default:
 			delete(s.domains, d)
 			ended = append(ended, d)
--- a/core/evacuation/set_test.go
+++ b/core/evacuation/set_test.go
@@ -61,6 +61,8 @@
 	assert.DeepEqual(t, ended, []string{"a"})
 	_, ended = s.Replace(0, nil, clock.Second)
 	assert.Equal(t, len(ended), 0)
+	_, ended = s.Replace(500, nil, 0)
+	assert.Equal(t, len(ended), 0, "evacuations that the store lost end before they can be written again")
 	assert.DeepEqual(t, s.Expire(1000), []string{"b", "c"})
 	assert.Equal(t, s.Len(), 0)
 }
--- a/internal/feed/apply.go
+++ b/internal/feed/apply.go
@@ -69,7 +69,7 @@
 		f.Orders.retain(b.Objects)
 		f.updateObjects(k, b)
 	case Evacuations:
-		f.Evacuated.replace(now, b, f.inAnotherEra(k, b), f.Log)
+		f.Evacuated.replace(now, b, f.inAnotherEra(k, b))
 	default:
 		f.replaceMembers(now, f.inAnotherEra(k, b))
 		f.updateObjects(k, b)
@@ -136,7 +136,7 @@
 		case k == Servers:
 			f.updateServer(now, o, b.Rev)
 		case k == Evacuations:
-			f.Evacuated.update(now, o, b.Rev, f.Log)
+			f.Evacuated.update(now, o, b.Rev)
 		case k == Members:
 			f.updateMember(o)
 		case k == Orders && o.Removed:
--- a/internal/feed/evacuated.go
+++ b/internal/feed/evacuated.go
@@ -11,18 +11,27 @@
 	"shallotrun/core/evacuation"
 )
 
-// Evacuated holds the failure domains that the operator has evacuated. The zero value holds none. All methods are safe for concurrent use.
+// Evacuated holds the failure domains that the operator has evacuated. The zero value holds none and logs nothing. All methods are safe for concurrent use.
 type Evacuated struct {
+	Log zerolog.Logger // set before the feed runs
+
 	mu  sync.Mutex
 	set evacuation.Set
 }
 
+// expire ends the evacuations that the store lost and that nobody wrote again. e.mu is held.
+func (e *Evacuated) expire(now clock.Time) {
+	for _, d := range e.set.Expire(now) {
+		logEvacuation(e.Log, d, 0, false)
+	}
+}
+
 // Split divides servers into those that may get new requests and those in evacuated domains. If none may, wait is the time after which
 // callers should come back.
 func (e *Evacuated) Split(now clock.Time, all []backend.Server) (usable, away []backend.Server, wait clock.Span) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.set.Expire(now)
+	e.expire(now)
 	return e.set.Split(now, all)
 }
 
@@ -30,12 +39,12 @@
 func (e *Evacuated) Len(now clock.Time) int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.set.Expire(now)
+	e.expire(now)
 	return e.set.Len()
 }
 
 // replace applies a list. An evacuation that a store which came back from an older copy lost stays in force for rewriteSpan.
-func (e *Evacuated) replace(now clock.Time, b Batch, restored bool, log zerolog.Logger) {
+func (e *Evacuated) replace(now clock.Time, b Batch, restored bool) {
 	var list []string
 	for _, o := range b.Objects {
 		if !o.Removed {
@@ -50,22 +59,22 @@
 	defer e.mu.Unlock()
 	begun, ended := e.set.Replace(now, list, keep)
 	for _, d := range begun {
-		logEvacuation(log, d, b.Rev, true)
+		logEvacuation(e.Log, d, b.Rev, true)
 	}
 	for _, d := range ended {
-		logEvacuation(log, d, b.Rev, false)
+		logEvacuation(e.Log, d, b.Rev, false)
 	}
 }
 
 // update applies a changed entry. The entry alone counts, not what it holds.
-func (e *Evacuated) update(now clock.Time, o Object, rev uint64, log zerolog.Logger) {
+func (e *Evacuated) update(now clock.Time, o Object, rev uint64) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	switch {
 	case o.Removed && e.set.Remove(o.Name):
-		logEvacuation(log, o.Name, rev, false)
+		logEvacuation(e.Log, o.Name, rev, false)
 	case !o.Removed && e.set.Put(now, o.Name):
-		logEvacuation(log, o.Name, rev, true)
+		logEvacuation(e.Log, o.Name, rev, true)
 	}
 }
 
--- a/internal/front/daemon.go
+++ b/internal/front/daemon.go
@@ -97,7 +97,7 @@
 		return usable
 	}
 	d.feed.Loads.Usage, d.feed.Loads.LinkMbps, d.feed.Loads.Learn = d.gateway.Usage, s.Link, s.Learn
-	d.feed.Quarantine.Log = d.Log
+	d.feed.Quarantine.Log, d.feed.Evacuated.Log = d.Log, d.Log
 	d.feed.Quarantine.Init(rand.Uint64())
 	d.feed.Limits.VM, d.feed.Limits.Domain, d.feed.Limits.Log = s.Name, s.Domain, d.Log
 	d.feed.Limits.Servers = func(service string) []backend.Server { return d.feed.Servers(d.clock.Now(), service) }
