core/capacity: sums of a later incarnation stay apart from earlier reports

Cause: a sum without answers of a later incarnation was replaced by the evidence of an earlier one, and reports were then subtracted that had never been added.

Change: the incarnation alone decides which evidence counts.

Measured: TestIncarnations failed before.

--- a/core/capacity/capacity_test.go
+++ b/core/capacity/capacity_test.go
@@ -80,6 +80,7 @@
 	assert.Equal(t, next.Plus(old), next)
 	assert.Equal(t, next.Minus(old), next)
 	assert.Equal(t, next.Plus(Evidence{}), next)
+	assert.Check(t, next.Minus(next).Plus(old).Empty(), "reports of the earlier incarnation come back while none of the later one is there")
 	assert.Equal(t, old.Plus(old).Minus(old), old)
 }
 
--- a/core/capacity/evidence.go
+++ b/core/capacity/evidence.go
@@ -29,9 +29,9 @@
 // Plus returns the sum of two VMs' evidence. Only that of the later incarnation counts.
 func (e Evidence) Plus(o Evidence) Evidence {
 	switch {
-	case o.Empty() || !o.Empty() && !e.Empty() && o.Born < e.Born:
+	case o.Born < e.Born:
 		return e
-	case e.Empty() || o.Born > e.Born:
+	case o.Born > e.Born:
 		return o
 	}
 	return e.add(o, 1)
@@ -39,7 +39,7 @@
 
 // Minus returns e without o, which was added before.
 func (e Evidence) Minus(o Evidence) Evidence {
-	if o.Empty() || o.Born != e.Born {
+	if o.Born != e.Born {
 		return e
 	}
 	return e.add(o, -1)
