gateway: requests that are left out of later checks are counted

The mark of a trial said that a server had ended, though it is set when a connection broke.

Change: shallot_gateway_end_checks_dropped_total; the mark is named for what it means.

Measured: TestEndChecksAreBounded, new.

--- a/internal/gateway/endcheck.go
+++ b/internal/gateway/endcheck.go
@@ -40,10 +40,10 @@
 
 // endCheckKey identifies a pending check.
 type endCheckKey struct {
-	message string // of the log line
-	server  string
-	born    int64
-	window  int64 // number of the checkWindow
+	message  string // of the log line
+	serverID string
+	born     int64
+	window   int64 // number of the checkWindow
 }
 
 // endCheck is a server of which it is checked later whether its process has ended, with what is recorded if it has.
@@ -59,27 +59,26 @@
 	pending map[endCheckKey]*endCheck
 }
 
-// add adds a crash to the pending check of a server. It returns the check if it has just been made, so that the caller starts it.
-func (e *endChecks) add(v backend.Server, c crashAt, message string) *endCheck {
+// add adds a crash to the pending check of a server. It returns the check if it has just been made, so that the caller starts it, and false
+// if there are too many.
+func (e *endChecks) add(v backend.Server, c crashAt, message string) (check *endCheck, ok bool) {
 	key := endCheckKey{message, v.ID, v.Born, int64(c.at) / int64(checkWindow)}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	check := e.pending[key]
-	if check != nil {
-		if len(check.crashes) < maxCheckedCrashes {
-			check.crashes = append(check.crashes, c)
-		}
-		return nil
-	}
-	if len(e.pending) >= maxEndChecks {
-		return nil
+	check = e.pending[key]
+	switch {
+	case check != nil && len(check.crashes) < maxCheckedCrashes:
+		check.crashes = append(check.crashes, c)
+		return nil, true
+	case check != nil, len(e.pending) >= maxEndChecks:
+		return nil, false
 	}
 	if e.pending == nil {
 		e.pending = make(map[endCheckKey]*endCheck)
 	}
 	check = &endCheck{endCheckKey: key, server: v, crashes: []crashAt{c}}
 	e.pending[key] = check
-	return check
+	return check, true
 }
 
 // take removes a check and returns its crashes.
@@ -92,7 +91,11 @@
 
 // checkLater asks a server later whether its process has ended, after each of the delays until it has, and records the crash if so.
 func (g *Gateway) checkLater(v backend.Server, c crashAt, message string, delays []clock.Span) {
-	if check := g.endChecks.add(v, c, message); check != nil {
+	check, ok := g.endChecks.add(v, c, message)
+	switch {
+	case !ok:
+		g.metrics.endChecksDropped.Inc()
+	case check != nil:
 		g.runCheck(check, 0, delays)
 	}
 }
@@ -143,6 +146,6 @@
 	if x.proven {
 		return // by the answer of an earlier server
 	}
-	x.trialCrashed = x.trial
+	x.trialBroke = x.trial
 	x.g.checkLater(x.server, x.crashNow(), "gateway: server ended after a connection to it broke", breakCheckDelays)
 }
--- a/internal/gateway/ended.go
+++ b/internal/gateway/ended.go
@@ -51,7 +51,7 @@
 		return // by the answer of an earlier server
 	}
 	c := x.crashNow()
-	x.trialCrashed = x.trial
+	x.trialBroke = x.trial
 	if len(c.Parts) == 1 && x.firstCrash == nil {
 		x.firstCrash = &c
 		return
--- a/internal/gateway/ended_test.go
+++ b/internal/gateway/ended_test.go
@@ -165,6 +165,21 @@
 	}
 }
 
+// Guards against checks that grow without bound when many connections break, and against requests that are left out of them unnoticed.
+func TestEndChecksAreBounded(t *testing.T) {
+	var e endChecks
+	dropped := 0
+	for i := range 2 * maxEndChecks {
+		for range 2 * maxCheckedCrashes {
+			if _, ok := e.add(backend.Server{ID: fmt.Sprint(i)}, crashAt{}, "message"); !ok {
+				dropped++
+			}
+		}
+	}
+	assert.Equal(t, len(e.pending), maxEndChecks)
+	assert.Equal(t, dropped, 4*maxEndChecks*maxCheckedCrashes-maxEndChecks*maxCheckedCrashes)
+}
+
 // Guards against the end of a server that nobody notices because a supervisor keeps its port open for the next process.
 func TestServerWhosePortStaysOpen(t *testing.T) {
 	for _, c := range []struct {
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -66,7 +66,7 @@
 	attemptProven bool           // the current attempt shows that the request does not end servers
 	proven        bool           // an attempt shows it
 	trial         bool           // sent to find out whether servers still end under requests like this one
-	trialCrashed  bool           // a server ended under the trial
+	trialBroke    bool           // a connection broke under the trial, so the server may have ended
 	firstCrash    *crashAt       // first server that ended under this request, until it is recorded
 	abort         conn.Abort
 	largeEvent    *holder     // of the memory of the current event, nil if none is reserved
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -10,23 +10,24 @@
 
 // metrics are the metrics of the request path. Label values are never chosen by a caller.
 type metrics struct {
-	answers       *prometheus.CounterVec   // label code: "served" or the code of the refusal
-	faults        *prometheus.CounterVec   // label how: kind of the failure
-	seconds       *prometheus.HistogramVec // label outcome: "served" or "failed"
-	firstSeconds  prometheus.Histogram
-	retries       prometheus.Counter
-	resumes       prometheus.Counter
-	open          prometheus.Gauge
-	attempts      prometheus.Counter
-	reports       prometheus.Counter
-	dropped       prometheus.Counter
-	serversEnded  prometheus.Counter
-	partsRefused  prometheus.Counter
-	limitRefusals prometheus.Counter
-	notices       prometheus.Counter
-	unreadEnded   prometheus.Counter
-	withoutRoom   prometheus.Counter
-	capacity      *prometheus.HistogramVec // label service; registered only if the capacity is learned
+	answers          *prometheus.CounterVec   // label code: "served" or the code of the refusal
+	faults           *prometheus.CounterVec   // label how: kind of the failure
+	seconds          *prometheus.HistogramVec // label outcome: "served" or "failed"
+	firstSeconds     prometheus.Histogram
+	retries          prometheus.Counter
+	resumes          prometheus.Counter
+	open             prometheus.Gauge
+	attempts         prometheus.Counter
+	reports          prometheus.Counter
+	dropped          prometheus.Counter
+	serversEnded     prometheus.Counter
+	endChecksDropped prometheus.Counter
+	partsRefused     prometheus.Counter
+	limitRefusals    prometheus.Counter
+	notices          prometheus.Counter
+	unreadEnded      prometheus.Counter
+	withoutRoom      prometheus.Counter
+	capacity         *prometheus.HistogramVec // label service; registered only if the capacity is learned
 }
 
 func newMetrics(reg prometheus.Registerer) *metrics {
@@ -46,6 +47,8 @@
 		attempts: prometheus.NewCounter(prometheus.CounterOpts{Name: "shallot_gateway_attempts_total", Help: "Requests sent to backend servers."}),
 		reports:  prometheus.NewCounter(prometheus.CounterOpts{Name: "shallot_gateway_reports_total", Help: "Reports asked of suspected servers."}),
 		dropped:  prometheus.NewCounter(prometheus.CounterOpts{Name: "shallot_gateway_dropped_total", Help: "Answers dropped because the model was not sure."}),
+		endChecksDropped: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "shallot_gateway_end_checks_dropped_total", Help: "Broken attempts for which it was not checked later whether their server has ended, as too many checks were pending."}),
 		serversEnded: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "shallot_gateway_servers_ended_total", Help: "Servers whose process ended before they began to answer a request of this VM, or as they began."}),
 		partsRefused: prometheus.NewCounter(prometheus.CounterOpts{
@@ -64,7 +67,7 @@
 	}
 	if reg != nil {
 		reg.MustRegister(
-			m.answers, m.faults, m.seconds, m.firstSeconds, m.retries, m.resumes, m.open, m.attempts, m.reports, m.dropped, m.serversEnded,
+			m.answers, m.faults, m.seconds, m.firstSeconds, m.retries, m.resumes, m.open, m.attempts, m.reports, m.dropped, m.serversEnded, m.endChecksDropped,
 			m.partsRefused, m.limitRefusals, m.notices, m.unreadEnded, m.withoutRoom,
 		)
 	}
--- a/internal/gateway/prompt.go
+++ b/internal/gateway/prompt.go
@@ -81,7 +81,7 @@
 // was started at an earlier server has proved that it does not.
 func (x *exchange) checkParts(now clock.Time) *work.Refusal {
 	parts := x.parts(now)
-	if len(parts) == 0 || x.proven || x.trial && !x.trialCrashed {
+	if len(parts) == 0 || x.proven || x.trial && !x.trialBroke {
 		return nil
 	}
 	r, trial := x.g.State.Check(now, quarantine.Request{
