core/document: a stage whose cost is not known is in no wrong order

Cause: a model without a live version counted as free, so the stage was reported to cost less than the one before it.

Change: costs that are not known are not compared. Read in review; no document with a canary-only model passes validation, so no test failed before.

--- a/core/document/review.go
+++ b/core/document/review.go
@@ -162,8 +162,8 @@
 		}
 		for j, s := range x.Stages {
 			r.reference(indexed(p+".stages", j), s)
-			if j > 0 && r.cost(s) < r.cost(x.Stages[j-1]) {
-				r.add(Contradiction, indexed(p+".stages", j), "the stage costs less than the one before it, but the cheapest is tried first")
+			if j > 0 && r.isCheaper(s, x.Stages[j-1]) {
+				r.add(Contradiction, indexed(p+".stages", j), "the stage costs less than the one before it; stages go from the cheapest to the dearest")
 			}
 		}
 		if x.Quality > 0 && len(x.Stages) == 1 {
@@ -244,15 +244,22 @@
 	return ""
 }
 
-// cost returns the cost of a reference: that of its version, or of the model's live one.
-func (r *reviewer) cost(ref string) int {
+// isCheaper reports whether a reference costs less than another. It is false if the cost of one is not known.
+func (r *reviewer) isCheaper(ref, than string) bool {
+	a, known := r.cost(ref)
+	b, otherKnown := r.cost(than)
+	return known && otherKnown && a < b
+}
+
+// cost returns the cost of a reference: that of its version, or of the model's live one, and false if there is none.
+func (r *reviewer) cost(ref string) (cost int, known bool) {
 	name, version, pinned := SplitRef(ref)
 	for _, m := range r.d.Models {
 		for _, v := range m.Versions {
 			if m.Name == name && (pinned && v.Name == version || !pinned && v.State == Live) {
-				return v.Cost
+				return v.Cost, true
 			}
 		}
 	}
-	return 0
+	return 0, false
 }
