--- a/core/capacity/estimate.go
+++ b/core/capacity/estimate.go
@@ -11,9 +11,8 @@
 	// priorAnswers is the weight of the prior: answers that take as long as those of the other servers. With it an estimate whose
 	// evidence decays returns to the usual one gradually.
 	priorAnswers = 2
-	// deviation is the standard deviation of the logarithm of an answer's relative time if 15 in 100 answers are odd by maxLog.
-	// A
-	// difference below the standard error of the mean counts as none.
+	// deviation is the standard deviation of the logarithm of an answer's relative time when 15 in 100 answers differ by maxLog.
+	// Differences below the standard error of the mean are ignored.
 	deviation = 0.55
 	// minSpeed and maxSpeed bound the speed. A server that seems faster than the others gets at most twice as much, so one whose
 	// figures lie draws a bounded part of the requests.
--- a/core/capacity/learner.go
+++ b/core/capacity/learner.go
@@ -159,8 +159,8 @@
 	return ratio, known
 }
 
-// Report returns the evidence of this VM's requests at a server. A request that is open for overdue times the usual time counts as an
-// answer that takes as long as it has been open.
+// Report returns the evidence of this VM's requests at a server. A request that has been open for more than twice the usual time, of which
+// overdue is the logarithm, counts as answers that took as long as it has been open.
 func (l *Learner) Report(now clock.Time, id string) (e Evidence) {
 	t := l.servers[id]
 	if t == nil {
--- a/core/cold/cold_test.go
+++ b/core/cold/cold_test.go
@@ -14,7 +14,7 @@
 func TestSlotsKeepToEverySecond(t *testing.T) {
 	for r := 1; r < 20000; r++ {
 		rate := float64(r) / 100
-		slots, hold := share.RateSlots(Rate(rate), more(rate))
+		slots, hold := share.RateSlots(Rate(rate), extra(rate))
 		uses := int((clock.Second-1)/hold) + 1
 		assert.Assert(t, float64(slots*uses) <= overshoot*rate+slack, "rate %g: %d slots, each used %d times", rate, slots, uses)
 		assert.Assert(t, float64(slots)*float64(clock.Second) <= max(Rate(rate), 0.1)*float64(hold), "rate %g: %d slots for %d ms", rate, slots, hold)
@@ -33,10 +33,10 @@
 		now     []backend.Server
 		want    map[string]Limit
 	}{
-		{"new and cold", nil, 100, 4, server(900), map[string]Limit{"a": {Rate: 4, More: 2, Left: 900}}},
-		{"was warm", server(0), 100, 4, server(900), map[string]Limit{"a": {Rate: 4, More: 2, Wait: true, Left: 900}}},
-		{"was warm long ago", server(0), learnSpan, 4, server(900), map[string]Limit{"a": {Rate: 4, More: 2, Left: 900}}},
-		{"still cold", server(2000), 100, 4, server(1900), map[string]Limit{"a": {Rate: 4, More: 2, Left: 1900}}},
+		{"new and cold", nil, 100, 4, server(900), map[string]Limit{"a": {Rate: 4, Extra: 2, Left: 900}}},
+		{"was warm", server(0), 100, 4, server(900), map[string]Limit{"a": {Rate: 4, Extra: 2, Withheld: true, Left: 900}}},
+		{"was warm long ago", server(0), propagationTime, 4, server(900), map[string]Limit{"a": {Rate: 4, Extra: 2, Left: 900}}},
+		{"still cold", server(2000), 100, 4, server(1900), map[string]Limit{"a": {Rate: 4, Extra: 2, Left: 1900}}},
 		{"warm", server(100), 100, 4, server(0), nil},
 		{"no limit", nil, 100, 0, server(900), nil},
 	} {
--- a/core/cold/tracker.go
+++ b/core/cold/tracker.go
@@ -7,16 +7,16 @@
 	"shallotrun/core/clock"
 )
 
-// learnSpan is how long a server that was warm gets no requests from the VMs that know that it is cold: a second in which the other VMs
-// learn of it, as they exchange messages several times a second, and the second of their last requests as to a warm server.
-const learnSpan = 2 * clock.Second
+// propagationTime is how long a server that was warm gets no requests from the VMs that know that it is cold: a second in which the other
+// VMs learn of it, as they exchange messages several times a second, and the second of their last requests as to a warm server.
+const propagationTime = 2 * clock.Second
 
 // Limit is what a cold server takes now.
 type Limit struct {
-	Rate float64    // requests a second from all VMs together
-	More int        // slots into which core/share divides the limit beyond those of other limits
-	Wait bool       // VMs may not know yet that the server is cold, so nothing is granted
-	Left clock.Span // how much longer the server is cold
+	Rate     float64    // requests a second from all VMs together
+	Extra    int        // slots into which core/share divides the limit beyond those of other limits
+	Withheld bool       // VMs may not know yet that the server is cold, so nothing is granted
+	Left     clock.Span // how much longer the server is cold
 }
 
 // Tracker holds what was seen of the servers of services with a limit for cold ones. The zero value holds nothing.
@@ -62,11 +62,13 @@
 			if out[service] == nil {
 				out[service] = make(map[string]Limit)
 			}
-			out[service][v.ID] = Limit{Rate: Rate(rate), More: more(rate), Wait: s.warmAt != 0 && now.Sub(s.warmAt) < learnSpan, Left: v.Cold}
+			out[service][v.ID] = Limit{
+				Rate: Rate(rate), Extra: extra(rate), Withheld: s.warmAt != 0 && now.Sub(s.warmAt) < propagationTime, Left: v.Cold,
+			}
 		}
 	}
 	for id, s := range t.servers {
-		if now.Sub(s.seenAt) >= learnSpan {
+		if now.Sub(s.seenAt) >= propagationTime {
 			delete(t.servers, id)
 		}
 	}
@@ -75,15 +77,15 @@
 
 // A cold server takes half as much again as its rate, and five requests more, in any one second.
 const (
-	overshoot = 1.5
-	slack     = 5
+	overshoot = 1.5 // times the rate
+	slack     = 5   // requests
 	// spareSlots is how many slots beyond its rate core/share makes of every limit.
 	spareSlots = 3
 )
 
-// more returns the further slots of a limit: half of what the server takes in a second beyond the other slots. The other half is left to
+// extra returns the extra slots of a limit: half of what the server takes in a second beyond the other slots. The other half is left to
 // VMs that do not know yet that it is cold.
-func more(rate float64) int {
+func extra(rate float64) int {
 	return max(int((overshoot*rate+slack-math.Ceil(rate)-spareSlots)/2), 0)
 }
 
--- a/core/place/placer.go
+++ b/core/place/placer.go
@@ -93,8 +93,8 @@
 }
 
 // eligible returns the candidates that may run the request: not excluded, not leaving and with a free slot. Among these it
-// prefers servers that are not known to lack the version, that can be reached, that are not ejected and that did not refuse
-// lately.
+// prefers servers that are not known to lack the version, that can be reached, that are not ejected, that did not refuse lately, and
+// whose prompt memory has room for the request.
 func (p *Placer) eligible(now clock.Time, req Request, all []Candidate) []Candidate {
 	in := make([]Candidate, 0, len(all))
 	for _, c := range all {
--- a/core/share/branch.go
+++ b/core/share/branch.go
@@ -7,14 +7,14 @@
 	"shallotrun/core/work"
 )
 
-// Branch divides the limits of the servers of one pool, named or as they are cold, at one VM of a tree: among this VM and those that follow it. It gets
-// its own part from the VM that it follows. Each part is a lease that ends no later than the one that it comes from.
+// Branch divides the limits of one pool's servers, those that they name and those of cold ones, at one VM of a tree: among this VM and
+// those that follow it. It gets its own part from the VM that it follows. Each part is a lease that ends no later than the one that it comes from.
 //
 // VMs ask for their parts with messages that they exchange anyway, so a part that changes takes that long to arrive, and no
 // request waits for it. Init is called before any other method, Update before each of the others at the same time.
 type Branch struct {
-	// Further is the number of slots by server beyond those of other limits of the same rate. It is set before Update.
-	Further map[string]int
+	// Extra is the number of slots by server beyond those of other limits of the same rate. It is set before Update.
+	Extra map[string]int
 
 	rates  map[string]float64 // limits by server, in requests a second
 	up     Holder             // what the VM that is followed grants
@@ -38,7 +38,7 @@
 	b.rates = rates
 	total := make(map[string]int, len(rates))
 	for s, rate := range rates {
-		slots, _ := RateSlots(rate, b.Further[s])
+		slots, _ := RateSlots(rate, b.Extra[s])
 		switch {
 		case owns == nil:
 			total[s] = min(slots, b.up.Slots(now, s, 0, 1))
@@ -89,7 +89,7 @@
 	if !ok {
 		return 0
 	}
-	_, hold := RateSlots(rate, b.Further[server])
+	_, hold := RateSlots(rate, b.Extra[server])
 	b.starts[server] = slices.DeleteFunc(b.starts[server], func(at clock.Time) bool { return now.Sub(at) >= hold })
 	return len(b.starts[server])
 }
@@ -146,7 +146,7 @@
 	own, all := 0.0, 0.0
 	for s, rate := range b.rates {
 		all += max(rate, minRate)
-		_, hold := RateSlots(rate, b.Further[s])
+		_, hold := RateSlots(rate, b.Extra[s])
 		own += float64(b.own.Slots(now, s, 0, 1)) / float64(hold) * float64(clock.Second)
 	}
 	wait := exchangeSpan
--- a/core/share/rate.go
+++ b/core/share/rate.go
@@ -21,10 +21,10 @@
 // So in any time a server gets at most as many requests as its rate allows and one more for each slot, however the slots move
 // between VMs.
 //
-// Further slots are held for longer, so that the rate stays the same. They make up for the time in which slots move between VMs, at a
+// Extra slots are held for longer, so that the rate stays the same. They make up for the time in which slots move between VMs, at a
 // server that bears so many more requests at once.
-func RateSlots(rate float64, further int) (slots int, hold clock.Span) {
+func RateSlots(rate float64, extra int) (slots int, hold clock.Span) {
 	rate = max(rate, minRate)
-	slots = min(int(math.Ceil(rate))+spareSlots+further, maxRateSlots)
+	slots = min(int(math.Ceil(rate))+spareSlots+extra, maxRateSlots)
 	return slots, clock.Span(math.Ceil(float64(slots) / rate * float64(clock.Second)))
 }
--- a/internal/feed/limits.go
+++ b/internal/feed/limits.go
@@ -23,9 +23,9 @@
 )
 
 // Limits keeps the requests of all VMs to a backend server within the limit that it names, or that the configuration has for a cold
-// one; if both do, within the lower one. It keeps them from a server that leaves. Each VM tells the VM that it follows what servers say and how many requests it has for them, and is granted a part; a VM that follows no
-// other divides the limits. All methods are safe for concurrent use; times are those of Clock.Boot. The exported fields are set before
-// Init, which is called before any other method.
+// one; if both do, within the lower one. It keeps them from a server that leaves. Each VM tells the VM that it follows what servers say
+// and how many requests it has for them, and is granted a part; a VM that follows no other divides the limits. All methods are safe for
+// concurrent use; times are those of Clock.Boot. The exported fields are set before Init, which is called before any other method.
 type Limits struct {
 	VM     string // name of this VM
 	Domain string // its failure domain
@@ -304,7 +304,7 @@
 		owns, limits := owns, l.coldLimits[service]
 		if owns != nil && len(limits) > 0 {
 			ownsAny := owns
-			owns = func(server string) bool { return !limits[server].Wait && ownsAny(server) }
+			owns = func(server string) bool { return !limits[server].Withheld && ownsAny(server) }
 		}
 		b := l.pools[service]
 		if b == nil {
@@ -312,10 +312,10 @@
 			b.Init(l.name)
 			l.pools[service] = b
 		}
-		b.Further = make(map[string]int, len(limits))
+		b.Extra = make(map[string]int, len(limits))
 		for server, c := range limits {
 			if c.Rate <= in[server] { // no lower limit counts that the server names
-				b.Further[server] = c.More
+				b.Extra[server] = c.Extra
 			}
 		}
 		b.Update(now, in, owns)
--- a/internal/gateway/memory.go
+++ b/internal/gateway/memory.go
@@ -82,8 +82,8 @@
 	return m.readReserved(ctx, m.sem, b, body, most, 2*mediumBody)
 }
 
-// readReserved reserves memory for at most need bytes, reads the rest of a body after head, and returns the holder of what the body uses. A
-// body of unknown length is expected to have a few bytes more than head.
+// readReserved reserves memory for at most need bytes, reads the rest of a body after head, and returns the holder of what the body uses.
+// expected is the size of the first buffer: the length of the body if it is known, else twice that of head.
 func (m *memoryLimit) readReserved(
 	ctx context.Context, sem *semaphore.Weighted, head []byte, body io.Reader, need int64, expected int,
 ) (_ []byte, _ *holder, _ error) {
--- a/internal/gateway/outcome.go
+++ b/internal/gateway/outcome.go
@@ -86,7 +86,7 @@
 // codeGone is the code, in log lines and metrics, of a request whose caller closed its connection.
 const codeGone = "caller-gone"
 
-// codeSlow is the code of a stream that was ended because its caller read it too slowly.
+// codeSlow is the code of a stream that ended because its caller read too slowly or not at all.
 const codeSlow = "caller-slow"
 
 // retryAfter is the shortest time after which a refused caller may retry. Up to the same time is added at random, so that callers
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -139,7 +139,8 @@
 	x.pendingTokens = x.prefillTokens()
 	u.pendingTokens += x.pendingTokens
 	x.tokensHeld = req.Memory
-	if c := p.candidates[slices.IndexFunc(p.candidates, func(c place.Candidate) bool { return c.Name == name })]; c.Memory > 0 && c.Room() < req.Memory {
+	chosen := p.candidates[slices.IndexFunc(p.candidates, func(c place.Candidate) bool { return c.Name == name })]
+	if chosen.Memory > 0 && chosen.Room() < req.Memory {
 		p.g.metrics.withoutRoom.Inc()
 	}
 	u.tokensHeld += x.tokensHeld
--- a/internal/gateway/unread.go
+++ b/internal/gateway/unread.go
@@ -13,8 +13,8 @@
 )
 
 const (
-	// unreadLimit is the time for which a caller's connection has accepted nothing more before its answer may be ended for the memory. It is
-	// the shortest gap after which callers abandon a stream, so that they take a pause of their own for no fault of the VM.
+	// unreadLimit is the time for which a caller's connection has accepted nothing more before its answer may be ended for the memory.
+	// Shorter stalls are usual on a crowded link.
 	unreadLimit = 2 * clock.Second
 	// eventWait is how long a large event waits for memory. It is below the pauses between events that routes allow.
 	eventWait = 500 * clock.Millisecond
--- a/io/caller/bodies.go
+++ b/io/caller/bodies.go
@@ -100,7 +100,7 @@
 // allocated returns a bound on the size of the buffer for a body of n bytes, as fasthttp rounds it up to a power of two.
 func allocated(n int) int64 { return int64(1) << bits.Len64(uint64(max(n-1, 0))) }
 
-// reserve adds memory to a reservation. It returns false if so much is not free, with more for this body.
+// reserve adds bytes to a reservation. It returns false if they exceed the free memory and more, which this body may use beyond it.
 func (m *bodyMemory) reserve(r *reservation, bytes, more int64) bool {
 	if bytes > m.free+more {
 		m.sweep()
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -129,8 +129,8 @@
 	}
 }
 
-// sendBuffer bounds the bytes that the system holds of the answers to one caller, about twice as many. It would else grow to several MB for
-// a caller that reads slowly, which the VM's memory does not allow for. It is above what a link of 200 Mbit/s carries in a round trip of a
+// sendBuffer is the size that is set for a connection's send buffer, in bytes; Linux allocates twice as much. Without it the buffer would
+// grow to several MB for a caller that reads slowly, which the VM's memory does not allow for. It is above what a link of 200 Mbit/s carries in a round trip of a
 // few milliseconds, so that callers who read at once notice nothing.
 const sendBuffer = 128 << 10
 
