--- a/internal/command/command_test.go
+++ b/internal/command/command_test.go
@@ -186,7 +186,7 @@
 			assert.Check(t, strings.Contains(usage, "\n  "+cell+" "), "%s is not in the usage", cell)
 		}
 	}
-	assert.Equal(t, n, 8)
+	assert.Equal(t, n, 9)
 	var out bytes.Buffer
 	c := &Command{Env: func(string) string { return "" }, Out: &out, Err: &out}
 	c.flags().VisitAll(func(f *flag.Flag) {
