--- a/internal/gateway/unread.go
+++ b/internal/gateway/unread.go
@@ -113,7 +113,8 @@
 }
 
 // makeRoom ends answers whose callers read slowly, until as much memory is freed as others wait for. It begins with those that have held
-// most for longest.
+// most for longest. The lock is held meanwhile: an answer that has not released its memory has not ended, so its connection does not serve
+// the next request yet.
 func (m *holders) makeRoom(now clock.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
