--- a/review/standin-2/world_test.go
+++ b/review/standin-2/world_test.go
@@ -108,12 +108,18 @@
 
 // freePorts returns n free TCP ports on the loopback address.
 func freePorts(n int) (out []int, err error) {
+	var open []net.Listener
+	defer func() {
+		for _, l := range open {
+			l.Close()
+		}
+	}()
 	for range n {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
 			return nil, err
 		}
-		defer l.Close()
+		open = append(open, l)
 		out = append(out, l.Addr().(*net.TCPAddr).Port)
 	}
 	return out, nil
