review: cases 6 and 10 do not run with too few descriptors

With a lower limit the stand-ins would run out before the daemon does, and the case would seem to hold.

--- a/review/standin-2/crowd_test.go
+++ b/review/standin-2/crowd_test.go
@@ -15,6 +15,9 @@
 		before   = 8 * time.Second
 		after    = 6 * time.Second
 	)
+	if err := needDescriptors(6000); err != nil {
+		return false, err
+	}
 	w.store.put("config", "main", config(3, service, []route{plainRoute("r-1", longPath, "unsafe", service)}, 20*time.Second))
 	for range replicas {
 		if _, err := w.startReplica(service, slots, work, work); err != nil {
--- a/review/standin-2/idle_test.go
+++ b/review/standin-2/idle_test.go
@@ -17,6 +17,9 @@
 		before   = 25 * time.Second
 		after    = 35 * time.Second
 	)
+	if err := needDescriptors(6000); err != nil {
+		return false, err
+	}
 	w.store.put("config", "main", config(3, service, []route{
 		plainRoute("r-1", "/puxa403/", "unsafe", service), plainRoute("r-2", longPath, "unsafe", service),
 	}, deadline))
--- a/review/standin-2/world_test.go
+++ b/review/standin-2/world_test.go
@@ -42,6 +42,18 @@
 	return w, err
 }
 
+// needDescriptors returns an error if the stand-ins themselves may not open n descriptors.
+func needDescriptors(n uint64) error {
+	var l syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &l); err != nil {
+		return err
+	}
+	if l.Cur < n {
+		return fmt.Errorf("the stand-ins may open %d descriptors and need %d", l.Cur, n)
+	}
+	return nil
+}
+
 // note adds a line to the record.
 func (w *world) note(format string, args ...any) {
 	w.mu.Lock()
