caller: idle connections end by the operator's limit, also when it changes

Callers saw: after the loss of one of two VMs, 4,000 callers with a request each 20 s keep their connections to the other one.

Cause: the limits of the configuration were decoded and read by nothing; fasthttp's idle timeout of 60 s held.

Change: io/caller ends reads by its own deadlines, which follow the limits in force. fasthttp sets its timeouts once. SetLimits sets the deadlines of open connections anew; the feed calls it with each configuration. A request that had arrived before the deadline, but could not be read as the VM stood still, is read. Without a limit the present values hold: 60 s, and 30 s for the first request.

--- a/internal/feed/apply.go
+++ b/internal/feed/apply.go
@@ -160,6 +160,9 @@
 	if f.Config.Update(*c) {
 		f.Log.Info().Uint64("version", c.Version).Uint64("revision", rev).Int("routes", len(c.Routes)).
 			Int("workspaces", len(c.Workspaces)).Msg("feed: configuration changed")
+		if f.ConfigChanged != nil {
+			f.ConfigChanged(c)
+		}
 	}
 }
 
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -44,6 +44,9 @@
 	// EvacuateWithin is the time within which an evacuation must be in force; 0 means that evacuations are not read.
 	EvacuateWithin clock.Span
 
+	// ConfigChanged, if set, is called with each configuration that comes into force, one after the other.
+	ConfigChanged func(*catalog.Config)
+
 	Config     catalog.Current
 	Orders     Rollouts
 	Evacuated  Evacuated
--- a/internal/front/daemon.go
+++ b/internal/front/daemon.go
@@ -18,6 +18,7 @@
 	"github.com/valyala/fasthttp/fasthttpadaptor"
 
 	"shallotrun/core/backend"
+	"shallotrun/core/catalog"
 	"shallotrun/core/clock"
 	"shallotrun/core/work"
 	"shallotrun/internal/feed"
@@ -156,6 +157,14 @@
 	if err != nil {
 		return oops.Wrapf(err, "listen on %s", d.Settings.Callers)
 	}
+	srv := &caller.Server{
+		Listener: ln, Handler: dialect.Handle, OnUnreadable: dialect.Unreadable, MaxBody: bodyLimit, MaxHeader: headerLimit, IDHeader: dialect.IDHeader(),
+		BodyMemory: int64(requestMemoryFraction * float64(int64(d.Settings.Memory)<<20)),
+		Linger:     min(balancerLag, d.Settings.Grace/2), Log: d.Log,
+	}
+	srv.ShutdownTimeout = max(d.Settings.Grace-srv.Linger-stopReserve, minGrace)
+	d.feed.ConfigChanged = func(c *catalog.Config) { d.applyLimits(srv, c.Limits) }
+	registerConnections(registry, srv)
 	stopFollowing := d.follow(background)
 	go d.feed.Run(background)
 	go d.gateway.Run(background)
@@ -165,16 +174,30 @@
 		d.Log.Info().Int("open", d.gateway.Open()).Msg("daemon: stopping")
 	})
 	defer stopping()
-	srv := &caller.Server{
-		Listener: ln, Handler: dialect.Handle, OnUnreadable: dialect.Unreadable, MaxBody: bodyLimit, MaxHeader: headerLimit, IDHeader: dialect.IDHeader(),
-		BodyMemory: int64(requestMemoryFraction * float64(int64(d.Settings.Memory)<<20)),
-		Linger:     min(balancerLag, d.Settings.Grace/2), Log: d.Log,
-	}
 	defer stopFollowing()
-	srv.ShutdownTimeout = max(d.Settings.Grace-srv.Linger-stopReserve, minGrace)
 	return srv.Run(ctx)
 }
 
+// applyLimits puts the limits of a configuration in force, also for open connections.
+func (d *Daemon) applyLimits(srv *caller.Server, l catalog.Limits) {
+	if !srv.SetLimits(l) {
+		return
+	}
+	d.Log.Info().Int64("idle_ms", int64(l.Idle)).Int("open", srv.Open()).
+		Msg("daemon: limits of callers changed; 0 stands for the default")
+}
+
+// registerConnections exports the number of callers' connections, and of those that were closed as they were idle.
+func registerConnections(r prometheus.Registerer, srv *caller.Server) {
+	r.MustRegister(
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "shallot_front_connections", Help: "Open connections of callers."}, func() float64 { return float64(srv.Open()) }),
+		prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Name: "shallot_front_idle_ended_total", Help: "Connections of callers that were closed as they were idle for longer than allowed.",
+		}, func() float64 { return float64(srv.IdleEnded()) }),
+	)
+}
+
 // port is a listener other than the one for callers; its requests are short.
 type port struct {
 	addr   string // IP:port, "" for none
--- /dev/null
+++ b/io/caller/limits.go
@@ -0,0 +1,59 @@
+package caller
+
+import (
+	"time"
+
+	"shallotrun/core/catalog"
+	"shallotrun/core/clock"
+)
+
+// Timeouts where neither the Server's fields nor the limits name one.
+const (
+	defaultReadTimeout = 30 * clock.Second
+	defaultIdleTimeout = 60 * clock.Second
+)
+
+// maxTimeout is the longest timeout that is applied. Longer ones would overflow a [time.Duration].
+const maxTimeout = 24 * clock.Hour
+
+// SetLimits puts limits in force, also for open connections. A limit that is 0 or less is not named: the Server's fields hold. SetLimits is
+// safe for concurrent use, and may be called before Run. It reports whether the limits differ from those before.
+func (s *Server) SetLimits(l catalog.Limits) bool {
+	old := s.limits.Swap(&l)
+	if old != nil && *old == l {
+		return false
+	}
+	s.connections.rearm()
+	return true
+}
+
+// named returns the limits that were set.
+func (s *Server) named() catalog.Limits {
+	if l := s.limits.Load(); l != nil {
+		return *l
+	}
+	return catalog.Limits{}
+}
+
+// openedTimeout returns how long a connection may stay without its first request.
+func (s *Server) openedTimeout() time.Duration {
+	return firstSet(s.named().Idle, s.ReadTimeout, defaultReadTimeout)
+}
+
+// idleTimeout returns how long a connection may stay without another request.
+func (s *Server) idleTimeout() time.Duration {
+	return firstSet(s.named().Idle, s.IdleTimeout, defaultIdleTimeout)
+}
+
+// readTimeout returns how long a request may take to arrive.
+func (s *Server) readTimeout() time.Duration { return firstSet(s.ReadTimeout, defaultReadTimeout) }
+
+// firstSet returns the first of the timeouts that is more than 0.
+func firstSet(all ...clock.Span) time.Duration {
+	for _, s := range all {
+		if s > 0 {
+			return min(s, maxTimeout).Std()
+		}
+	}
+	return 0
+}
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -4,14 +4,15 @@
 	"cmp"
 	"context"
 	"errors"
-	"io"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
 	"github.com/samber/oops"
 	"github.com/valyala/fasthttp"
 
+	"shallotrun/core/catalog"
 	"shallotrun/core/clock"
 	"shallotrun/core/work"
 )
@@ -26,7 +27,8 @@
 	ParallelLimit = 64 << 10 // open connections
 )
 
-// Server accepts callers' connections. Set the exported fields before Run.
+// Server accepts callers' connections. Set the exported fields before Run. The limits that the operator's configuration names go before
+// them, see SetLimits.
 type Server struct {
 	Listener        net.Listener
 	Handler         fasthttp.RequestHandler
@@ -43,14 +45,16 @@
 	OnUnreadable func(*fasthttp.RequestCtx, *work.Refusal)
 	Log          zerolog.Logger
 
-	bodies *bodyMemory
+	bodies      *bodyMemory
+	limits      atomic.Pointer[catalog.Limits] // as of SetLimits, nil for none
+	connections connections
 }
 
 // Run serves until the context ends, then shuts down gracefully: it stops accepting connections, closes idle ones and returns
 // when all responses have ended or ShutdownTimeout has passed. It continues to accept for Linger, so that the handler can
 // refuse new requests: closing the listener at once would reset the connections that wait to be accepted.
 func (s *Server) Run(ctx context.Context) error {
-	readTimeout := spanOrDefault(s.ReadTimeout, 30*clock.Second).Std()
+	readTimeout := s.readTimeout()
 	maxBody := intOrDefault(s.MaxBody, BodyLimit)
 	s.bodies = &bodyMemory{
 		idHeader: s.IDHeader, maxBody: maxBody, readTimeout: readTimeout,
@@ -61,11 +65,10 @@
 		Handler:               s.handle,
 		HeaderReceived:        s.bodies.admit,
 		ErrorHandler:          s.unreadable,
+		ConnState:             changeState,
 		MaxRequestBodySize:    maxBody,
 		ReadBufferSize:        intOrDefault(s.MaxHeader, HeaderLimit),
 		Concurrency:           ParallelLimit,
-		ReadTimeout:           readTimeout,
-		IdleTimeout:           spanOrDefault(s.IdleTimeout, 60*clock.Second).Std(),
 		ReduceMemoryUsage:     true,
 		CloseOnShutdown:       true,
 		NoDefaultServerHeader: true,
@@ -77,13 +80,13 @@
 		DisablePreParseMultipartForm: true,
 	}
 	done := make(chan error, 1)
-	go func() { done <- srv.Serve(&listener{s.Listener, spanOrDefault(s.WriteTimeout, 10*clock.Second).Std()}) }()
+	go func() { done <- srv.Serve(&listener{s.Listener, s}) }()
 	select {
 	case err := <-done:
 		return oops.Wrapf(err, "caller server")
 	case <-ctx.Done():
 	}
-	time.Sleep(spanOrDefault(s.Linger, 200*clock.Millisecond).Std())
+	time.Sleep(firstSet(s.Linger, 200*clock.Millisecond))
 	end, cancel := context.WithCancel(context.Background())
 	if s.ShutdownTimeout > 0 {
 		end, cancel = context.WithTimeout(context.Background(), s.ShutdownTimeout.Std())
@@ -124,79 +127,11 @@
 		Problem(ctx, r, "")
 	}
 	ctx.SetConnectionClose()
-	if c, ok := ctx.Conn().(*progressConn); ok {
+	if c, ok := ctx.Conn().(*connection); ok {
 		c.readRest = true
 	}
 }
 
-// sendBuffer is the size that is set for a connection's send buffer, in bytes; Linux allocates twice as much. Without it the buffer would
-// grow to several MB for a caller that reads slowly, which the VM's memory does not allow for. It is above what a link of 200 Mbit/s carries in a round trip of a
-// few milliseconds, so that callers who read at once notice nothing.
-const sendBuffer = 128 << 10
-
-// listener sets a progress timeout for the writes of each accepted connection.
-type listener struct {
-	net.Listener
-	timeout time.Duration
-}
-
-func (l *listener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	if t, ok := c.(*net.TCPConn); ok {
-		_ = t.SetWriteBuffer(sendBuffer) // it fails only for a connection that is closed already
-	}
-	return &progressConn{Conn: c, timeout: l.timeout}, nil
-}
-
-// progressConn fails a write if the caller reads nothing within the progress timeout. fasthttp's own write timeout isn't used
-// because it covers a whole response and would cut long streams.
-type progressConn struct {
-	net.Conn
-	timeout       time.Duration
-	writeDeadline time.Time // write deadline that is set on Conn
-	readRest      bool      // the rest of a request that was refused early may still arrive; Close reads it
-}
-
-// Bounds on reading the rest of a request that was refused before it had arrived whole.
-const (
-	maxRestTime  = 500 * time.Millisecond
-	maxRestBytes = 4 << 20
-)
-
-// Close first reads, within bounds, what the caller still sends after an early refusal. Closing with unread data would reset
-// the connection, and the caller would lose the refusal.
-func (c *progressConn) Close() error {
-	if t, ok := c.Conn.(*net.TCPConn); ok && c.readRest && t.CloseWrite() == nil && t.SetReadDeadline(time.Now().Add(maxRestTime)) == nil {
-		_, _ = io.CopyN(io.Discard, t, maxRestBytes)
-	}
-	return c.Conn.Close()
-}
-
-// Write continues after a timeout if some bytes were written, because then the caller has made progress.
-func (c *progressConn) Write(b []byte) (int, error) {
-	total := 0
-	for {
-		// The deadline is extended only when less than the progress timeout is left, because setting it for each token
-		// would cost too much time.
-		now := time.Now()
-		if c.writeDeadline.Sub(now) < c.timeout {
-			c.writeDeadline = now.Add(c.timeout + c.timeout/16)
-			if err := c.SetWriteDeadline(c.writeDeadline); err != nil {
-				return total, err
-			}
-		}
-		n, err := c.Conn.Write(b[total:])
-		total += n
-		var timeout net.Error
-		if err == nil || n == 0 || !errors.As(err, &timeout) || !timeout.Timeout() {
-			return total, err
-		}
-	}
-}
-
 // debugLogger passes fasthttp's log messages, most of them about broken connections, to the log at debug level.
 type debugLogger struct{ log *zerolog.Logger }
 
@@ -210,10 +145,3 @@
 	}
 	return n
 }
-
-func spanOrDefault(s, def clock.Span) clock.Span {
-	if s == 0 {
-		return def
-	}
-	return s
-}
