caller: a head has the operator's time to arrive

Callers saw nothing of it; the VM did: a head might take 30 s, and a connection and a read buffer of 16 KB were held for it, whatever HeaderTimeoutMs said (a head of 6 s got 200 with a limit of 3 s).

Cause: as for the idle limit, nothing read it. Change: a connection finds the end of the head in the bytes that arrive, so a head and the rest of a request have timeouts of their own; the limit holds from its next change on for heads that have begun to arrive. The answer is 408, not run. A request that is sent behind another one may have been read with that; it has the time of a whole request. A body keeps its 30 s.

--- a/io/caller/bodies.go
+++ b/io/caller/bodies.go
@@ -34,10 +34,10 @@
 // is released when the request ends. If a body breaks off, no part of the server may learn of it; the reservation then ends with the next
 // request of that header, or when the time for reading the body is over.
 type bodyMemory struct {
-	idHeader    string        // header with the identifier of a request, "" for none
-	maxBody     int           // largest body, in bytes
-	readTimeout time.Duration // time within which a body arrives
-	total       int64         // memory for bodies, in bytes
+	idHeader string               // header with the identifier of a request, "" for none
+	maxBody  int                  // largest body, in bytes
+	timeout  func() time.Duration // time within which a body arrives
+	total    int64                // memory for bodies, in bytes
 
 	mu   sync.Mutex
 	free int64 // of total, below 0 if medium bodies use the additional memory
@@ -63,7 +63,7 @@
 	if n > m.maxBody || n <= smallBody && n != chunkedBody {
 		return fasthttp.RequestConfig{MaxRequestBodySize: m.maxBody}
 	}
-	r := &reservation{expires: time.Now().Add(m.readTimeout)}
+	r := &reservation{expires: time.Now().Add(m.timeout())}
 	m.held[h] = r
 	if n != chunkedBody {
 		need := allocated(n)
--- a/io/caller/connection.go
+++ b/io/caller/connection.go
@@ -43,7 +43,8 @@
 const (
 	opened    phase = iota // no byte has arrived
 	idle                   // no byte of the next request has arrived
-	receiving              // a request arrives, or is served
+	heading                // a part of the next request's head has arrived
+	receiving              // the rest of a request arrives, or it is served
 )
 
 // phase is what a connection waits for.
@@ -58,6 +59,7 @@
 	timeout       time.Duration
 	writeDeadline time.Time // write deadline that is set on Conn
 	readRest      bool      // the rest of a request that was refused early may still arrive; Close reads it
+	head          headScanner
 
 	mu       sync.Mutex
 	phase    phase
@@ -76,19 +78,36 @@
 			continue
 		}
 		if n > 0 {
-			c.enter(receiving)
+			c.scan(p[:n])
 		}
 		return n, err
 	}
 }
 
-// enter begins a phase, if the connection is in another one.
+// scan takes note of bytes that have arrived.
+func (c *connection) scan(b []byte) {
+	if c.head.done {
+		return
+	}
+	c.head.add(b)
+	if c.head.done {
+		c.enter(receiving)
+	} else {
+		c.enter(heading)
+	}
+}
+
+// enter begins a phase, if the connection is in another one. The rest of a request has one timeout with its head.
 func (c *connection) enter(p phase) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.phase != p {
-		c.phase, c.since = p, time.Now()
+	if c.phase == p {
+		return
+	}
+	if c.phase != heading || p != receiving {
+		c.since = time.Now()
 	}
+	c.phase = p
 }
 
 // phaseTimeout returns how long the present phase may last. mu is held.
@@ -98,8 +117,10 @@
 		return c.server.openedTimeout()
 	case idle:
 		return c.server.idleTimeout()
+	case heading:
+		return c.server.headTimeout()
 	default:
-		return c.server.readTimeout()
+		return c.server.requestTimeout()
 	}
 }
 
@@ -128,7 +149,7 @@
 		return true
 	}
 	if conn.Peek(c.Conn) != conn.Readable {
-		if c.phase != receiving {
+		if c.phase == opened || c.phase == idle {
 			c.server.connections.idleEnded.Add(1)
 		}
 		return false
@@ -145,9 +166,13 @@
 	}
 	switch s {
 	case fasthttp.StateIdle:
+		c.head = headScanner{}
 		c.enter(idle)
-	case fasthttp.StateActive: // all of a request that was sent behind another one may have been read with that
-		c.enter(receiving)
+	case fasthttp.StateActive:
+		if c.head.size == 0 { // the beginning of the request was sent behind another one and has been read with that
+			c.head.done = true
+			c.enter(receiving)
+		}
 	}
 }
 
--- a/io/caller/limits.go
+++ b/io/caller/limits.go
@@ -45,8 +45,15 @@
 	return firstSet(s.named().Idle, s.IdleTimeout, defaultIdleTimeout)
 }
 
-// readTimeout returns how long a request may take to arrive.
-func (s *Server) readTimeout() time.Duration { return firstSet(s.ReadTimeout, defaultReadTimeout) }
+// headTimeout returns how long the head of a request may take to arrive.
+func (s *Server) headTimeout() time.Duration {
+	return firstSet(s.named().Arrive, s.ReadTimeout, defaultReadTimeout)
+}
+
+// requestTimeout returns how long a whole request may take to arrive.
+func (s *Server) requestTimeout() time.Duration {
+	return max(firstSet(s.ReadTimeout, defaultReadTimeout), s.headTimeout())
+}
 
 // firstSet returns the first of the timeouts that is more than 0.
 func firstSet(all ...clock.Span) time.Duration {
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -33,7 +33,7 @@
 	Listener        net.Listener
 	Handler         fasthttp.RequestHandler
 	WriteTimeout    clock.Span // timeout of a write without progress, 0 means 10 s; a write may take up to 1/16 longer
-	ReadTimeout     clock.Span // timeout for receiving a whole request, 0 means 30 s
+	ReadTimeout     clock.Span // timeout for receiving a whole request, 0 means 30 s; it is longer if the limits let the head take longer
 	IdleTimeout     clock.Span // idle timeout of a connection, 0 means 60 s
 	Linger          clock.Span // how long new connections are accepted after the end of the context, 0 means 200 ms
 	ShutdownTimeout clock.Span // limit of the graceful shutdown that follows, 0 means none
@@ -54,10 +54,9 @@
 // when all responses have ended or ShutdownTimeout has passed. It continues to accept for Linger, so that the handler can
 // refuse new requests: closing the listener at once would reset the connections that wait to be accepted.
 func (s *Server) Run(ctx context.Context) error {
-	readTimeout := s.readTimeout()
 	maxBody := intOrDefault(s.MaxBody, BodyLimit)
 	s.bodies = &bodyMemory{
-		idHeader: s.IDHeader, maxBody: maxBody, readTimeout: readTimeout,
+		idHeader: s.IDHeader, maxBody: maxBody, timeout: s.requestTimeout,
 		total: cmp.Or(s.BodyMemory, defaultBodyMemory), free: cmp.Or(s.BodyMemory, defaultBodyMemory),
 		held: make(map[*fasthttp.RequestHeader]*reservation),
 	}
