caller: the largest body is the operator's

Callers saw 413 for a body of 5 MB with MaxBodyBytes of 6 MB, and got 4 MB through where the operator allows 1 MB: the constant of 4 MiB held.

Change: the memory for bodies asks for the limit in force with each request. What the limit allows and the memory doesn't is refused as before: 503, not run, with Retry-After. A body in chunks got a quarter of what is free of half of the memory, 4.2 MB on a VM of 134 MB, so one of 5 MB would have been refused each time; one that arrives alone may use all of that half.

--- a/io/caller/bodies.go
+++ b/io/caller/bodies.go
@@ -35,7 +35,7 @@
 // request of that header, or when the time for reading the body is over.
 type bodyMemory struct {
 	idHeader string               // header with the identifier of a request, "" for none
-	maxBody  int                  // largest body, in bytes
+	maxBody  func() int           // largest body, in bytes
 	timeout  func() time.Duration // time within which a body arrives
 	total    int64                // memory for bodies, in bytes
 
@@ -59,9 +59,9 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.remove(h)
-	n := h.ContentLength()
-	if n > m.maxBody || n <= smallBody && n != chunkedBody {
-		return fasthttp.RequestConfig{MaxRequestBodySize: m.maxBody}
+	n, maxBody := h.ContentLength(), m.maxBody()
+	if n > maxBody || n <= smallBody && n != chunkedBody {
+		return fasthttp.RequestConfig{MaxRequestBodySize: maxBody}
 	}
 	r := &reservation{expires: time.Now().Add(m.timeout())}
 	m.held[h] = r
@@ -74,24 +74,29 @@
 		if r.limited = !m.reserve(r, need, more); r.limited {
 			return fasthttp.RequestConfig{MaxRequestBodySize: 1}
 		}
-		return fasthttp.RequestConfig{MaxRequestBodySize: m.maxBody}
+		return fasthttp.RequestConfig{MaxRequestBodySize: maxBody}
 	}
 	r.id = string(h.Peek(m.idHeader))
 	// While a buffer grows, the old one and the new one exist.
 	m.sweep()
-	most := m.chunkedLimit()
+	most := m.chunkedLimit(maxBody)
 	if !m.reserve(r, 2*most, 0) {
 		r.limited = true
 		return fasthttp.RequestConfig{MaxRequestBodySize: smallBody}
 	}
-	r.limited = most < int64(m.maxBody)
-	return fasthttp.RequestConfig{MaxRequestBodySize: int(min(most, int64(m.maxBody)))}
+	r.limited = most < int64(maxBody)
+	return fasthttp.RequestConfig{MaxRequestBodySize: int(min(most, int64(maxBody)))}
 }
 
 // chunkedLimit returns the size up to which the next body in chunks may grow. How large it will be is not known, so the first ones may be
-// large, but they use at most half of the memory: bodies that arrive slowly, or not at all, must not keep small ones out.
-func (m *bodyMemory) chunkedLimit() int64 {
-	return min(allocated(m.maxBody), max(smallChunked, (m.free-m.total/2)/4))
+// large, but they use at most half of the memory: bodies that arrive slowly, or not at all, must not keep small ones out. One that arrives
+// alone may use all of that half, as a limit that the memory allows for must not refuse it each time.
+func (m *bodyMemory) chunkedLimit(maxBody int) int64 {
+	share := (m.free - m.total/2) / 4
+	if m.free == m.total {
+		share = m.total / 4 // twice as much is reserved
+	}
+	return min(allocated(maxBody), max(smallChunked, share))
 }
 
 // chunkedBody is fasthttp's ContentLength of a body in chunks.
--- a/io/caller/limits.go
+++ b/io/caller/limits.go
@@ -35,6 +35,9 @@
 	return catalog.Limits{}
 }
 
+// bodyLimit returns the size of the largest body, in bytes.
+func (s *Server) bodyLimit() int { return firstPositive(s.named().Body, s.MaxBody, BodyLimit) }
+
 // openedTimeout returns how long a connection may stay without its first request.
 func (s *Server) openedTimeout() time.Duration {
 	return firstSet(s.named().Idle, s.ReadTimeout, defaultReadTimeout)
@@ -55,6 +58,16 @@
 	return max(firstSet(s.ReadTimeout, defaultReadTimeout), s.headTimeout())
 }
 
+// firstPositive returns the first of the numbers that is more than 0.
+func firstPositive(all ...int) int {
+	for _, n := range all {
+		if n > 0 {
+			return n
+		}
+	}
+	return 0
+}
+
 // firstSet returns the first of the timeouts that is more than 0.
 func firstSet(all ...clock.Span) time.Duration {
 	for _, s := range all {
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -54,9 +54,8 @@
 // when all responses have ended or ShutdownTimeout has passed. It continues to accept for Linger, so that the handler can
 // refuse new requests: closing the listener at once would reset the connections that wait to be accepted.
 func (s *Server) Run(ctx context.Context) error {
-	maxBody := intOrDefault(s.MaxBody, BodyLimit)
 	s.bodies = &bodyMemory{
-		idHeader: s.IDHeader, maxBody: maxBody, timeout: s.requestTimeout,
+		idHeader: s.IDHeader, maxBody: s.bodyLimit, timeout: s.requestTimeout,
 		total: cmp.Or(s.BodyMemory, defaultBodyMemory), free: cmp.Or(s.BodyMemory, defaultBodyMemory),
 		held: make(map[*fasthttp.RequestHeader]*reservation),
 	}
@@ -65,8 +64,7 @@
 		HeaderReceived:        s.bodies.admit,
 		ErrorHandler:          s.unreadable,
 		ConnState:             changeState,
-		MaxRequestBodySize:    maxBody,
-		ReadBufferSize:        intOrDefault(s.MaxHeader, HeaderLimit),
+		ReadBufferSize:        firstPositive(s.MaxHeader, HeaderLimit),
 		Concurrency:           ParallelLimit,
 		ReduceMemoryUsage:     true,
 		CloseOnShutdown:       true,
@@ -137,10 +135,3 @@
 func (q debugLogger) Printf(format string, args ...any) {
 	q.log.Debug().Msgf("caller: "+format, args...)
 }
-
-func intOrDefault(n, def int) int {
-	if n == 0 {
-		return def
-	}
-	return n
-}
