caller: the largest head is the operator's

Callers saw 431 for a head of 24 KB with MaxHeaderBytes of 32 KB, and heads of 16 KB were read where the operator allows 8 KB: fasthttp reads a head into a buffer whose size is set once, 16 KiB.

A larger buffer for all would hold 64 KB and more for each request that arrives slowly. So the buffer stays, and a head that exceeds it, but not the limit, is received by serveLargeHead in fasthttp's error handler: memory for it is reserved as it arrives, from the same quarter of the VM's memory as the bodies, five times its size, until the request has ended. Where none is free the answer is 503, not run. fasthttp closes the connection after the answer. The bytes of a head that has not arrived whole are kept for it only if the limit exceeds the buffer. A large head that was sent behind another request gets 503, as its beginning is not held.

--- a/internal/front/daemon.go
+++ b/internal/front/daemon.go
@@ -183,7 +183,7 @@
 	if !srv.SetLimits(l) {
 		return
 	}
-	d.Log.Info().Int("body_bytes", l.Body).Int64("head_ms", int64(l.Arrive)).Int64("idle_ms", int64(l.Idle)).Int("open", srv.Open()).
+	d.Log.Info().Int("head_bytes", l.Header).Int("body_bytes", l.Body).Int64("head_ms", int64(l.Arrive)).Int64("idle_ms", int64(l.Idle)).Int("open", srv.Open()).
 		Msg("daemon: limits of callers changed; 0 stands for the default")
 }
 
--- a/io/caller/connection.go
+++ b/io/caller/connection.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"cmp"
 	"errors"
 	"io"
 	"net"
@@ -60,6 +61,7 @@
 	writeDeadline time.Time // write deadline that is set on Conn
 	readRest      bool      // the rest of a request that was refused early may still arrive; Close reads it
 	head          headScanner
+	kept          []byte // bytes of a head that has not arrived whole and may exceed the read buffer
 
 	mu       sync.Mutex
 	phase    phase
@@ -67,7 +69,7 @@
 	deadline time.Time // read deadline that is set on Conn
 }
 
-// Read ends with an error when the deadline of the phase has passed.
+// Read ends with an error when the deadline of the phase has passed, or when the head exceeds its limit.
 func (c *connection) Read(p []byte) (int, error) {
 	for {
 		if err := c.arm(); err != nil {
@@ -78,23 +80,34 @@
 			continue
 		}
 		if n > 0 {
-			c.scan(p[:n])
+			err = cmp.Or(err, c.scan(p[:n]))
 		}
 		return n, err
 	}
 }
 
-// scan takes note of bytes that have arrived.
-func (c *connection) scan(b []byte) {
+// scan takes note of bytes that have arrived. It fails if the head exceeds its limit before its end.
+func (c *connection) scan(b []byte) error {
 	if c.head.done {
-		return
+		return nil
 	}
 	c.head.add(b)
+	limit, buffer := c.server.headLimit(), c.server.readBuffer()
+	switch {
+	case c.head.done && c.head.size <= buffer:
+		c.kept = nil
+	case limit > buffer:
+		c.kept = append(c.kept, b...)
+	}
 	if c.head.done {
 		c.enter(receiving)
-	} else {
-		c.enter(heading)
+		return nil
+	}
+	c.enter(heading)
+	if c.head.size > limit {
+		return errLargeHead
 	}
+	return nil
 }
 
 // enter begins a phase, if the connection is in another one. The rest of a request has one timeout with its head.
@@ -166,7 +179,7 @@
 	}
 	switch s {
 	case fasthttp.StateIdle:
-		c.head = headScanner{}
+		c.head, c.kept = headScanner{}, nil
 		c.enter(idle)
 	case fasthttp.StateActive:
 		if c.head.size == 0 { // the beginning of the request was sent behind another one and has been read with that
--- a/io/caller/limits.go
+++ b/io/caller/limits.go
@@ -35,6 +35,12 @@
 	return catalog.Limits{}
 }
 
+// headLimit returns the size of the largest request line with headers, in bytes.
+func (s *Server) headLimit() int { return firstPositive(s.named().Header, s.readBuffer()) }
+
+// readBuffer returns the size of the buffer in which a head of usual size arrives, in bytes.
+func (s *Server) readBuffer() int { return firstPositive(s.MaxHeader, HeaderLimit) }
+
 // bodyLimit returns the size of the largest body, in bytes.
 func (s *Server) bodyLimit() int { return firstPositive(s.named().Body, s.MaxBody, BodyLimit) }
 
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -38,7 +38,7 @@
 	Linger          clock.Span // how long new connections are accepted after the end of the context, 0 means 200 ms
 	ShutdownTimeout clock.Span // limit of the graceful shutdown that follows, 0 means none
 	MaxBody         int        // largest body in bytes, 0 means BodyLimit
-	MaxHeader       int        // largest request line and headers in bytes, 0 means HeaderLimit
+	MaxHeader       int        // largest request line and headers in bytes, and size of the read buffer, 0 means HeaderLimit
 	BodyMemory      int64      // memory of all bodies that are held at the same time, in bytes, 0 means 64 MiB
 	IDHeader        string     // header with the identifier of a request, "" for none
 	// OnUnreadable answers a request that could not be read; nil answers with problem details.
@@ -64,7 +64,7 @@
 		HeaderReceived:        s.bodies.admit,
 		ErrorHandler:          s.unreadable,
 		ConnState:             changeState,
-		ReadBufferSize:        firstPositive(s.MaxHeader, HeaderLimit),
+		ReadBufferSize:        s.readBuffer(),
 		Concurrency:           ParallelLimit,
 		ReduceMemoryUsage:     true,
 		CloseOnShutdown:       true,
@@ -98,35 +98,63 @@
 // handle serves a request whose body has arrived.
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
 	s.bodies.claim(ctx)
+	if headSize(&ctx.Request.Header) > s.headLimit() {
+		s.refuse(ctx, unreadRefusal(errLargeHead, false))
+		return
+	}
 	s.Handler(ctx)
 }
 
-// unreadable answers a request that could not be read. No part of it ran.
+// unreadable answers a request that could not be read. No part of it ran, unless it is served after all as only its head was large.
 func (s *Server) unreadable(ctx *fasthttp.RequestCtx, err error) {
+	c, ok := ctx.Conn().(*connection)
+	if ok && s.exceedsBuffer(c, err) {
+		if err = s.serveLargeHead(ctx, c); err == nil {
+			return
+		}
+	}
+	exhausted := s.bodies.fail(&ctx.Request.Header)
+	if ok {
+		s.restoreID(ctx, c)
+		c.readRest = true
+	}
+	s.refuse(ctx, unreadRefusal(err, exhausted))
+	ctx.SetConnectionClose()
+}
+
+// unreadRefusal returns the refusal of a request that could not be read. exhausted means that its body was too large only because memory is
+// used up.
+func unreadRefusal(err error, exhausted bool) *work.Refusal {
 	r := &work.Refusal{Code: work.CodeBadRequest, Status: fasthttp.StatusBadRequest, Ran: work.NotRun, Detail: "the request could not be read"}
 	var small *fasthttp.ErrSmallBuffer
 	var timeout interface{ Timeout() bool }
-	exhausted := s.bodies.fail(&ctx.Request.Header)
 	switch {
+	case errors.Is(err, errHeadRoom):
+		r.Code, r.Status, r.Retry = work.CodeOverloaded, fasthttp.StatusServiceUnavailable, memoryRetry
+		r.Detail = "no memory is free for the headers"
+	case errors.Is(err, errHeadGone):
+		r.Code, r.Status, r.Retry = work.CodeOverloaded, fasthttp.StatusServiceUnavailable, memoryRetry
+		r.Detail = "the headers can be read on another connection only"
 	case exhausted && errors.Is(err, fasthttp.ErrBodyTooLarge):
 		r.Code, r.Status, r.Retry = work.CodeOverloaded, fasthttp.StatusServiceUnavailable, memoryRetry
 		r.Detail = "no memory is free for the body"
-	case errors.As(err, &small):
+	case errors.As(err, &small), errors.Is(err, errLargeHead):
 		r.Code, r.Status, r.Detail = work.CodeTooLarge, fasthttp.StatusRequestHeaderFieldsTooLarge, "the headers are too large"
 	case errors.Is(err, fasthttp.ErrBodyTooLarge):
 		r.Code, r.Status, r.Detail = work.CodeTooLarge, fasthttp.StatusRequestEntityTooLarge, "the body is too large"
 	case errors.As(err, &timeout) && timeout.Timeout():
 		r.Status, r.Detail = fasthttp.StatusRequestTimeout, "the request did not arrive in time"
 	}
+	return r
+}
+
+// refuse answers with a refusal.
+func (s *Server) refuse(ctx *fasthttp.RequestCtx, r *work.Refusal) {
 	if s.OnUnreadable != nil {
 		s.OnUnreadable(ctx, r)
 	} else {
 		Problem(ctx, r, "")
 	}
-	ctx.SetConnectionClose()
-	if c, ok := ctx.Conn().(*connection); ok {
-		c.readRest = true
-	}
 }
 
 // debugLogger passes fasthttp's log messages, most of them about broken connections, to the log at debug level.
