front: the ports for readiness and metrics close connections that go silent

A minute between requests and 5 s for a request are the bounds now. TestPortsCloseIdleConnections failed before (open after 10 s, with and without a request).

--- a/internal/front/daemon.go
+++ b/internal/front/daemon.go
@@ -145,8 +145,8 @@
 	background, end := context.WithCancel(context.WithoutCancel(ctx))
 	defer end()
 	ports := []port{
-		{d.Settings.Ready, dialect.HandleReady},
-		{d.Settings.Metrics, fasthttpadaptor.NewFastHTTPHandler(promhttp.HandlerFor(registry, promhttp.HandlerOpts{}))},
+		{d.Settings.Ready, dialect.HandleReady, portIdleTimeout},
+		{d.Settings.Metrics, fasthttpadaptor.NewFastHTTPHandler(promhttp.HandlerFor(registry, promhttp.HandlerOpts{})), portIdleTimeout},
 	}
 	for _, p := range ports {
 		if err := p.serve(background); err != nil {
@@ -198,10 +198,17 @@
 	)
 }
 
+// Timeouts of the ports other than the one for callers. A client that goes without closing must not hold a descriptor for good.
+const (
+	portReadTimeout = 5 * time.Second
+	portIdleTimeout = time.Minute // longer than the usual interval of probes, which reuse connections
+)
+
 // port is a listener other than the one for callers; its requests are short.
 type port struct {
 	addr   string // IP:port, "" for none
 	handle fasthttp.RequestHandler
+	idle   time.Duration // how long a connection may stay without another request
 }
 
 // serve starts to answer on the port, until ctx ends.
@@ -213,7 +220,9 @@
 	if err != nil {
 		return oops.Wrapf(err, "listen on %s", p.addr)
 	}
-	srv := &fasthttp.Server{Handler: p.handle, NoDefaultServerHeader: true, Logger: logs.Silent{}}
+	srv := &fasthttp.Server{
+		Handler: p.handle, ReadTimeout: portReadTimeout, IdleTimeout: p.idle, NoDefaultServerHeader: true, Logger: logs.Silent{},
+	}
 	go func() { _ = srv.Serve(ln) }() // it ends with the listener
 	context.AfterFunc(ctx, func() { _ = ln.Close() })
 	return nil
