follow: connections to the port for peers that send nothing end

A connection that sends no request to the port for peers stayed open for good; peer.Transport bounds only those that have become WebSockets. fasthttp takes the bound off as it hands a connection over. TestSilentConnectionsToPeersEnd failed before (open after 6 s), and checks that the VM that is followed stays the same.

--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -33,6 +33,9 @@
 	silenceReserve = 500 * clock.Millisecond
 	// heartbeat is the heartbeat interval of peers; a connection may be silent for three of them at most.
 	heartbeat = 500 * clock.Millisecond
+	// upgradeTimeout bounds the wait for the first request of a connection to the port for peers, so that one that sends nothing does
+	// not hold a descriptor for good.
+	upgradeTimeout = 2 * clock.Second
 	// secretBytes is the length of the fleet's secret, in bytes.
 	secretBytes = 32
 	// setupRetryDelay is the delay before a failed call to the store that is needed for the start is retried.
@@ -98,7 +101,7 @@
 	if !ok {
 		return
 	}
-	srv := &fasthttp.Server{Handler: f.serve, NoDefaultServerHeader: true, Logger: logs.Silent{}}
+	srv := &fasthttp.Server{Handler: f.serve, ReadTimeout: upgradeTimeout.Std(), NoDefaultServerHeader: true, Logger: logs.Silent{}}
 	go func() { _ = srv.Serve(ln) }()
 	if found {
 		f.setUpstream(f.firstUpstream(ctx))
