conn: an answer without a length is not whole if the request's write took the reset

Callers saw: a server answers an upload of 4 MB at once with a 200 without a length, sends half of the body and resets the connection.

Cause: a socket reports a reset once. The failed write took the error, and the read after it saw an ordinary end, which ends an answer without a length. Evidence: an upload that fits into the buffers, or an answer with a length or in chunks, gave 502 with the same reset.

Change: after such a write the end of an answer without a length is an error. EPIPE is excepted: the system reports it if the server closed its side before the reset, so the answer has an end; and our own deadline, which takes nothing.

--- a/io/conn/pool.go
+++ b/io/conn/pool.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net"
+	"os"
 	"strconv"
 	"sync"
 	"syscall"
@@ -26,6 +27,8 @@
 	ErrMismatch = errors.New("the answer belongs to another request")
 	// ErrExcessBytes means that the server sent more than the permitted number of bytes outside the answer's body.
 	ErrExcessBytes = errors.New("too many bytes that are no part of the answer")
+	// ErrUnknownEnd means that an answer without a length ended on a connection that had failed while the request was written.
+	ErrUnknownEnd = errors.New("the connection failed while the request was written, so the end of the answer is not known")
 	// ErrAborted means that the call was ended by its Abort.
 	ErrAborted = errors.New("call aborted")
 )
@@ -79,7 +82,8 @@
 // body reads the answer's body. Each byte that it delivers resets the link's count of bytes outside the body.
 type body struct {
 	io.Reader
-	link *link
+	link       *link
+	endUnknown bool // the end of the connection does not show that the body is whole
 }
 
 func (b *body) Read(p []byte) (int, error) {
@@ -87,6 +91,9 @@
 	if n > 0 {
 		b.link.nonBodyBytes = 0
 	}
+	if b.endUnknown && errors.Is(err, io.EOF) {
+		err = ErrUnknownEnd
+	}
 	return n, err
 }
 
@@ -112,7 +119,7 @@
 		_ = l.conn.Close()
 		return nil, &Error{Addr: addr, Sent: sent, Err: Cause(err)}
 	} else if err != nil {
-		l.answeredEarly = true
+		l.answeredEarly, l.failed = true, consumedReset(err)
 	}
 	resp := fasthttp.AcquireResponse()
 	resp.Header.SetNoDefaultContentType(true) // a media type that the server did not name is not passed on as its own
@@ -131,12 +138,22 @@
 	}
 	out := &Response{Status: resp.StatusCode(), Header: &resp.Header, pool: p, link: l, resp: resp, abort: o.Abort}
 	if r := resp.BodyStream(); r != nil {
-		out.body = body{r, l}
+		out.body = body{r, l, l.failed && resp.Header.ContentLength() == untilClose}
 		out.Body = &out.body
 	}
 	return out, nil
 }
 
+// untilClose is fasthttp's ContentLength of a body that ends with its connection.
+const untilClose = -2
+
+// consumedReset reports whether a failed write may have taken the error that shows that the connection was reset. A socket reports it once,
+// to the call that comes first; the reads after that see an ordinary end. EPIPE is no such error: the system reports it if the server had
+// closed its side before the reset, so its answer has an end.
+func consumedReset(err error) bool {
+	return !errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, syscall.EPIPE)
+}
+
 // maxMismatches is how many late answers to earlier requests are discarded before a call fails.
 const maxMismatches = 2
 
@@ -209,6 +226,7 @@
 	written       int64      // bytes of the current request that were sent
 	reused        bool       // an earlier request was sent on the connection
 	answeredEarly bool       // the server answered before it had read the whole request
+	failed        bool       // the connection failed meanwhile, which reads do not show
 	nonBodyBytes  int        // bytes read since the request was sent or, if later, since the last byte of the body was delivered
 }
 
