conn: a status outside 100 to 599 is no answer

Callers saw: a server in trouble answers with the status 000, and the caller gets 200 with its signature, so a failure becomes a success. 600 and 999 were passed on; with 001 to 099 the caller waited for its deadline.

Cause: fasthttp has 200 for a status that is zero, and takes any three digits. Nothing behind it shows the number that came.

Change: io/conn looks at the status line before fasthttp reads it, also behind responses that announce the answer. Such a call fails; its outcome is unknown.

Tests: 13 rows of TestStatusThatIsNone failed before (200, 600, 999, or 504 after the deadline), and both calls of TestStoreWithAStatusThatIsNone with 000, as the store's client uses the same call.

--- a/io/conn/pool.go
+++ b/io/conn/pool.go
@@ -27,6 +27,8 @@
 	ErrMismatch = errors.New("the answer belongs to another request")
 	// ErrExcessBytes means that the server sent more than the permitted number of bytes outside the answer's body.
 	ErrExcessBytes = errors.New("too many bytes that are no part of the answer")
+	// ErrStatus means that a response has a status outside 100 to 599.
+	ErrStatus = errors.New("the response has a status that is none")
 	// ErrUnknownEnd means that an answer without a length ended on a connection that had failed while the request was written.
 	ErrUnknownEnd = errors.New("the connection failed while the request was written, so the end of the answer is not known")
 	// ErrAborted means that the call was ended by its Abort.
@@ -160,10 +162,13 @@
 // receive reads the header of the response that belongs to the request.
 func (p *Pool) receive(l *link, resp *fasthttp.Response, matches func(h *fasthttp.ResponseHeader, reused bool) bool) error {
 	for range maxMismatches + 1 {
+		if err := skipInterim(l.reader(p), &resp.Header); err != nil {
+			return err
+		}
 		if err := resp.ReadLimitBody(l.reader(p), 0); err != nil {
 			return err
 		}
-		interim := resp.StatusCode() < fasthttp.StatusOK // announces the answer, for example 103 Early Hints
+		interim := resp.StatusCode() < fasthttp.StatusOK // 101, which no request asks for
 		if !interim && (matches == nil || matches(&resp.Header, l.reused)) {
 			return nil
 		}
--- /dev/null
+++ b/io/conn/status.go
@@ -0,0 +1,72 @@
+package conn
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"strconv"
+
+	"github.com/valyala/fasthttp"
+)
+
+// Statuses that a response can have.
+const (
+	minStatus = 100
+	maxStatus = 599
+)
+
+// maxInterim is how many responses that only announce the answer, for example 103 Early Hints, a call skips.
+const maxInterim = 100
+
+// skipInterim reads the responses that only announce the answer, up to that. It fails with ErrStatus if the status of one of them, or of the
+// answer, is none. fasthttp doesn't show that: it has 200 in place of the number 0, and any other number is as good as those that exist.
+func skipInterim(br *bufio.Reader, h *fasthttp.ResponseHeader) error {
+	for range maxInterim {
+		status, err := peekStatus(br)
+		switch {
+		case err != nil:
+			return err
+		case status < minStatus || status > maxStatus:
+			return ErrStatus
+		case status >= fasthttp.StatusOK || status == fasthttp.StatusSwitchingProtocols:
+			return nil
+		}
+		if err := h.Read(br); err != nil {
+			return err
+		}
+	}
+	return ErrMismatch
+}
+
+// peekStatus returns the status of the response that comes next, without consuming it. For a line that is no status line it returns
+// an arbitrary status that exists, as reading it fails. Errors of the connection are returned at once, as the next read might not see them.
+func peekStatus(br *bufio.Reader) (int, error) {
+	for n := 1; ; n = br.Buffered() + 1 {
+		_, err := br.Peek(n)
+		if errors.Is(err, bufio.ErrBufferFull) {
+			return 0, ErrHeaders
+		}
+		if err != nil {
+			return 0, err
+		}
+		b, _ := br.Peek(br.Buffered()) // it can't fail: that many bytes are there
+		for line := range bytes.Lines(b) {
+			if line[len(line)-1] != '\n' {
+				break
+			}
+			if line = bytes.TrimRight(line, "\r\n"); len(line) > 0 {
+				return parseStatus(line), nil
+			}
+		}
+	}
+}
+
+// parseStatus returns the number in a status line, and 200 for a line that has none.
+func parseStatus(line []byte) int {
+	_, rest, _ := bytes.Cut(line, []byte(" "))
+	number, _, _ := bytes.Cut(bytes.TrimLeft(rest, " "), []byte(" "))
+	if n, err := strconv.Atoi(string(number)); err == nil {
+		return n
+	}
+	return fasthttp.StatusOK
+}
