--- a/io/conn/status.go
+++ b/io/conn/status.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"errors"
+	"net"
 	"strconv"
 
 	"github.com/valyala/fasthttp"
@@ -70,3 +71,61 @@
 	}
 	return fasthttp.StatusOK
 }
+
+// CheckStatus returns a connection for an HTTP client of a library, whose reads fail with ErrStatus when the status of a response is none.
+// The client sends one request at a time.
+func CheckStatus(c net.Conn) net.Conn { return &checkedConn{Conn: c} }
+
+// checkedConn looks at the status lines that are read.
+type checkedConn struct {
+	net.Conn
+	passed  bool   // the rest of the response isn't looked at
+	interim bool   // the header of a response is read that only announces the answer
+	line    []byte // beginning of the present line
+}
+
+// Write begins the next request.
+func (c *checkedConn) Write(p []byte) (int, error) {
+	c.passed, c.interim, c.line = false, false, nil
+	return c.Conn.Write(p)
+}
+
+// Read fails instead of returning the bytes that end a status line without a status.
+func (c *checkedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	for part := range bytes.Lines(p[:n]) {
+		if c.passed {
+			break
+		}
+		c.line = append(c.line, part...)
+		if part[len(part)-1] != '\n' {
+			c.passed = len(c.line) > maxStatusLine // the client fails
+			break
+		}
+		line := bytes.TrimRight(c.line, "\r\n")
+		c.line = nil
+		if !c.checkLine(line) {
+			return 0, ErrStatus
+		}
+	}
+	return n, err
+}
+
+// maxStatusLine is how much of a line is kept, in bytes.
+const maxStatusLine = 4096
+
+// checkLine takes note of a line of a header. It returns false for a status line whose status is none.
+func (c *checkedConn) checkLine(line []byte) bool {
+	switch {
+	case c.interim:
+		c.interim = len(line) > 0
+	case len(line) > 0:
+		status := parseStatus(line)
+		if status < minStatus || status > maxStatus {
+			return false
+		}
+		c.interim = status < fasthttp.StatusOK && status != fasthttp.StatusSwitchingProtocols
+		c.passed = !c.interim
+	}
+	return true
+}
--- a/io/operator/fetch.go
+++ b/io/operator/fetch.go
@@ -3,10 +3,13 @@
 import (
 	"context"
 	"encoding/json"
+	"net"
 	"time"
 
 	"github.com/samber/oops"
 	"github.com/valyala/fasthttp"
+
+	"shallotrun/io/conn"
 )
 
 // maxStatus is the largest status that is read, in bytes. A status with 340 peers and 3,800 servers has about 200 bytes
@@ -24,7 +27,7 @@
 	if !ok {
 		deadline = time.Now().Add(5 * time.Second)
 	}
-	host := &fasthttp.HostClient{Addr: addr, MaxResponseBodySize: maxStatus, MaxIdemponentCallAttempts: 1}
+	host := &fasthttp.HostClient{Addr: addr, Dial: dial, MaxResponseBodySize: maxStatus, MaxIdemponentCallAttempts: 1}
 	defer host.CloseIdleConnections()
 	var s Status
 	if err := host.DoDeadline(req, resp, deadline); err != nil {
@@ -41,3 +44,12 @@
 	}
 	return s, nil
 }
+
+// dial opens a connection to an operator port.
+func dial(addr string) (net.Conn, error) {
+	c, err := fasthttp.Dial(addr)
+	if err != nil {
+		return nil, err
+	}
+	return conn.CheckStatus(c), nil
+}
--- a/io/operator/port_test.go
+++ b/io/operator/port_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/url"
 	"strings"
@@ -81,3 +82,19 @@
 	f = MergeStatuses([]Status{one, two}, 26_000)
 	assert.Check(t, !f.Lagging(), "a document may take 8 s")
 }
+
+// Guards against a status page that is taken from an answer whose status is none, which fasthttp shows as 200.
+func TestFetchWithAStatusThatIsNone(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer ln.Close() //nolint:errcheck // a test's listener
+	go func() {
+		c, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		_, _ = io.WriteString(c, "HTTP/1.1 000 X\r\nContent-Length: 11\r\n\r\n{\"VM\":\"e1\"}")
+	}()
+	_, err = Fetch(t.Context(), ln.Addr().String(), Login{})
+	assert.Check(t, err != nil)
+}
--- a/io/order/client.go
+++ b/io/order/client.go
@@ -139,7 +139,11 @@
 			Dial: func(addr string) (net.Conn, error) {
 				d := conn.Dialer(c.Source)
 				d.Timeout = dialTimeout
-				return d.Dial("tcp", addr)
+				dialled, err := d.Dial("tcp", addr)
+				if err != nil {
+					return nil, err
+				}
+				return conn.CheckStatus(dialled), nil
 			},
 			MaxIdleConnDuration: time.Second, // short, so that a connection that no longer delivers anything is not reused
 		}
--- a/io/platform/client.go
+++ b/io/platform/client.go
@@ -140,7 +140,11 @@
 		c.host = c.newHostClient(func(addr string) (net.Conn, error) {
 			d := conn.Dialer(c.Source)
 			d.Timeout = dialTimeout
-			return d.Dial("tcp", addr)
+			dialled, err := d.Dial("tcp", addr)
+			if err != nil {
+				return nil, err
+			}
+			return conn.CheckStatus(dialled), nil
 		})
 	})
 	return c.host
@@ -168,14 +172,14 @@
 	var conns []net.Conn
 	host = c.newHostClient(func(addr string) (net.Conn, error) {
 		d := conn.Dialer(c.Source)
-		conn, err := d.DialContext(ctx, "tcp", addr)
+		dialled, err := d.DialContext(ctx, "tcp", addr)
 		if err != nil {
 			return nil, err
 		}
-		conns = append(conns, conn)
+		conns = append(conns, dialled)
 		// Close fails only if the connection is already closed.
-		stops = append(stops, context.AfterFunc(ctx, func() { _ = conn.Close() }))
-		return conn, nil
+		stops = append(stops, context.AfterFunc(ctx, func() { _ = dialled.Close() }))
+		return conn.CheckStatus(dialled), nil
 	})
 	return host, func() {
 		for _, stop := range stops {
