--- a/internal/front/daemon_test.go
+++ b/internal/front/daemon_test.go
@@ -40,7 +40,7 @@
 	for _, used := range []bool{true, false} {
 		c, err := net.Dial("tcp", p.addr)
 		assert.NilError(t, err)
-		defer c.Close() //nolint:errcheck // a probe's connection
+		t.Cleanup(func() { _ = c.Close() })
 		r := bufio.NewReader(c)
 		if used {
 			_, err = io.WriteString(c, "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
