conn, front: no listener ends the process for want of a descriptor

Cause: each error of the listener counted as the end of the server; the ports for readiness, metrics and peers ended silently.

Change: conn.Listener repeats an accept that fails for want of a descriptor or of memory, or for a connection that is gone, on all listeners of both daemons. Readiness, metrics and operators keep a descriptor back for one connection at a time.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -20,6 +20,7 @@
 	"shallotrun/internal/fleet"
 	"shallotrun/internal/servers"
 	"shallotrun/internal/settings"
+	"shallotrun/io/conn"
 	"shallotrun/io/operator"
 	"shallotrun/io/order"
 	"shallotrun/io/otlp"
@@ -68,7 +69,7 @@
 	bgCtx, stopBackground := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopBackground()
 	var g errgroup.Group
-	g.Go(func() error { return op.Serve(ln) })
+	g.Go(func() error { return op.Serve(&conn.Listener{Listener: ln, Name: "operators", Log: d.Log, Spare: true}) })
 	for _, run := range d.background() {
 		g.Go(func() error { run(bgCtx); return nil })
 	}
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -81,7 +81,7 @@
 	}
 	addr, _ := ln.Addr().(*net.TCPAddr)
 	d.addr.Store(addr)
-	srv := &caller.Server{Listener: ln, Handler: d.serve, WriteTimeout: d.WriteTimeout, Linger: d.Linger, Log: d.Log}
+	srv := &caller.Server{Listener: &conn.Listener{Listener: ln, Name: "callers", Log: d.Log}, Handler: d.serve, WriteTimeout: d.WriteTimeout, Linger: d.Linger, Log: d.Log}
 	// The background loops outlive ctx, because requests that are still running need them.
 	background, stopBackground := context.WithCancel(context.WithoutCancel(ctx))
 	var g errgroup.Group
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -18,6 +18,7 @@
 	"shallotrun/core/relay"
 	"shallotrun/internal/config"
 	"shallotrun/internal/servers"
+	"shallotrun/io/conn"
 	"shallotrun/io/peer"
 	"shallotrun/io/platform"
 )
@@ -98,7 +99,7 @@
 		Handler: f.serve, ReadTimeout: 5 * time.Second, MaxRequestBodySize: 1024, NoDefaultServerHeader: true,
 	}
 	f.wg.Go(func() {
-		if err := f.server.Serve(ln); err != nil && ctx.Err() == nil {
+		if err := f.server.Serve(&conn.Listener{Listener: ln, Name: "peers", Log: f.Log}); err != nil && ctx.Err() == nil {
 			f.Log.Error().Err(err).Msg("peer: listener failed")
 		}
 	})
--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -16,6 +16,7 @@
 	"shallotrun/core/clock"
 	"shallotrun/internal/feed"
 	"shallotrun/internal/logs"
+	"shallotrun/io/conn"
 	"shallotrun/io/peer"
 )
 
@@ -102,7 +103,7 @@
 		return
 	}
 	srv := &fasthttp.Server{Handler: f.serve, ReadTimeout: upgradeTimeout.Std(), NoDefaultServerHeader: true, Logger: logs.Silent{}}
-	go func() { _ = srv.Serve(ln) }()
+	go func() { _ = srv.Serve(&conn.Listener{Listener: ln, Name: "peers", Log: f.Log}) }()
 	if found {
 		f.setUpstream(f.firstUpstream(ctx))
 	} else {
--- a/internal/front/daemon.go
+++ b/internal/front/daemon.go
@@ -27,6 +27,7 @@
 	"shallotrun/internal/logs"
 	"shallotrun/internal/settings"
 	"shallotrun/io/caller"
+	"shallotrun/io/conn"
 	"shallotrun/io/otlp"
 )
 
@@ -145,11 +146,11 @@
 	background, end := context.WithCancel(context.WithoutCancel(ctx))
 	defer end()
 	ports := []port{
-		{d.Settings.Ready, dialect.HandleReady, portIdleTimeout},
-		{d.Settings.Metrics, fasthttpadaptor.NewFastHTTPHandler(promhttp.HandlerFor(registry, promhttp.HandlerOpts{})), portIdleTimeout},
+		{"readiness", d.Settings.Ready, dialect.HandleReady, portIdleTimeout},
+		{"metrics", d.Settings.Metrics, fasthttpadaptor.NewFastHTTPHandler(promhttp.HandlerFor(registry, promhttp.HandlerOpts{})), portIdleTimeout},
 	}
 	for _, p := range ports {
-		if err := p.serve(background); err != nil {
+		if err := p.serve(background, d.Log); err != nil {
 			return err
 		}
 	}
@@ -157,14 +158,15 @@
 	if err != nil {
 		return oops.Wrapf(err, "listen on %s", d.Settings.Callers)
 	}
+	accepting := &conn.Listener{Listener: ln, Name: "callers", Log: d.Log}
 	srv := &caller.Server{
-		Listener: ln, Handler: dialect.Handle, OnUnreadable: dialect.Unreadable, MaxBody: bodyLimit, MaxHeader: headerLimit, IDHeader: dialect.IDHeader(),
+		Listener: accepting, Handler: dialect.Handle, OnUnreadable: dialect.Unreadable, MaxBody: bodyLimit, MaxHeader: headerLimit, IDHeader: dialect.IDHeader(),
 		BodyMemory: int64(requestMemoryFraction * float64(int64(d.Settings.Memory)<<20)),
 		Linger:     min(balancerLag, d.Settings.Grace/2), Log: d.Log,
 	}
 	srv.ShutdownTimeout = max(d.Settings.Grace-srv.Linger-stopReserve, minGrace)
 	d.feed.ConfigChanged = func(c *catalog.Config) { d.applyLimits(srv, c.Limits) }
-	registerConnections(registry, srv)
+	registerConnections(registry, srv, accepting)
 	stopFollowing := d.follow(background)
 	go d.feed.Run(background)
 	go d.gateway.Run(background)
@@ -187,9 +189,12 @@
 		Msg("daemon: limits of callers changed; 0 stands for the default")
 }
 
-// registerConnections exports the number of callers' connections, and of those that were closed as they were idle.
-func registerConnections(r prometheus.Registerer, srv *caller.Server) {
+// registerConnections exports the number of callers' connections, of those that were closed as they were idle, and of accepts that failed.
+func registerConnections(r prometheus.Registerer, srv *caller.Server, ln *conn.Listener) {
 	r.MustRegister(
+		prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Name: "shallot_front_accept_failures_total", Help: "Failed attempts to accept a connection of a caller, which are repeated.",
+		}, func() float64 { return float64(ln.Failures()) }),
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Name: "shallot_front_connections", Help: "Open connections of callers."}, func() float64 { return float64(srv.Open()) }),
 		prometheus.NewCounterFunc(prometheus.CounterOpts{
@@ -206,13 +211,14 @@
 
 // port is a listener other than the one for callers; its requests are short.
 type port struct {
+	name   string
 	addr   string // IP:port, "" for none
 	handle fasthttp.RequestHandler
 	idle   time.Duration // how long a connection may stay without another request
 }
 
-// serve starts to answer on the port, until ctx ends.
-func (p port) serve(ctx context.Context) error {
+// serve starts to answer on the port, until ctx ends. It goes on when the process has no descriptor left.
+func (p port) serve(ctx context.Context, log zerolog.Logger) error {
 	if p.addr == "" {
 		return nil
 	}
@@ -223,7 +229,8 @@
 	srv := &fasthttp.Server{
 		Handler: p.handle, ReadTimeout: portReadTimeout, IdleTimeout: p.idle, NoDefaultServerHeader: true, Logger: logs.Silent{},
 	}
-	go func() { _ = srv.Serve(ln) }() // it ends with the listener
+	accepting := &conn.Listener{Listener: ln, Name: p.name, Log: log, Spare: true}
+	go func() { _ = srv.Serve(accepting) }() // it ends with the listener
 	context.AfterFunc(ctx, func() { _ = ln.Close() })
 	return nil
 }
--- a/internal/front/daemon_test.go
+++ b/internal/front/daemon_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
 	"github.com/valyala/fasthttp"
 	"gotest.tools/v3/assert"
 
@@ -36,7 +37,7 @@
 func TestPortsCloseIdleConnections(t *testing.T) {
 	t.Parallel()
 	p := port{addr: loopback.Addr(), handle: func(ctx *fasthttp.RequestCtx) { _, _ = ctx.WriteString("ok") }, idle: time.Second}
-	assert.NilError(t, p.serve(t.Context()))
+	assert.NilError(t, p.serve(t.Context(), zerolog.Nop()))
 	for _, used := range []bool{true, false} {
 		c, err := net.Dial("tcp", p.addr)
 		assert.NilError(t, err)
