conn: idle connections are closed without a request to their address

Cause: idle connections were closed only as the next request asked for their address, and none asks for that of a server that is gone.

Change: a timer closes those that have been idle for longer than MaxIdleTime; it runs only while there are idle ones. They would not have been reused.

--- a/io/conn/pool.go
+++ b/io/conn/pool.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"os"
+	"slices"
 	"strconv"
 	"sync"
 	"syscall"
@@ -52,8 +53,9 @@
 	SourceIP       string     // local IP address of the connections, "" for any
 	ReadBuffer     int        // bytes of a read buffer, which bounds the response's headers; 0 means 4096
 
-	mu   sync.Mutex
-	idle map[string][]*link
+	mu       sync.Mutex
+	idle     map[string][]*link // by address, the longest idle one first
+	sweeping bool               // sweep is going to be called
 }
 
 // Options sets the timeouts and other properties of one call.
@@ -286,7 +288,7 @@
 		ls = ls[:len(ls)-1]
 		p.idle[addr] = ls
 		idle := now.Sub(l.lastUsed)
-		if idle <= orDefault(p.MaxIdleTime, 1000) && (l.serverTimeout == 0 || idle < l.serverTimeout) && Peek(l.conn) == Open {
+		if idle <= p.maxIdleTime() && (l.serverTimeout == 0 || idle < l.serverTimeout) && Peek(l.conn) == Open {
 			return l
 		}
 		_ = l.conn.Close()
@@ -333,9 +335,41 @@
 		ls = ls[:len(ls)-1]
 	}
 	p.idle[l.addr] = append(ls, l)
+	p.sweepLater()
 	return true
 }
 
+func (p *Pool) maxIdleTime() clock.Span { return orDefault(p.MaxIdleTime, clock.Second) }
+
+// sweepLater calls sweep after MaxIdleTime, unless that is going to happen. mu is held.
+func (p *Pool) sweepLater() {
+	if !p.sweeping && len(p.idle) > 0 {
+		p.sweeping = true
+		time.AfterFunc(p.maxIdleTime().Std(), p.sweep)
+	}
+}
+
+// sweep closes the connections that have been idle for too long to be reused. No request may come again to the address of a server that is
+// gone, and each of its connections would hold a descriptor for good.
+func (p *Pool) sweep() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.Clock.Now()
+	for addr, ls := range p.idle {
+		n := 0
+		for n < len(ls) && now.Sub(ls[n].lastUsed) > p.maxIdleTime() {
+			_ = ls[n].conn.Close()
+			n++
+		}
+		p.idle[addr] = slices.Delete(ls, 0, n)
+		if n == len(ls) {
+			delete(p.idle, addr)
+		}
+	}
+	p.sweeping = false
+	p.sweepLater()
+}
+
 func (l *link) send(req *fasthttp.Request) error {
 	l.written, l.nonBodyBytes = 0, 0
 	_, err := req.WriteTo(l)
--- a/io/conn/pool_test.go
+++ b/io/conn/pool_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -140,3 +141,52 @@
 	}
 	assert.Equal(t, conns.Load(), int64(2))
 }
+
+// Guards against idle connections to servers that are gone, which hold a descriptor each for good, as no request comes to their address
+// again; and against an end of those that are used.
+func TestIdleConnectionsEndWithoutARequest(t *testing.T) {
+	const maxIdle = 400 * clock.Millisecond
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = ln.Close() })
+	var opened, ended atomic.Int64
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			opened.Add(1)
+			go func() {
+				defer ended.Add(1)
+				br := bufio.NewReader(c)
+				for {
+					if _, err := http.ReadRequest(br); err != nil {
+						return
+					}
+					time.Sleep(50 * time.Millisecond)
+					fmt.Fprint(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+				}
+			}()
+		}
+	}()
+	p := &Pool{MaxIdleTime: maxIdle}
+	var wg sync.WaitGroup
+	for range 20 {
+		wg.Go(func() {
+			_, err := call(p, ln.Addr().String(), "GET", Options{})
+			assert.Check(t, err == nil, "%v", err)
+		})
+	}
+	wg.Wait()
+	many := opened.Load()
+	assert.Check(t, many > 1, "%d", many)
+	for range 8 { // one of the connections is used all the while
+		time.Sleep(maxIdle.Std() / 4)
+		_, err := call(p, ln.Addr().String(), "GET", Options{})
+		assert.NilError(t, err)
+	}
+	for end := time.Now().Add(10 * time.Second); ended.Load() < many; time.Sleep(10 * time.Millisecond) {
+		assert.Assert(t, time.Now().Before(end), "%d of %d connections are open", many-ended.Load(), many)
+	}
+}
