feed: old configurations are not kept for followers

Cause: the last 256 batches of each kind are kept for followers, also of the configuration, where nothing reads them: a follower gets the one in use, packed.

Change: the history of configurations has their position alone.

--- a/internal/feed/apply.go
+++ b/internal/feed/apply.go
@@ -35,6 +35,9 @@
 	if k == Servers {
 		f.Limits.ServersChanged()
 	}
+	if k == Configs {
+		b.Objects = nil // followers get the configuration in use, and nothing reads older ones, which may be large
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	record(&f.histories[k], b)
