--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -69,7 +69,9 @@
 	bgCtx, stopBackground := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopBackground()
 	var g errgroup.Group
-	g.Go(func() error { return op.Serve(&conn.Listener{Listener: ln, Name: "operators", Log: d.Log, Spare: true}) })
+	g.Go(func() error {
+		return op.Serve(&conn.Listener{Listener: ln, Name: "operators", Log: d.Log, Spare: true})
+	})
 	for _, run := range d.background() {
 		g.Go(func() error { run(bgCtx); return nil })
 	}
