caller: a limit on bodies that is out of range overflows nothing

Found while reading the change: with a MaxBodyBytes of 4.6e18 or more, the size of a body's buffer overflows, nothing is reserved for it, and all of it would be allocated. Limits on bodies end at 1 TiB now.

--- a/io/caller/limits.go
+++ b/io/caller/limits.go
@@ -16,6 +16,9 @@
 // maxTimeout is the longest timeout that is applied. Longer ones would overflow a [time.Duration].
 const maxTimeout = 24 * clock.Hour
 
+// maxBodyLimit is the largest limit on bodies that is applied, in bytes. Sums of sizes would overflow with larger ones.
+const maxBodyLimit = 1 << 40
+
 // SetLimits puts limits in force, also for open connections. A limit that is 0 or less is not named: the Server's fields hold. SetLimits is
 // safe for concurrent use, and may be called before Run. It reports whether the limits differ from those before.
 func (s *Server) SetLimits(l catalog.Limits) bool {
@@ -42,7 +45,9 @@
 func (s *Server) readBuffer() int { return firstPositive(s.MaxHeader, HeaderLimit) }
 
 // bodyLimit returns the size of the largest body, in bytes.
-func (s *Server) bodyLimit() int { return firstPositive(s.named().Body, s.MaxBody, BodyLimit) }
+func (s *Server) bodyLimit() int {
+	return min(firstPositive(s.named().Body, s.MaxBody, BodyLimit), maxBodyLimit)
+}
 
 // openedTimeout returns how long a connection may stay without its first request.
 func (s *Server) openedTimeout() time.Duration {
