load: a continued stream is not compared with a session that began after it

Change: the version of an answer is compared with its session when it begins. A continuation is compared with its own beginning, as before. The check is as strict for requests, and for streams that begin on another version. TestSessionsOfContinuedStreams failed before in the row "begun anew meanwhile", and holds the row "moved".

--- a/internal/load/chat.go
+++ b/internal/load/chat.go
@@ -124,7 +124,9 @@
 	if resp.model != "" {
 		r.ServedVersion = resp.model
 	}
-	if r.Session != "" {
+	// A stream goes on with the version that it began with, which was checked then. Its session may have begun anew since, as the version
+	// was withdrawn.
+	if r.Session != "" && a.lastEventID == "" {
 		if version, ok := g.sessions.recordAnswer(r.Session, resp.sessionToken, resp.model); !ok {
 			r.Wrong = "the session moved from " + version + " to " + resp.model
 		}
