--- a/io/caller/connection.go
+++ b/io/caller/connection.go
@@ -42,10 +42,10 @@
 
 // Phases of a connection.
 const (
-	opened    phase = iota // no byte has arrived
-	idle                   // no byte of the next request has arrived
-	heading                // a part of the next request's head has arrived
-	receiving              // the rest of a request arrives, or it is served
+	opened      phase = iota // no byte has arrived
+	idle                     // no byte of the next request has arrived
+	readingHead              // a part of the next request's head has arrived
+	readingBody              // the rest of a request arrives, or it is served
 )
 
 // phase is what a connection waits for.
@@ -76,7 +76,7 @@
 			return 0, err
 		}
 		n, err := c.Conn.Read(p)
-		if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.mayGoOn() {
+		if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.shouldRetryRead() {
 			continue
 		}
 		if n > 0 {
@@ -100,24 +100,24 @@
 		c.kept = append(c.kept, b...)
 	}
 	if c.head.done {
-		c.enter(receiving)
+		c.enter(readingBody)
 		return nil
 	}
-	c.enter(heading)
+	c.enter(readingHead)
 	if c.head.size > limit {
 		return errLargeHead
 	}
 	return nil
 }
 
-// enter begins a phase, if the connection is in another one. The rest of a request has one timeout with its head.
+// enter begins a phase, if the connection is in another one. The time for the rest of a request counts from the first byte of its head.
 func (c *connection) enter(p phase) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.phase == p {
 		return
 	}
-	if c.phase != heading || p != receiving {
+	if c.phase != readingHead || p != readingBody {
 		c.since = time.Now()
 	}
 	c.phase = p
@@ -130,7 +130,7 @@
 		return c.server.openedTimeout()
 	case idle:
 		return c.server.idleTimeout()
-	case heading:
+	case readingHead:
 		return c.server.headTimeout()
 	default:
 		return c.server.requestTimeout()
@@ -149,12 +149,12 @@
 	return c.SetReadDeadline(d)
 }
 
-// lateRead is the time for reading bytes that had arrived before the deadline.
-const lateRead = 100 * time.Millisecond
+// lateReadTimeout is the time for reading bytes that arrived before the deadline.
+const lateReadTimeout = 100 * time.Millisecond
 
-// mayGoOn reports whether a read goes on whose deadline has passed: the deadline has been moved since, or bytes have arrived that the
-// process could not read in time, as the VM stood still.
-func (c *connection) mayGoOn() bool {
+// shouldRetryRead reports whether a read is repeated whose deadline has passed: the deadline was moved meanwhile, or bytes have arrived that
+// the process could not read in time, as the VM was suspended.
+func (c *connection) shouldRetryRead() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now, timeout := time.Now(), c.phaseTimeout()
@@ -167,7 +167,7 @@
 		}
 		return false
 	}
-	c.since = now.Add(lateRead - timeout)
+	c.since = now.Add(lateReadTimeout - timeout)
 	return true
 }
 
@@ -184,7 +184,7 @@
 	case fasthttp.StateActive:
 		if c.head.size == 0 { // the beginning of the request was sent behind another one and has been read with that
 			c.head.done = true
-			c.enter(receiving)
+			c.enter(readingBody)
 		}
 	}
 }
--- a/io/caller/head.go
+++ b/io/caller/head.go
@@ -12,9 +12,9 @@
 
 // Errors of heads.
 var (
-	errLargeHead = errors.New("the head exceeds its limit")
-	errHeadRoom  = errors.New("no memory is free for the head")
-	errHeadGone  = errors.New("the beginning of a large head is not held")
+	errLargeHead   = errors.New("the head exceeds its limit")
+	errHeadMemory  = errors.New("no memory is free for the head")
+	errHeadNotKept = errors.New("the beginning of a large head was not kept")
 )
 
 const (
@@ -68,13 +68,13 @@
 // arrives. fasthttp closes the connection after the answer.
 func (s *Server) serveLargeHead(ctx *fasthttp.RequestCtx, c *connection) error {
 	if len(c.kept) != c.head.size || c.head.size == 0 {
-		return errHeadGone // it came before the limit, or with the request before
+		return errHeadNotKept // it arrived before the limit was raised, or with the request before
 	}
 	memory := s.bodies.newHead()
 	ctx.SetUserValue(headKey{}, memory)
 	for b := make([]byte, headStep); !c.head.done; {
 		if !memory.extend(headCopies * int64(len(c.kept)+headStep)) {
-			return errHeadRoom
+			return errHeadMemory
 		}
 		if _, err := c.Read(b); err != nil {
 			return err
--- a/io/caller/limits.go
+++ b/io/caller/limits.go
@@ -7,7 +7,7 @@
 	"shallotrun/core/clock"
 )
 
-// Timeouts where neither the Server's fields nor the limits name one.
+// Timeouts that hold if neither the limits nor the Server's fields set one.
 const (
 	defaultReadTimeout = 30 * clock.Second
 	defaultIdleTimeout = 60 * clock.Second
@@ -19,7 +19,7 @@
 // maxBodyLimit is the largest limit on bodies that is applied, in bytes. Sums of sizes would overflow with larger ones.
 const maxBodyLimit = 1 << 40
 
-// SetLimits puts limits in force, also for open connections. A limit that is 0 or less is not named: the Server's fields hold. SetLimits is
+// SetLimits puts limits in force, also for open connections. A limit that is 0 or less counts as not set: the Server's fields hold. SetLimits is
 // safe for concurrent use, and may be called before Run. It reports whether the limits differ from those before.
 func (s *Server) SetLimits(l catalog.Limits) bool {
 	old := s.limits.Swap(&l)
@@ -30,8 +30,8 @@
 	return true
 }
 
-// named returns the limits that were set.
-func (s *Server) named() catalog.Limits {
+// configured returns the limits that were set, zero for none.
+func (s *Server) configured() catalog.Limits {
 	if l := s.limits.Load(); l != nil {
 		return *l
 	}
@@ -39,29 +39,29 @@
 }
 
 // headLimit returns the size of the largest request line with headers, in bytes.
-func (s *Server) headLimit() int { return firstPositive(s.named().Header, s.readBuffer()) }
+func (s *Server) headLimit() int { return firstPositive(s.configured().Header, s.readBuffer()) }
 
 // readBuffer returns the size of the buffer in which a head of usual size arrives, in bytes.
 func (s *Server) readBuffer() int { return firstPositive(s.MaxHeader, HeaderLimit) }
 
 // bodyLimit returns the size of the largest body, in bytes.
 func (s *Server) bodyLimit() int {
-	return min(firstPositive(s.named().Body, s.MaxBody, BodyLimit), maxBodyLimit)
+	return min(firstPositive(s.configured().Body, s.MaxBody, BodyLimit), maxBodyLimit)
 }
 
 // openedTimeout returns how long a connection may stay without its first request.
 func (s *Server) openedTimeout() time.Duration {
-	return firstSet(s.named().Idle, s.ReadTimeout, defaultReadTimeout)
+	return firstSet(s.configured().Idle, s.ReadTimeout, defaultReadTimeout)
 }
 
 // idleTimeout returns how long a connection may stay without another request.
 func (s *Server) idleTimeout() time.Duration {
-	return firstSet(s.named().Idle, s.IdleTimeout, defaultIdleTimeout)
+	return firstSet(s.configured().Idle, s.IdleTimeout, defaultIdleTimeout)
 }
 
 // headTimeout returns how long the head of a request may take to arrive.
 func (s *Server) headTimeout() time.Duration {
-	return firstSet(s.named().Arrive, s.ReadTimeout, defaultReadTimeout)
+	return firstSet(s.configured().Arrive, s.ReadTimeout, defaultReadTimeout)
 }
 
 // requestTimeout returns how long a whole request may take to arrive.
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -105,7 +105,8 @@
 	s.Handler(ctx)
 }
 
-// unreadable answers a request that could not be read. No part of it ran, unless it is served after all as only its head was large.
+// unreadable refuses a request that fasthttp could not read, unless only its head exceeds the read buffer: that one is served. No part of a
+// refused request ran.
 func (s *Server) unreadable(ctx *fasthttp.RequestCtx, err error) {
 	c, ok := ctx.Conn().(*connection)
 	if ok && s.exceedsBuffer(c, err) {
@@ -129,10 +130,10 @@
 	var small *fasthttp.ErrSmallBuffer
 	var timeout interface{ Timeout() bool }
 	switch {
-	case errors.Is(err, errHeadRoom):
+	case errors.Is(err, errHeadMemory):
 		r.Code, r.Status, r.Retry = work.CodeOverloaded, fasthttp.StatusServiceUnavailable, memoryRetry
 		r.Detail = "no memory is free for the headers"
-	case errors.Is(err, errHeadGone):
+	case errors.Is(err, errHeadNotKept):
 		r.Code, r.Status, r.Retry = work.CodeOverloaded, fasthttp.StatusServiceUnavailable, memoryRetry
 		r.Detail = "the headers can be read on another connection only"
 	case exhausted && errors.Is(err, fasthttp.ErrBodyTooLarge):
--- a/io/conn/pool.go
+++ b/io/conn/pool.go
@@ -29,7 +29,7 @@
 	// ErrExcessBytes means that the server sent more than the permitted number of bytes outside the answer's body.
 	ErrExcessBytes = errors.New("too many bytes that are no part of the answer")
 	// ErrStatus means that a response has a status outside 100 to 599.
-	ErrStatus = errors.New("the response has a status that is none")
+	ErrStatus = errors.New("the response has an invalid status")
 	// ErrUnknownEnd means that an answer without a length ended on a connection that had failed while the request was written.
 	ErrUnknownEnd = errors.New("the connection failed while the request was written, so the end of the answer is not known")
 	// ErrAborted means that the call was ended by its Abort.
@@ -55,7 +55,7 @@
 
 	mu       sync.Mutex
 	idle     map[string][]*link // by address, the longest idle one first
-	sweeping bool               // sweep is going to be called
+	sweeping bool               // a call of sweep is scheduled
 }
 
 // Options sets the timeouts and other properties of one call.
@@ -341,7 +341,7 @@
 
 func (p *Pool) maxIdleTime() clock.Span { return orDefault(p.MaxIdleTime, clock.Second) }
 
-// sweepLater calls sweep after MaxIdleTime, unless that is going to happen. mu is held.
+// sweepLater schedules a call of sweep, unless one is scheduled or no connection is idle. mu is held.
 func (p *Pool) sweepLater() {
 	if !p.sweeping && len(p.idle) > 0 {
 		p.sweeping = true
--- a/io/conn/status.go
+++ b/io/conn/status.go
@@ -10,7 +10,7 @@
 	"github.com/valyala/fasthttp"
 )
 
-// Statuses that a response can have.
+// Bounds of valid statuses.
 const (
 	minStatus = 100
 	maxStatus = 599
@@ -20,7 +20,7 @@
 const maxInterim = 100
 
 // skipInterim reads the responses that only announce the answer, up to that. It fails with ErrStatus if the status of one of them, or of the
-// answer, is none. fasthttp doesn't show that: it has 200 in place of the number 0, and any other number is as good as those that exist.
+// answer, is invalid. fasthttp accepts any three digits and returns 200 for 000.
 func skipInterim(br *bufio.Reader, h *fasthttp.ResponseHeader) error {
 	for range maxInterim {
 		status, err := peekStatus(br)
@@ -39,8 +39,8 @@
 	return ErrMismatch
 }
 
-// peekStatus returns the status of the response that comes next, without consuming it. For a line that is no status line it returns
-// an arbitrary status that exists, as reading it fails. Errors of the connection are returned at once, as the next read might not see them.
+// peekStatus returns the status of the response that comes next, without consuming it. For a line that is not a status
+// line it returns a valid status, as fasthttp rejects the line. Errors of the connection are returned, because a socket reports them once.
 func peekStatus(br *bufio.Reader) (int, error) {
 	for n := 1; ; n = br.Buffered() + 1 {
 		_, err := br.Peek(n)
@@ -72,7 +72,7 @@
 	return fasthttp.StatusOK
 }
 
-// CheckStatus returns a connection for an HTTP client of a library, whose reads fail with ErrStatus when the status of a response is none.
+// CheckStatus returns a connection for an HTTP client of a library, whose reads fail with ErrStatus when the status of a response is invalid.
 // The client sends one request at a time.
 func CheckStatus(c net.Conn) net.Conn { return &checkedConn{Conn: c} }
 
@@ -90,7 +90,7 @@
 	return c.Conn.Write(p)
 }
 
-// Read fails instead of returning the bytes that end a status line without a status.
+// Read fails instead of returning the bytes that complete a status line with an invalid status.
 func (c *checkedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	for part := range bytes.Lines(p[:n]) {
@@ -114,7 +114,7 @@
 // maxStatusLine is how much of a line is kept, in bytes.
 const maxStatusLine = 4096
 
-// checkLine takes note of a line of a header. It returns false for a status line whose status is none.
+// checkLine takes note of a line of a header. It returns false for a status line with an invalid status.
 func (c *checkedConn) checkLine(line []byte) bool {
 	switch {
 	case c.interim:
--- a/io/conn/status_test.go
+++ b/io/conn/status_test.go
@@ -9,8 +9,8 @@
 	"gotest.tools/v3/assert"
 )
 
-// Guards against a status that is none and is not seen by another client's connection, wherever the bytes are cut, and against one that
-// is seen where there is none.
+// Guards against an invalid status that a connection of fasthttp's client lets through, wherever the bytes are cut, and against an error for
+// bytes that are no status line.
 func TestCheckStatus(t *testing.T) {
 	const early = "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"
 	for _, c := range []struct {
--- a/io/operator/port_test.go
+++ b/io/operator/port_test.go
@@ -83,8 +83,8 @@
 	assert.Check(t, !f.Lagging(), "a document may take 8 s")
 }
 
-// Guards against a status page that is taken from an answer whose status is none, which fasthttp shows as 200.
-func TestFetchWithAStatusThatIsNone(t *testing.T) {
+// Guards against a status page that is taken from an answer with the status 000, which fasthttp returns as 200.
+func TestFetchWithInvalidStatus(t *testing.T) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	defer ln.Close() //nolint:errcheck // a test's listener
--- a/io/order/client_test.go
+++ b/io/order/client_test.go
@@ -75,7 +75,7 @@
 		{"409 Conflict", `{"code":"fence","ran":false}`, func(err error) bool { return errors.Is(err, ErrStaleToken) }},
 		{"400 Bad", `{"code":"bad-request"}`, isNotExecuted},
 		{"500 Oops", `{}`, isOutcomeUnknown},
-		{"000 X", `{"done":true}`, isOutcomeUnknown}, // for fasthttp 0 stands for 200
+		{"000 X", `{"done":true}`, isOutcomeUnknown}, // fasthttp returns 200 for it
 		{"200 OK", `{"done`, isOutcomeUnknown},
 		{"200 OK", `{"done":true,"x":"` + strings.Repeat("x", maxReply) + `"}`, isOutcomeUnknown},
 	}
--- a/io/platform/client_test.go
+++ b/io/platform/client_test.go
@@ -102,7 +102,7 @@
 			return errors.As(err, &e) && e.RetryAfter == 1500
 		}},
 		{"500 Oops", ``, isUnavailable},
-		{"000 X", `{"value":"v","version":1}`, isUnavailable}, // for fasthttp 0 stands for 200
+		{"000 X", `{"value":"v","version":1}`, isUnavailable}, // fasthttp returns 200 for it
 		{"200 OK", `{"version":`, isUnavailable},
 		{"200 OK", `{}`, isUnavailable},
 		{"200 OK", `{"value":"` + strings.Repeat("x", MaxResponse) + `","version":1}`, isUnavailable},
