conn: a malformed name of a field makes an answer invalid

Callers saw: a replica in trouble answers with a head in which the name of a field holds a blank, and the caller gets it as an answer: with that field, with a body that the malformed field frames (Content-Length : 5), or with a 503 "not run" that rests on "Not-Executed : 1".

Cause: fasthttp's scanner of fields (headerscanner.go) takes blanks in a name. It keeps the name as it is if the blank stands inside, and drops blanks before the colon, so that the malformed field counts as the real one. Behind the library nothing shows it: the key is trimmed, and Content-Length, Connection and the like have been taken out. Ruled out: our own code adds or trims no names of answers (copyHeaders copies them), and the forms of the answer make no difference (stream, chunks, interim responses, statuses).

Change: one check of heads (headCheck) reads the bytes as they arrive, below fasthttp, for the pool's calls and, as CheckHeads, for connections of fasthttp's own client. It takes the place of the two looks at status lines. A line that is no field fails the call with ErrField as soon as it is there: whether the request ran is unknown, so 502, or another attempt where the request may be sent again. Characters are those of httpguts, which is linked already. A line that begins with a blank continues the field before it, as RFC 9112 allows a gateway to read it; that is as before.

So it holds wherever answers are read through them: replicas (answers, streams, refusals, load reports), the store, engines, plain services, ratings, orders, the platform's API, the operator's page.

--- /dev/null
+++ b/io/conn/head.go
@@ -0,0 +1,120 @@
+package conn
+
+import (
+	"bytes"
+	"net"
+	"strconv"
+
+	"github.com/valyala/fasthttp"
+	"golang.org/x/net/http/httpguts"
+)
+
+// Bounds of valid statuses.
+const (
+	minStatus = 100
+	maxStatus = 599
+)
+
+// headCheck checks the head of an answer, and of the responses that only announce it, in the bytes that arrive. It rejects what fasthttp
+// accepts and changes: fasthttp returns the status 200 for 000, and takes a field's name that holds a blank as it is, or without the blank if
+// that is the last character. The zero value is ready for use.
+type headCheck struct {
+	inFields bool   // the status line has arrived
+	interim  bool   // the present head only announces the answer, for example 103 Early Hints
+	done     bool   // the answer's head has arrived whole
+	partial  []byte // beginning of a line whose end has not arrived; the buffer of the reader behind the check bounds a head
+	err      error  // why a head was rejected
+}
+
+// add checks the next bytes, which may go on behind the head. It fails with ErrStatus or ErrField, also when it is called again.
+func (h *headCheck) add(b []byte) error {
+	for len(b) > 0 && !h.done && h.err == nil {
+		line, rest, whole := bytes.Cut(b, []byte("\n"))
+		b = rest
+		if !whole {
+			h.partial = append(h.partial, line...)
+			break
+		}
+		if len(h.partial) > 0 {
+			line = append(h.partial, line...)
+			h.partial = nil
+		}
+		h.err = h.addLine(bytes.TrimSuffix(line, []byte("\r")))
+	}
+	return h.err
+}
+
+// addLine checks a line, without its end.
+func (h *headCheck) addLine(line []byte) error {
+	switch {
+	case !h.inFields && len(line) == 0: // fasthttp skips empty lines before a status line
+	case !h.inFields:
+		status := parseStatus(line)
+		if status < minStatus || status > maxStatus {
+			return ErrStatus
+		}
+		h.inFields, h.interim = true, status < fasthttp.StatusOK && status != fasthttp.StatusSwitchingProtocols
+	case len(line) == 0:
+		h.inFields, h.done = false, !h.interim
+	case !isFieldLine(line):
+		return ErrField
+	}
+	return nil
+}
+
+// parseStatus returns the number in a status line, and 200 for a line that has none, as fasthttp rejects that.
+func parseStatus(line []byte) int {
+	_, rest, _ := bytes.Cut(line, []byte(" "))
+	number, _, _ := bytes.Cut(bytes.TrimLeft(rest, " "), []byte(" "))
+	if n, err := strconv.Atoi(string(number)); err == nil {
+		return n
+	}
+	return fasthttp.StatusOK
+}
+
+// isFieldLine reports whether a line that is not empty begins with a field's name and a colon (RFC 9112, section 5), or continues the line
+// before it.
+func isFieldLine(line []byte) bool {
+	if line[0] == ' ' || line[0] == '\t' {
+		return true // fasthttp rejects a first line that begins so
+	}
+	for i, c := range line {
+		if !tokenBytes[c] {
+			return c == ':' && i > 0
+		}
+	}
+	return false
+}
+
+// tokenBytes has the bytes of which the name of a field consists.
+var tokenBytes = func() (out [256]bool) {
+	for c := range out {
+		out[c] = httpguts.IsTokenRune(rune(c))
+	}
+	return out
+}()
+
+// CheckHeads returns a connection for an HTTP client of a library. Its reads fail with ErrStatus or ErrField when the head of a response is
+// invalid. The client sends one request at a time.
+func CheckHeads(c net.Conn) net.Conn { return &checkedConn{Conn: c} }
+
+// checkedConn checks the heads that are read.
+type checkedConn struct {
+	net.Conn
+	head headCheck
+}
+
+// Write begins the next request.
+func (c *checkedConn) Write(p []byte) (int, error) {
+	c.head = headCheck{}
+	return c.Conn.Write(p)
+}
+
+// Read fails instead of returning the bytes that complete an invalid line.
+func (c *checkedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if err := c.head.add(p[:n]); err != nil {
+		return 0, err
+	}
+	return n, err
+}
--- a/io/conn/pool.go
+++ b/io/conn/pool.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"errors"
 	"io"
 	"net"
@@ -30,6 +31,8 @@
 	ErrExcessBytes = errors.New("too many bytes that are no part of the answer")
 	// ErrStatus means that a response has a status outside 100 to 599.
 	ErrStatus = errors.New("the response has an invalid status")
+	// ErrField means that a line in the head of a response does not begin with a valid name of a field and a colon.
+	ErrField = errors.New("the response has a malformed header field")
 	// ErrUnknownEnd means that an answer without a length ended on a connection that had failed while the request was written.
 	ErrUnknownEnd = errors.New("the connection failed while the request was written, so the end of the answer is not known")
 	// ErrAborted means that the call was ended by its Abort.
@@ -161,14 +164,15 @@
 // maxMismatches is how many late answers to earlier requests are discarded before a call fails.
 const maxMismatches = 2
 
-// receive reads the header of the response that belongs to the request.
+// receive reads the header of the response that belongs to the request. A response with an invalid head fails as soon as the invalid line
+// has arrived.
 func (p *Pool) receive(l *link, resp *fasthttp.Response, matches func(h *fasthttp.ResponseHeader, reused bool) bool) error {
 	for range maxMismatches + 1 {
-		if err := skipInterim(l.reader(p), &resp.Header); err != nil {
+		if err := l.beginHead(p); err != nil {
 			return err
 		}
 		if err := resp.ReadLimitBody(l.reader(p), 0); err != nil {
-			return err
+			return cmp.Or(l.head.err, err)
 		}
 		interim := resp.StatusCode() < fasthttp.StatusOK // 101, which no request asks for
 		if !interim && (matches == nil || matches(&resp.Header, l.reused)) {
@@ -234,6 +238,7 @@
 	reused        bool       // an earlier request was sent on the connection
 	answeredEarly bool       // the server answered before it had read the whole request
 	failed        bool       // the connection failed meanwhile, which reads do not show
+	head          headCheck  // checks the head that is read
 	nonBodyBytes  int        // bytes read since the request was sent or, if later, since the last byte of the body was delivered
 }
 
@@ -390,6 +395,19 @@
 	return l.br
 }
 
+// beginHead waits for the first byte of a response, and checks the part of its head that was read together with the response before.
+// fasthttp would report each error of the connection that comes first as its end.
+func (l *link) beginHead(p *Pool) error {
+	l.head = headCheck{}
+	br := l.reader(p)
+	if br.Buffered() == 0 {
+		_, err := br.Peek(1)
+		return cmp.Or(l.head.err, err)
+	}
+	b, _ := br.Peek(br.Buffered()) // it can't fail: that many bytes are there
+	return l.head.add(b)
+}
+
 func (l *link) release() { l.br = nil }
 
 // Write writes to the connection with a progress deadline.
@@ -421,6 +439,9 @@
 	}
 	n, err := l.conn.Read(b)
 	l.nonBodyBytes += n
+	if err := l.head.add(b[:n]); err != nil {
+		return 0, err
+	}
 	return n, err
 }
 
--- a/io/engine/stream_test.go
+++ b/io/engine/stream_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"net"
 	"strings"
 	"testing"
@@ -83,3 +84,39 @@
 		assert.NilError(t, s.Shutdown())
 	}
 }
+
+// Guards against an answer of an engine with a malformed name of a field that is taken for a sound one: a stream, a refusal that says that
+// nothing ran, a load report, or the end of a generation.
+func TestMalformedField(t *testing.T) {
+	answer := func(head, body string) string {
+		return fmt.Sprintf("HTTP/1.1 %s\r\nX Zz: odd\r\nContent-Length: %d\r\n\r\n%s", head, len(body), body)
+	}
+	for _, c := range []struct {
+		text string
+		call func(e *Client, addr string) error
+	}{
+		{answer("200 OK", "id: 1\ndata: {\"text\":\"a\"}\n\n"), generate},
+		{answer("503 X", `{"code":"full","ran":false}`), generate},
+		{answer("404 X", `{}`), generate},
+		{answer("200 OK", `{"running":3,"slots":8}`), func(e *Client, addr string) error { _, err := e.Load(addr); return err }},
+		{answer("200 OK", `{"tokens":3}`), func(e *Client, addr string) error { _, err := e.Cancel(addr, "r", "m", "1"); return err }},
+	} {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NilError(t, err)
+		go func() {
+			if conn, err := ln.Accept(); err == nil {
+				_, _ = conn.Read(make([]byte, 4096))
+				_, _ = conn.Write([]byte(c.text))
+			}
+		}()
+		e := &Client{Pool: &conn.Pool{}}
+		assert.ErrorIs(t, c.call(e, ln.Addr().String()), conn.ErrField, c.text)
+		e.Pool.Close()
+		_ = ln.Close()
+	}
+}
+
+func generate(e *Client, addr string) error {
+	_, err := e.Generate(addr, &GenerateRequest{Request: "r", Attempt: 1}, 0, "")
+	return err
+}
--- a/io/operator/fetch.go
+++ b/io/operator/fetch.go
@@ -51,5 +51,5 @@
 	if err != nil {
 		return nil, err
 	}
-	return conn.CheckStatus(c), nil
+	return conn.CheckHeads(c), nil
 }
--- a/io/operator/port_test.go
+++ b/io/operator/port_test.go
@@ -83,18 +83,23 @@
 	assert.Check(t, !f.Lagging(), "a document may take 8 s")
 }
 
-// Guards against a status page that is taken from an answer with the status 000, which fasthttp returns as 200.
-func TestFetchWithInvalidStatus(t *testing.T) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	defer ln.Close() //nolint:errcheck // a test's listener
-	go func() {
-		c, err := ln.Accept()
-		if err != nil {
-			return
-		}
-		_, _ = io.WriteString(c, "HTTP/1.1 000 X\r\nContent-Length: 11\r\n\r\n{\"VM\":\"e1\"}")
-	}()
-	_, err = Fetch(t.Context(), ln.Addr().String(), Login{})
-	assert.Check(t, err != nil)
+// Guards against a status page that is taken from an answer with an invalid head: fasthttp returns 200 for the status 000, and accepts names
+// of fields with blanks.
+func TestFetchWithInvalidHead(t *testing.T) {
+	for _, head := range []string{
+		"HTTP/1.1 000 X\r\nContent-Length: 11\r\n", "HTTP/1.1 200 OK\r\nX Zz: odd\r\nContent-Length: 11\r\n", "HTTP/1.1 200 OK\r\nContent-Length : 11\r\n",
+	} {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NilError(t, err)
+		go func() {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = io.WriteString(c, head+"\r\n{\"VM\":\"e1\"}")
+		}()
+		_, err = Fetch(t.Context(), ln.Addr().String(), Login{})
+		assert.Check(t, err != nil, head)
+		_ = ln.Close()
+	}
 }
--- a/io/order/client.go
+++ b/io/order/client.go
@@ -143,7 +143,7 @@
 				if err != nil {
 					return nil, err
 				}
-				return conn.CheckStatus(dialled), nil
+				return conn.CheckHeads(dialled), nil
 			},
 			MaxIdleConnDuration: time.Second, // short, so that a connection that no longer delivers anything is not reused
 		}
--- a/io/order/client_test.go
+++ b/io/order/client_test.go
@@ -75,7 +75,11 @@
 		{"409 Conflict", `{"code":"fence","ran":false}`, func(err error) bool { return errors.Is(err, ErrStaleToken) }},
 		{"400 Bad", `{"code":"bad-request"}`, isNotExecuted},
 		{"500 Oops", `{}`, isOutcomeUnknown},
-		{"000 X", `{"done":true}`, isOutcomeUnknown}, // fasthttp returns 200 for it
+		{"000 X", `{"done":true}`, isOutcomeUnknown},               // fasthttp returns 200 for it
+		{"200 OK\r\nX Zz: odd", `{"done":true}`, isOutcomeUnknown}, // fasthttp accepts the name
+		{"200 OK\r\nX-Zz : odd", `{"done":false,"code":"weights"}`, isOutcomeUnknown},
+		{"409 Conflict\r\nX Zz: odd", `{"code":"fence","ran":false}`, isOutcomeUnknown},
+		{"103 Early Hints\r\nX Zz: odd\r\n\r\nHTTP/1.1 200 OK", `{"done":true}`, isOutcomeUnknown},
 		{"200 OK", `{"done`, isOutcomeUnknown},
 		{"200 OK", `{"done":true,"x":"` + strings.Repeat("x", maxReply) + `"}`, isOutcomeUnknown},
 	}
--- a/io/platform/client.go
+++ b/io/platform/client.go
@@ -144,7 +144,7 @@
 			if err != nil {
 				return nil, err
 			}
-			return conn.CheckStatus(dialled), nil
+			return conn.CheckHeads(dialled), nil
 		})
 	})
 	return c.host
@@ -179,7 +179,7 @@
 		conns = append(conns, dialled)
 		// Close fails only if the connection is already closed.
 		stops = append(stops, context.AfterFunc(ctx, func() { _ = dialled.Close() }))
-		return conn.CheckStatus(dialled), nil
+		return conn.CheckHeads(dialled), nil
 	})
 	return host, func() {
 		for _, stop := range stops {
--- a/io/platform/client_test.go
+++ b/io/platform/client_test.go
@@ -102,7 +102,12 @@
 			return errors.As(err, &e) && e.RetryAfter == 1500
 		}},
 		{"500 Oops", ``, isUnavailable},
-		{"000 X", `{"value":"v","version":1}`, isUnavailable}, // fasthttp returns 200 for it
+		{"000 X", `{"value":"v","version":1}`, isUnavailable},               // fasthttp returns 200 for it
+		{"200 OK\r\nX Zz: odd", `{"value":"v","version":1}`, isUnavailable}, // fasthttp accepts the name
+		{"200 OK\r\nX-Zz : odd", `{"value":"v","version":1}`, isUnavailable},
+		{"404 Not Found\r\nX Zz: odd", `{}`, isUnavailable},
+		{"409 Conflict\r\nX-Zz : odd", `{"version":9}`, isUnavailable},
+		{"429 Too Many Requests\r\nRetry-After : 1.5", ``, isUnavailable},
 		{"200 OK", `{"version":`, isUnavailable},
 		{"200 OK", `{}`, isUnavailable},
 		{"200 OK", `{"value":"` + strings.Repeat("x", MaxResponse) + `","version":1}`, isUnavailable},
--- a/io/rating/client_test.go
+++ b/io/rating/client_test.go
@@ -69,3 +69,19 @@
 	assert.Check(t, err != nil)
 	assert.Check(t, time.Since(begun) < 1500*time.Millisecond, "the call took %v", time.Since(begun))
 }
+
+// Guards against a rating from an answer with a malformed name of a field.
+func TestRateWithMalformedField(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer ln.Close() //nolint:errcheck // a test's listener
+	go func() {
+		if c, err := ln.Accept(); err == nil {
+			_, _ = c.Read(make([]byte, 4096))
+			_, _ = c.Write([]byte("HTTP/1.1 200 OK\r\nX Zz: odd\r\nContent-Length: 13\r\n\r\n{\"rating\":70}"))
+		}
+	}()
+	c := &Client{Addr: ln.Addr().String(), Pool: &conn.Pool{}}
+	_, err = c.Rate(&Request{Request: "r1"}, 1000)
+	assert.ErrorIs(t, err, conn.ErrField)
+}
