load: an answer with an invalid head is no answer

Change: its connections check heads (conn.CheckHeads).

TestAnswers failed before in its new row (outcome "answered", complete), and passes.

--- a/internal/load/call.go
+++ b/internal/load/call.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"shallotrun/io/conn"
 )
 
 // errDial means that no connection was established, so that nothing was sent.
@@ -35,13 +37,13 @@
 
 // call sends one request on a new connection and reads the head of the response. With a new connection for each call, a refused
 // connection (errDial) can be told from one that broke after the request was sent. The connection fails when nothing is received
-// for idleTimeout; the caller of call closes it.
+// for idleTimeout, and when the head of the response is invalid; the caller of call closes it.
 func call(addr string, req *fasthttp.Request, idleTimeout time.Duration) (*response, error) {
 	c, err := net.DialTimeout("tcp", addr, time.Second)
 	if err != nil {
 		return nil, errDial
 	}
-	w := &timeoutConn{Conn: c, idleTimeout: idleTimeout}
+	w := &timeoutConn{Conn: conn.CheckHeads(c), idleTimeout: idleTimeout}
 	bw := bufio.NewWriter(w)
 	if err := errors.Join(req.Write(bw), bw.Flush()); err != nil {
 		c.Close()
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -36,6 +36,9 @@
 		ctx.SetBodyString(`{"code":"overloaded","ran":"not run"}`)
 		return
 	}
+	if v.fault == "field" {
+		ctx.Response.Header.Set("X Zz", "odd")
+	}
 	conn := ctx.Conn()
 	ctx.SetBodyStreamWriter(func(w *bufio.Writer) {
 		for i := from + 1; i <= n; i++ {
@@ -84,6 +87,7 @@
 		{"skip", Broken, false, "do not follow", 0},
 		{"twice", Broken, false, "do not follow", 0},
 		{"open", Broken, false, "", 2},
+		{"field", Broken, false, "", 0},
 	}
 	for _, test := range tests {
 		ln, err := ledger.Listen("127.0.0.1:0")
