caller: a request with a blank in the name of a field is refused

Callers' requests with such a field, "X Zz: odd" or "Ten ant: w", were passed on to a replica as they came. A blank before the colon, control bytes and other characters got 400 already.

Cause: that of the malformed heads of answers, in the other direction: fasthttp takes a blank inside the name of a field of a request.

Change: the bytes of the head, as fasthttp keeps them, go through the same check of lines. The caller gets 400 "a header field is malformed"; nothing has run. Large heads are covered, as they end in the same place.

--- a/io/caller/head.go
+++ b/io/caller/head.go
@@ -15,6 +15,8 @@
 	errLargeHead   = errors.New("the head exceeds its limit")
 	errHeadMemory  = errors.New("no memory is free for the head")
 	errHeadNotKept = errors.New("the beginning of a large head was not kept")
+
+	errMalformedField = errors.New("a header field is malformed")
 )
 
 const (
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -15,6 +15,7 @@
 	"shallotrun/core/catalog"
 	"shallotrun/core/clock"
 	"shallotrun/core/work"
+	"shallotrun/io/conn"
 )
 
 // Input limits.
@@ -102,6 +103,10 @@
 		s.refuse(ctx, unreadRefusal(errLargeHead, false))
 		return
 	}
+	if !conn.ValidFields(ctx.Request.Header.RawHeaders()) { // fasthttp accepts blanks inside a name
+		s.refuse(ctx, unreadRefusal(errMalformedField, false))
+		return
+	}
 	s.Handler(ctx)
 }
 
@@ -141,6 +146,8 @@
 		r.Detail = "no memory is free for the body"
 	case errors.As(err, &small), errors.Is(err, errLargeHead):
 		r.Code, r.Status, r.Detail = work.CodeTooLarge, fasthttp.StatusRequestHeaderFieldsTooLarge, "the headers are too large"
+	case errors.Is(err, errMalformedField):
+		r.Detail = "a header field is malformed"
 	case errors.Is(err, fasthttp.ErrBodyTooLarge):
 		r.Code, r.Status, r.Detail = work.CodeTooLarge, fasthttp.StatusRequestEntityTooLarge, "the body is too large"
 	case errors.As(err, &timeout) && timeout.Timeout():
--- a/io/conn/head.go
+++ b/io/conn/head.go
@@ -94,6 +94,13 @@
 	return false
 }
 
+// ValidFields reports whether each line of the fields of a head begins with a valid name and a colon, or continues the line before it.
+func ValidFields(raw []byte) bool {
+	check := headCheck{inFields: true}
+	check.add(raw)
+	return check.err == nil
+}
+
 // tokenBytes has the bytes of which the name of a field consists.
 var tokenBytes = func() (out [256]bool) {
 	for c := range out {
