share: the slots of a server that was removed count no more

What callers saw: when a server with a limit took the place of another one in one division (a cold server that replaces a cold one, say), the new server got no requests, in the worst case until its limit ended. With no other server of the service the requests were refused.

Cause: the owner takes slots back from a holder only if the holder has more than its part. Slots of the removed server still counted as the holder's, so with as many slots as before each holder seemed to have its part, and got none of the new server.

Change: slots of servers that are gone are taken back first, like those that a server has lost. What a holder may still use stays in maxHeld as before. shrink does no more of that.

Measured: found by a trace of real VMs, in which the VM at the top had seven slots for the new replica and granted none of them for 5 s. TestSlotsOfServerThatReplacesAnother failed before in four of its five rows (the row with fewer slots held), and passes. core/share with -race three times, TestGrantsNeverExceedSlots with 30,000 cases, FuzzOwnerReport for 20 s and the tests of internal/feed pass.

--- a/core/share/branch_test.go
+++ b/core/share/branch_test.go
@@ -5,6 +5,7 @@
 	"testing"
 
 	"gotest.tools/v3/assert"
+	is "gotest.tools/v3/assert/cmp"
 
 	"shallotrun/core/clock"
 )
@@ -122,3 +123,45 @@
 	poll(1300)
 	assert.DeepEqual(t, h.slots, map[string]int{"s": 1, "t": 4})
 }
+
+// Guards against a server that takes the place of another one with the same slots and whose slots are granted to nobody, because the slots
+// of the removed one still count as those of their holders.
+func TestSlotsOfServerThatReplacesAnother(t *testing.T) {
+	for _, tt := range []struct {
+		name          string
+		before, after map[string]int
+	}{
+		{"the only server", map[string]int{"s": 6}, map[string]int{"t": 6}},
+		{"one of two", map[string]int{"s": 6, "u": 6}, map[string]int{"t": 6, "u": 6}},
+		{"with fewer slots", map[string]int{"s": 6, "u": 9}, map[string]int{"t": 3, "u": 9}},
+		{"with more slots", map[string]int{"s": 6}, map[string]int{"t": 12}},
+		{"two of two", map[string]int{"s": 6, "u": 3}, map[string]int{"t": 3, "v": 6}},
+	} {
+		o := &Owner{Name: "o", Polled: true, Servers: tt.before}
+		holders := []*Holder{{VM: "a"}, {VM: "b"}, {VM: "c"}}
+		now := clock.Time(1000)
+		poll := func(times int) {
+			for range times {
+				now = now.Add(300)
+				for _, h := range holders {
+					g, ok := o.Poll(now, h.Report(now, o.Name, Report{Waiting: [3]int{0, 0, 20}}))
+					assert.Check(t, ok && h.accept(now, g), tt.name)
+				}
+			}
+		}
+		held := func() map[string]int {
+			out := make(map[string]int)
+			for _, h := range holders {
+				for s, n := range h.slots {
+					out[s] += n
+				}
+			}
+			return out
+		}
+		poll(5)
+		assert.Check(t, is.DeepEqual(held(), tt.before), tt.name)
+		o.setServers(tt.after)
+		poll(4)
+		assert.Check(t, is.DeepEqual(held(), tt.after), tt.name)
+	}
+}
--- a/core/share/owner.go
+++ b/core/share/owner.go
@@ -187,7 +187,7 @@
 		h := o.holders[name]
 		h.holdLimit = holdLimit[i]
 		target[i] = h.required(target[i], holdFrom)
-		if (holdFrom > 0 || sum(h.grant) > target[i]+o.surplus()) && h.shrink(target[i], o.Servers) || holdFrom != o.holdFrom && h.hasLowerRanks() {
+		if (holdFrom > 0 || sum(h.grant) > target[i]+o.surplus()) && h.shrink(target[i]) || holdFrom != o.holdFrom && h.hasLowerRanks() {
 			changed[name] = true
 		}
 	}
@@ -291,12 +291,10 @@
 // hasLowerRanks reports whether the holder has waiting requests of the ranks that a hold can stop.
 func (h *holderState) hasLowerRanks() bool { return h.waiting[work.Normal]+h.waiting[work.Batch] > 0 }
 
-// shrink takes back the slots of removed servers, and then others until the target is met, those of the server with the most
-// unused ones first.
-func (h *holderState) shrink(target int, servers map[string]int) bool {
+// shrink takes back slots until the target is met, those of the server with the most unused ones first.
+func (h *holderState) shrink(target int) bool {
 	before := h.grant
 	h.grant = maps.Clone(before)
-	maps.DeleteFunc(h.grant, func(s string, _ int) bool { return servers[s] == 0 })
 	for n := sum(h.grant); n > target; n-- {
 		best := ""
 		for _, s := range slices.Sorted(maps.Keys(h.grant)) {
--- a/core/share/polled.go
+++ b/core/share/polled.go
@@ -97,15 +97,24 @@
 	return 1
 }
 
-// takeBackExcess takes back slots of each server of which more are granted than it has now, from the last holders first.
+// takeBackExcess takes back slots of each server of which more are granted than it has now, from the last holders first, and all
+// slots of a server that was removed: they would count as slots that their holders have, and keep these from getting others.
 func (o *Owner) takeBackExcess(names []string, changed map[string]bool) {
-	for s, n := range o.Servers {
+	servers := make(map[string]int)
+	for _, h := range o.holders {
+		for s := range h.grant {
+			servers[s] = o.Servers[s]
+		}
+	}
+	for s, n := range servers {
 		for _, name := range names {
 			h := o.holders[name]
 			if keep := min(h.grant[s], max(n, 0)); keep < h.grant[s] {
 				h.maxHeld = maxPerServer(h.maxHeld, h.grant)
 				h.grant = maps.Clone(h.grant)
-				h.grant[s] = keep
+				if h.grant[s] = keep; keep == 0 {
+					delete(h.grant, s)
+				}
 				changed[name] = true
 			}
 			n -= h.grant[s]
