--- a/review/standin-3/case12_test.go
+++ b/review/standin-3/case12_test.go
@@ -51,7 +51,7 @@
 			model = models[i%len(models)]
 		}
 		q := prompt("/sized/2f", "own-"+newID(), fmt.Sprint("review ", i))
-		q.headers["Model"] = model
+		q.headers["Model"], q.headers["Token-Counts"] = model, "11992,384"
 		got := send(client(machines[i%3].front), q)
 		r.note("request %s: client sends Model %q, gets %v", q.id, model, got)
 		mu.Lock()
