gateway: a named model is not replaced on a route that chooses

Cause: chooseModel asks only whether the route lists models and overwrites the caller's value. Ruled out: a value lost while the request is read (routes without models pass it on), escalation (the first attempt is wrong).

Change: admit refuses any value but * (blanks around it are allowed) with 421, code model-not-allowed, before the first attempt; 503 with a time to retry while the configuration may be out of date. Routes without models pass the value on as it came.

Requests of the tests on such routes sent no model and now send *.

--- a/core/work/refusal.go
+++ b/core/work/refusal.go
@@ -23,6 +23,7 @@
 	CodeBadRequest       = "bad-request"
 	CodeTooLarge         = "too-large"
 	CodeModelUnknown     = "model-unknown"
+	CodeModelNotAllowed  = "model-not-allowed"
 	CodeNotAllowed       = "not-allowed"
 	CodeRankNotAllowed   = "rank-not-allowed"
 	CodeVersionWithdrawn = "version-withdrawn"
--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -277,6 +277,13 @@
 	})
 }
 
+// testTableWithoutKeys is testTable without workspaces, so requests need no key.
+func testTableWithoutKeys() *catalog.Table {
+	cfg := testTable(7).Config
+	cfg.Workspaces = nil
+	return catalog.NewTable(cfg)
+}
+
 func startGateway(t *testing.T, b *fakeBackend) (*Gateway, *fakeState) {
 	return startGatewayAt(t, b, clock.Clock{})
 }
@@ -300,7 +307,7 @@
 
 func newRequest(path string) *Request {
 	return &Request{
-		ID: "r1", Method: "POST", URI: path, Host: testHost, Key: "k", LastEventID: NoEvent, PromptTokens: 100, MaxTokens: 100,
+		ID: "r1", Method: "POST", URI: path, Host: testHost, Key: "k", LastEventID: NoEvent, Model: ChooseModel, PromptTokens: 100, MaxTokens: 100,
 	}
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -209,6 +209,9 @@
 	if refusal := x.authenticate(t, fresh); refusal != nil {
 		return refusal
 	}
+	if len(x.route.Models) > 0 && !r.leavesModelOpen() {
+		return refuseFinally(fresh, work.CodeModelNotAllowed, 421, "the model is chosen by the router on this route; only "+ChooseModel+" may be named")
+	}
 	service, ok := x.route.Choose(rand.Float64())
 	if !ok {
 		return refuse(work.CodeNoServer, 503, clock.Second, "the route leads to no service")
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -1,10 +1,18 @@
 package gateway
 
 import (
+	"strings"
+
 	"shallotrun/core/catalog"
 	"shallotrun/core/models"
 )
 
+// ChooseModel is the model of a request that leaves the choice to the gateway.
+const ChooseModel = "*"
+
+// leavesModelOpen reports whether the caller leaves the choice of the model to the gateway.
+func (r *Request) leavesModelOpen() bool { return strings.TrimSpace(r.Model) == ChooseModel }
+
 // expectedOutputFraction is the expected length of an answer, as a fraction of its token limit, if the caller gives no estimate.
 const expectedOutputFraction = 0.3
 
--- a/internal/gateway/types.go
+++ b/internal/gateway/types.go
@@ -30,7 +30,7 @@
 	Key            string     // "" for none
 	Trace          string     // traceparent, "" for none
 	Timeout        clock.Span // the caller's timeout, 0 if it gives none
-	Model          string     // "" for none
+	Model          string     // "" for none, ChooseModel if the gateway chooses
 	PromptTokens   int
 	MaxTokens      int          // token limit of the answer
 	ExpectedTokens int          // the caller's estimate of the answer's tokens, 0 for none
