gateway: a key on a route that needs none counts while it cannot be proved

Cause: authenticate served a request without its workspace when the configuration was not fresh, whether it had a key or not. Ruled out: keys that are forgotten (other routes answer 503, not 401), a header that is lost (requests with a fresh configuration have it).

Change: with a key the request gets 503 at once, not run, with a time to retry, as on other routes; also with an unknown key, which a newer configuration may have. Requests without a key are served as before.

Failed before: TestKeysOnPublicRoute, rows "known, stale" and "unknown, stale".

--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -267,11 +267,13 @@
 	once.Models = sized.Models
 	unsafeSized := route("issue", catalog.Unsafe, 3)
 	unsafeSized.Models = sized.Models
+	public := resumable
+	public.Name, public.Prefix, public.Public = "public", "/public/", true
 	return catalog.NewTable(catalog.Config{
 		Version: version, Workspaces: []catalog.Workspace{{Name: "w", Keys: keys, Rank: catalog.NoRank}},
 		Routes: []catalog.Route{
 			route("safe", catalog.Safe, 2), route("unsafe", catalog.Unsafe, 3), route("stream", catalog.Streaming, 3), resumable, sized,
-			once, unsafeSized,
+			once, unsafeSized, public,
 		},
 		Services: []catalog.Service{{Name: "s", Engine: &catalog.Engine{Models: []catalog.Model{{Name: "small", Cost: 0.1}, {Name: "large", Cost: 9}}}}},
 	})
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -247,21 +247,20 @@
 	}
 }
 
-// authenticate finds the workspace of the request's key and sets the rank of the request.
+// authenticate finds the workspace of the request's key and sets the rank of the request. A route that needs no key serves requests
+// without one. A key that is sent counts there as well: the request must not run without the workspace that holds its key.
 func (x *exchange) authenticate(t *catalog.Table, fresh bool) *work.Refusal {
-	if !t.RequiresKeys() {
+	if !t.RequiresKeys() || x.route.Public && x.request.Key == "" {
 		return nil
 	}
 	w := t.Workspace(x.request.Key)
 	switch {
+	case !fresh && (w != nil || x.route.Public):
+		return refuse(work.CodeStale, 503, clock.Second, "whether the key is still valid cannot be proved now")
 	case w == nil && x.route.Public:
 		return nil
 	case w == nil:
 		return refuseFinally(fresh, work.CodeKeyUnknown, 401, "the key is not known")
-	case !fresh && !x.route.Public:
-		return refuse(work.CodeStale, 503, clock.Second, "whether the key is still valid cannot be proved now")
-	case !fresh:
-		return nil // on a public route the request is served without its workspace
 	}
 	x.workspace = w
 	if w.Rank != catalog.NoRank {
