gateway: a key that is not known is refused on every route

What callers saw: a key that was taken away went on to work on a route that needs none.

Cause: authenticate took an unknown key for none on such a route. Ruled out: a change that arrives late (other routes answer 401).

Change: 401 with a fresh configuration, 503 with one that may be out of date. Requests without a key are served as before.

Failed before: TestKeysOnPublicRoute, row "unknown" (200 in place of 401).

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -257,8 +257,6 @@
 	switch {
 	case !fresh && (w != nil || x.route.Public):
 		return refuse(work.CodeStale, 503, clock.Second, "whether the key is still valid cannot be proved now")
-	case w == nil && x.route.Public:
-		return nil
 	case w == nil:
 		return refuseFinally(fresh, work.CodeKeyUnknown, 401, "the key is not known")
 	}
--- a/internal/gateway/keys_test.go
+++ b/internal/gateway/keys_test.go
@@ -22,6 +22,7 @@
 		{"known", "k", false, 200, "w"},
 		{"known, stale", "k", true, 503, ""},
 		{"unknown, stale", "x", true, 503, ""},
+		{"unknown", "x", false, 401, ""},
 	} {
 		b := &fakeBackend{script: []step{{events: 2}}}
 		g, s := startGateway(t, b)
