gateway: a key that moved to another workspace ends its request

What callers saw: a stream that broke after its key had moved was resumed at another server for the former workspace.

Cause: keyFault asked only whether the key is held, not by whom. Ruled out: a check with the old configuration (a key that was taken away ended the stream already).

Change: the workspace that holds the key must be the one for which the request was admitted.

Failed before: TestKeyMovedBetweenAttempts, its first two rows, on a route with keys and on one that needs none.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -215,16 +215,21 @@
 	return nil
 }
 
-// keyFault returns why the request's key does not allow another attempt now, "" if it does. A key can be revoked during a
-// request.
+// keyFault returns why the request's key does not allow another attempt now, "" if it does. A key can be revoked, or move to another
+// workspace, during a request.
 func (x *exchange) keyFault() string {
-	switch {
-	case x.workspace == nil:
+	if x.workspace == nil {
 		return ""
-	case !x.g.State.Fresh():
+	}
+	if !x.g.State.Fresh() {
 		return "whether the key is still valid cannot be proved now"
-	case x.g.State.Table().Workspace(x.request.Key) == nil:
+	}
+	w := x.g.State.Table().Workspace(x.request.Key)
+	switch {
+	case w == nil:
 		return "the key was taken away"
+	case w.Name != x.workspace.Name:
+		return "the key has moved to another workspace"
 	}
 	return ""
 }
--- a/internal/gateway/keys_test.go
+++ b/internal/gateway/keys_test.go
@@ -5,6 +5,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"shallotrun/core/catalog"
 	"shallotrun/core/work"
 )
 
@@ -49,3 +50,34 @@
 		b.mu.Unlock()
 	}
 }
+
+// Guards against a stream that goes on at another server for the former workspace of a key, after the key has moved to another one.
+func TestKeyMovedBetweenAttempts(t *testing.T) {
+	for _, c := range []struct {
+		name       string
+		workspaces []catalog.Workspace
+		goesOn     bool
+	}{
+		{"it moved", []catalog.Workspace{{Name: "w", Keys: []string{"other"}}, {Name: "v", Keys: []string{"k"}}}, false},
+		{"its workspace has another name", []catalog.Workspace{{Name: "v", Keys: []string{"k"}}}, false},
+		{"another one got a key", []catalog.Workspace{{Name: "w", Keys: []string{"k"}}, {Name: "v", Keys: []string{"other"}}}, true},
+	} {
+		for _, path := range []string{"/resumable/1", "/public/1"} {
+			b := &fakeBackend{script: []step{{events: 1, broken: true}, {events: 5}}}
+			g, s := startGateway(t, b)
+			a := g.Serve(newRequest(path))
+			cfg := testTable(8).Config
+			cfg.Workspaces = c.workspaces
+			s.table.Store(catalog.NewTable(cfg))
+			got, err := readStream(t, a)
+			if c.goesOn {
+				assert.NilError(t, err, c.name)
+				assert.Equal(t, got, events(0, 5), c.name)
+				continue
+			}
+			assert.Check(t, err != nil, "%s, %s: it ends as complete", c.name, path)
+			assert.Check(t, got == events(0, 1), "%s, %s: %q", c.name, path, got)
+			assert.Check(t, b.sent() == 1, "%s, %s: %d attempts", c.name, path, b.sent())
+		}
+	}
+}
