quarantine: a deadly part is refused at whatever place it stands

Cause: sharedParts looked at the first 16 parts, a bound on what one caller can make VMs keep and tell each other. Where requests share a conversation these are the parts that answers clear. Ruled out: a part that is cleared (sound requests lack it), crashes before the head (they count).

Change: further shared parts are kept as hashes, of which a crash holds those that nothing has cleared. All crashes together have at most 8,192; parts that were answered are dropped first, never by place. VMs of earlier builds read the same messages without them. Nothing is hashed while no crash is remembered.

The fleets of core/quarantine send long prompts too, with the checks that they had.

--- a/core/quarantine/doc.go
+++ b/core/quarantine/doc.go
@@ -2,7 +2,8 @@
 // refused because of it.
 //
 // A [Ledger] holds the crashes that the VMs of a fleet saw: the process of a server ended as it began the answer to a request, or
-// before. Each crash names the shared parts of that request's prompt, and the request itself as one more part ([WholeRequest]). A
+// before. Each crash names the first shared parts of that request's prompt, and the request itself as one more part ([WholeRequest]), and
+// has the hashes of the further shared parts ([Tail]) that nothing has cleared: any of them may be to blame, however many there are. A
 // part is cleared of a crash when a later answer to any request with it is started, on any VM. Of the parts that enough crashes have in
 // common and that nothing has cleared, the most likely one is quarantined: requests with it are refused. A part that was never answered
 // comes before one that was, then the one at which most servers ended, then the one that fewer requests have. Parts that have occurred
@@ -16,7 +17,7 @@
 // again. So that a wrong quarantine ends, a few requests are sent in spite of it (see trial.go).
 //
 // Ledgers are merged by [Message]s between a VM and the one that it follows. Only changes are sent. Records are merged by
-// maximum and union, so the order and number of merges does not matter. Times are sent as ages.
+// maximum and union, and hashes that are not cleared by intersection, so the order and number of merges does not matter. Times are sent as ages.
 //
 // The package uses no clock, lock or network. Its types are not safe for concurrent use.
 package quarantine
--- a/core/quarantine/exchange.go
+++ b/core/quarantine/exchange.go
@@ -1,6 +1,8 @@
 package quarantine
 
 import (
+	"slices"
+
 	"shallotrun/core/clock"
 	"shallotrun/core/delta"
 )
@@ -41,38 +43,55 @@
 		if len(p.Parts) > maxParts || p.Age < 0 {
 			continue
 		}
+		if len(p.Rest) > maxRest || !slices.IsSorted(p.Rest) {
+			p.Rest = nil
+		}
 		refusal := now.Add(-min(max(p.SinceRefusal, 0), p.Age))
 		r := l.find(p.Crash)
 		if r == nil {
 			r = &record{Crash: p.Crash, at: now.Add(-p.Age), lastRefusal: refusal, cleared: p.Cleared, source: m.Ledger}
 			if r.active(now) {
 				l.add(now, r)
-				l.clearStarted(r)
 			}
 			continue
 		}
-		trial := p.Trial && !r.Trial // a VM of an earlier build passes crashes on without it
-		if !trial && p.Cleared&^r.cleared == 0 && refusal.Sub(r.lastRefusal) < refusalStep {
+		trial := p.Trial && !r.Trial              // a VM of an earlier build passes crashes on without it
+		learned := p.Rest != nil && r.Rest == nil // and without this
+		rest := r.Rest
+		switch {
+		case learned:
+			rest = p.Rest
+		case p.Rest != nil:
+			rest = common(r.Rest, p.Rest)
+		}
+		if !trial && !learned && len(rest) == len(r.Rest) && p.Cleared&^r.cleared == 0 && refusal.Sub(r.lastRefusal) < refusalStep {
 			continue
 		}
 		source := m.Ledger
-		if r.cleared&^p.Cleared != 0 || r.lastRefusal.Sub(refusal) >= refusalStep {
+		if r.cleared&^p.Cleared != 0 || r.lastRefusal.Sub(refusal) >= refusalStep || len(rest) < len(p.Rest) || p.Rest == nil && rest != nil {
 			source = 0 // the sender lacks what this ledger had
 		}
 		r.Trial = r.Trial || p.Trial
 		r.cleared |= p.Cleared
+		r.Rest = rest
 		r.lastRefusal = max(r.lastRefusal, refusal)
 		l.changed(r, source)
+		if learned {
+			l.started.learn(r.Service, r.Rest)
+			l.clearStarted(r)
+			l.limitRest()
+		}
 	}
 }
 
 // clearStarted clears the parts of a crash with which this VM started an answer after it.
 func (l *Ledger) clearStarted(r *record) {
-	var parts []string
-	for _, p := range r.Parts {
-		if at, ok := l.started.get(r.Service, p); ok && at > r.at {
-			parts = append(parts, p)
+	var parts []uint64
+	for _, h := range slices.Concat(r.hashes, r.Rest) {
+		if at, ok := l.started.get(r.Service, h); ok && at > r.at {
+			parts = append(parts, h)
 		}
 	}
+	slices.Sort(parts)
 	l.clear(r, parts)
 }
--- a/core/quarantine/exchange_test.go
+++ b/core/quarantine/exchange_test.go
@@ -94,7 +94,8 @@
 			now = now.Add(clock.Span(rapid.IntRange(1, 400).Draw(t, "pause")))
 			i := rapid.IntRange(0, n-1).Draw(t, "vm")
 			parts := []string{fmt.Sprint("p", rapid.IntRange(0, 2).Draw(t, "part")), fmt.Sprint("q", rapid.IntRange(0, 2).Draw(t, "second"))}
-			switch rapid.IntRange(0, 4).Draw(t, "what") {
+			long := append(numbered("f", named), parts...) // the drawn parts are in the tail
+			switch rapid.IntRange(0, 6).Draw(t, "what") {
 			case 0, 1:
 				all[i].apply(crash(now, step, "w", uint64(step), parts...))
 			case 2:
@@ -102,6 +103,10 @@
 			case 3:
 				all[i].refused(now, "w", parts...)
 			case 4:
+				all[i].crashUnder(now, step, uint64(step), long...)
+			case 5:
+				all[i].startUnder(now, long...)
+			case 6:
 				if i > 0 {
 					q := all[i].Query(now)
 					r := all[i/2].Reply(now, q)
@@ -130,7 +135,7 @@
 func state(l *Ledger) map[string]string {
 	out := make(map[string]string)
 	for _, r := range l.records {
-		out[fmt.Sprint(r.Server, r.Prompt)] = fmt.Sprint(r.Parts, r.cleared, r.at)
+		out[fmt.Sprint(r.Server, r.Prompt)] = fmt.Sprint(r.Parts, r.cleared, r.at, r.Rest)
 	}
 	return out
 }
--- a/core/quarantine/flood_test.go
+++ b/core/quarantine/flood_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -22,16 +23,16 @@
 	return []string{"first", fmt.Sprint("sound-", f.rnd.IntN(floodParts))}
 }
 
-// runFlood lets a fleet serve many requests, of which some are deadly from 5 s on. At the times in power a fifth of the servers ends at once.
-func runFlood(seed uint64, end clock.Time, power ...clock.Time) *trialFleet {
+// runFlood lets a fleet serve many requests, of which some are deadly from 5 s on. All prompts begin with the parts in before. At the times in power a fifth of the servers ends at once.
+func runFlood(seed uint64, before []string, end clock.Time, power ...clock.Time) *trialFleet {
 	f := newTrialFleet(seed, floodVMs)
 	f.backAt, f.born = make([]clock.Time, floodServers), make([]int, floodServers)
 	for now := clock.Time(0); now < end; now = now.Add(trialTick) {
 		for range floodPerTick {
-			f.sendParts(now, false, f.floodParts())
+			f.sendParts(now, false, slices.Concat(before, f.floodParts()))
 		}
 		if now >= 5000 && int64(now)%200 == 0 {
-			f.sendParts(now, true, []string{"first", "deadly"})
+			f.sendParts(now, true, slices.Concat(before, []string{"first", "deadly"}))
 		}
 		for _, at := range power {
 			if now != at {
@@ -50,15 +51,19 @@
 // accuse it, and against sound requests that are refused.
 func TestDeadlyPartAmongManyWaitingRequests(t *testing.T) {
 	for _, c := range []struct {
-		name  string
-		power []clock.Time
+		name   string
+		before int // parts
+		power  []clock.Time
 	}{
-		{"the deadly part alone", nil},
-		{"many servers end as it begins", []clock.Time{5000}},
-		{"many servers end while it is refused", []clock.Time{10_000, 14_000, 18_000}},
+		{"the deadly part alone", 0, nil},
+		{"many servers end as it begins", 0, []clock.Time{5000}},
+		{"many servers end while it is refused", 0, []clock.Time{10_000, 14_000, 18_000}},
+		{"behind many parts", 60, nil},
+		{"behind many parts, many servers end as it begins", 60, []clock.Time{5000}},
+		{"behind many parts, many servers end while it is refused", 60, []clock.Time{10_000, 14_000, 18_000}},
 	} {
 		for seed := range uint64(floodSeeds) {
-			f := runFlood(seed, 25_000, c.power...)
+			f := runFlood(seed, numbered("before", c.before), 25_000, c.power...)
 			assert.Assert(t, len(f.crashes) >= 3, c.name)
 			fifth := f.crashes[min(len(f.crashes), 5)-1]
 			late := countFrom(f.deadlySent, fifth.Add(3000))
--- a/core/quarantine/ledger.go
+++ b/core/quarantine/ledger.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"cmp"
 	"math"
 	"math/bits"
 	"slices"
@@ -12,8 +13,12 @@
 const (
 	// maxRecords is the number of crashes that are kept.
 	maxRecords = 96
-	// maxParts is the number of parts of a request that are kept: the shared parts of its prompt, and the one for the whole request.
+	// maxParts is the number of parts of a request that are kept by name: shared parts of its prompt, and the one for the whole request.
+	// VMs of earlier builds reject crashes with more.
 	maxParts = 17
+	// maxRest is the number of hashes of further parts that all crashes have together. Beyond it, parts that are known to be sound are
+	// dropped first (see limitRest).
+	maxRest = 8192
 	// quietTime is how long a quarantine stays in force after the last crash, or the last request that was refused because of it.
 	quietTime = clock.Minute
 	// maxAge is the age at which a crash counts no more, even if such requests still come: the servers may have been mended.
@@ -31,7 +36,7 @@
 type Ledger struct {
 	records []*record
 	started startTimes
-	tried   map[string]clock.Time // last trial of this VM, by service and parts of the rule
+	tried   map[string]clock.Time // last trial of this VM, by Rule.ID
 	log     delta.Log
 
 	rules      []Rule
@@ -45,6 +50,7 @@
 // record is one crash with what is known about it since.
 type record struct {
 	Crash
+	hashes      []uint64 // of Parts
 	at          clock.Time
 	lastRefusal clock.Time // time of the crash, or when a request was last refused because of it
 	cleared     uint64     // bit i is set if an answer to a request with Parts[i] was started after the crash
@@ -60,29 +66,39 @@
 	if l.find(c) != nil {
 		return
 	}
+	if c.Rest == nil {
+		c.Rest = []uint64{}
+	}
 	r := &record{Crash: c, at: at, lastRefusal: at, own: true}
 	l.add(at, r)
-	l.clearStarted(r)
 }
 
 // RecordStart records that the answer to a request with these shared parts was started. It clears the parts of earlier crashes.
-func (l *Ledger) RecordStart(now clock.Time, service string, parts []string) {
+func (l *Ledger) RecordStart(now clock.Time, service string, parts []string, tail *Tail) {
 	for _, p := range parts {
-		l.started.put(now, service, p)
+		l.started.put(now, service, HashPart(p))
 	}
+	l.started.putTail(now, service, tail)
+	var all []uint64 // hashes of all parts, once they are needed
 	for _, r := range l.records {
-		if r.Service == service && r.at < now {
-			l.clear(r, parts)
+		if r.Service != service || r.at >= now || !r.accusesAny() {
+			continue
 		}
+		if all == nil {
+			all = hashAll(parts, tail)
+		}
+		for _, h := range slices.Concat(r.hashes, r.Rest) {
+			if contains(all, h) {
+				l.started.put(now, service, h)
+			}
+		}
+		l.clear(r, all)
 	}
 }
 
 // Proven reports whether an answer with each of the parts was started on this VM a short time ago, so none of them ends servers.
-func (l *Ledger) Proven(now clock.Time, service string, parts []string) bool {
-	return !slices.ContainsFunc(parts, func(p string) bool {
-		at, ok := l.started.get(service, p)
-		return !ok || now.Sub(at) >= startedWindow
-	})
+func (l *Ledger) Proven(now clock.Time, service string, parts []string, tail *Tail) bool {
+	return l.started.startedSince(now.Add(-startedWindow), service, hashAll(parts, tail))
 }
 
 // Check returns why a request must not be sent now, nil if it may be sent. With trial set it is sent to find out whether a rule that
@@ -92,8 +108,9 @@
 		return nil, false
 	}
 	var rules []Rule
+	named := hashNames(q.Parts)
 	for _, rule := range l.Rules(now) {
-		if rule.applies(q) {
+		if rule.applies(&q, named) {
 			rules = append(rules, rule)
 		}
 	}
@@ -105,7 +122,7 @@
 		return nil, true
 	}
 	l.recordRefusal(now, rule.crashes)
-	return &Refusal{Parts: rule.Parts, Servers: rule.Servers, Retry: quietTime}, false
+	return &Refusal{Parts: rule.Parts, Rest: rule.Rest, Servers: rule.Servers, Retry: quietTime}, false
 }
 
 // checkRepeat refuses a prompt that ended a server a moment ago, unless each of its parts is known not to end servers. A request that
@@ -126,12 +143,15 @@
 		return nil
 	}
 	left := last.at.Add(repeatDelay << min(servers-1, maxDoublings)).Sub(now)
-	parts := l.suspects(last)
-	began := !last.NoHead && slices.ContainsFunc(parts, func(p string) bool { return !isWhole(p) })
-	if left <= 0 || len(parts) == 0 || servers < minRepeats && !began {
+	if left <= 0 {
 		return nil
 	}
-	return &Refusal{Parts: parts, Servers: servers, Repeat: true, Retry: left}
+	parts, rest := l.suspects(last)
+	began := !last.NoHead && (len(rest) > 0 || slices.ContainsFunc(parts, func(p string) bool { return !isWhole(p) }))
+	if len(parts)+len(rest) == 0 || servers < minRepeats && !began {
+		return nil
+	}
+	return &Refusal{Parts: parts, Rest: rest, Servers: servers, Repeat: true, Retry: left}
 }
 
 // minRepeats is the number of servers that have to end under a request before it is refused, unless a server began to answer it and a
@@ -155,18 +175,22 @@
 
 // suspects returns the parts of a crash that may have ended the server: those that are not cleared, except parts with which an
 // answer was started just before the crash and that no other crash has.
-func (l *Ledger) suspects(r *record) (out []string) {
+func (l *Ledger) suspects(r *record) (names []string, rest []uint64) {
+	sound := func(h uint64) bool {
+		at, ok := l.started.get(r.Service, h)
+		return ok && r.at.Sub(at) < startedWindow && !slices.ContainsFunc(l.records, func(o *record) bool { return o != r && o.accuses(r.Service, h) })
+	}
 	for i, p := range r.Parts {
-		if r.isCleared(i) {
-			continue
+		if !r.isCleared(i) && !sound(r.hashes[i]) {
+			names = append(names, p)
 		}
-		at, ok := l.started.get(r.Service, p)
-		if ok && r.at.Sub(at) < startedWindow && !slices.ContainsFunc(l.records, func(o *record) bool { return o != r && o.accuses(r.Service, p) }) {
-			continue
+	}
+	for _, h := range r.Rest {
+		if !sound(h) {
+			rest = append(rest, h)
 		}
-		out = append(out, p)
 	}
-	return out
+	return names, rest
 }
 
 // recordRefusal records that a request was refused because of crashes, so that the quarantine stays in force.
@@ -190,8 +214,10 @@
 	return l.records[i]
 }
 
-// add adds a record. It drops records that count no more, and beyond maxRecords the least useful one.
+// add adds a record and clears those of its parts with which this VM has started an answer since the crash. It drops records that count no
+// more, and beyond maxRecords the least useful one.
 func (l *Ledger) add(now clock.Time, r *record) {
+	r.hashes = hashNames(r.Parts)
 	l.records = append(slices.DeleteFunc(l.records, func(r *record) bool { return !r.active(now) }), r)
 	l.changed(r, r.source)
 	if len(l.records) > maxRecords {
@@ -199,6 +225,62 @@
 		l.records = slices.DeleteFunc(l.records, func(r *record) bool { return r == dropped })
 		l.rulesUntil = now // the rules have to be computed again
 	}
+	l.started.learn(r.Service, r.Rest)
+	l.clearStarted(r)
+	l.limitRest()
+}
+
+// limitRest drops hashes of further parts while there are more than maxRest. Parts that this VM has answered go before the others, and those
+// of crashes that are no evidence of a rule in force, at which the request may only have waited, or that have the most parts, go first. A
+// part that is to blame and is dropped is in the next crash again.
+func (l *Ledger) limitRest() {
+	total := 0
+	for _, r := range l.records {
+		total += len(r.Rest)
+	}
+	if total <= maxRest {
+		return
+	}
+	evidence := l.evidence()
+	all := slices.SortedStableFunc(slices.Values(l.records), func(a, b *record) int {
+		return cmp.Or(compareBools(evidence[a], evidence[b]), compareBools(b.NoHead, a.NoHead), cmp.Compare(len(b.Rest), len(a.Rest)))
+	})
+	for _, onlyAnswered := range []bool{true, false} {
+		for _, r := range all {
+			if total <= maxRest {
+				return
+			}
+			left := []uint64{}
+			if onlyAnswered {
+				left = slices.DeleteFunc(slices.Clone(r.Rest), func(h uint64) bool { _, ok := l.started.get(r.Service, h); return ok })
+			}
+			total -= len(r.Rest) - len(left)
+			r.Rest, l.rulesUntil = left, 0 // the rules have to be computed again
+		}
+	}
+}
+
+// compareBools orders false before true.
+func compareBools(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	default:
+		return 1
+	}
+}
+
+// evidence returns the crashes that the rules in force rest on, as they were last computed.
+func (l *Ledger) evidence() map[*record]bool {
+	out := make(map[*record]bool)
+	for _, rule := range l.rules {
+		for _, r := range rule.crashes {
+			out[r] = true
+		}
+	}
+	return out
 }
 
 // leastUseful returns the record to drop: one that accuses nothing any more, then one that is no evidence of a rule in force, then the one
@@ -208,12 +290,7 @@
 	if r := oldest(l.records, func(r *record) bool { return !r.accusesAny() }); r != nil {
 		return r
 	}
-	evidence := make(map[*record]bool)
-	for _, rule := range l.rules {
-		for _, r := range rule.crashes {
-			evidence[r] = true
-		}
-	}
+	evidence := l.evidence()
 	if r := oldest(l.records, func(r *record) bool { return !evidence[r] }); r != nil {
 		return r
 	}
@@ -230,15 +307,16 @@
 	return found
 }
 
-// clear clears those of the parts that a crash has.
-func (l *Ledger) clear(r *record, parts []string) {
-	before := r.cleared
-	for i, p := range r.Parts {
-		if slices.Contains(parts, p) {
-			r.cleared |= 1 << i
+// clear clears those of the parts, which are sorted hashes, that a crash has.
+func (l *Ledger) clear(r *record, parts []uint64) {
+	cleared, rest := r.cleared, without(r.Rest, parts)
+	for i, h := range r.hashes {
+		if contains(parts, h) {
+			cleared |= 1 << i
 		}
 	}
-	if r.cleared != before {
+	if cleared != r.cleared || len(rest) < len(r.Rest) {
+		r.cleared, r.Rest = cleared, rest
 		l.changed(r, 0)
 	}
 }
@@ -262,12 +340,17 @@
 func (r *record) isCleared(i int) bool { return r.cleared&(1<<i) != 0 }
 
 // accusesAny reports whether any part of a crash is not cleared.
-func (r *record) accusesAny() bool { return bits.OnesCount64(r.cleared) < len(r.Parts) }
+func (r *record) accusesAny() bool {
+	return bits.OnesCount64(r.cleared) < len(r.Parts) || len(r.Rest) > 0
+}
 
 // accuses reports whether a crash has a part that is not cleared.
-func (r *record) accuses(service, part string) bool {
-	i := slices.Index(r.Parts, part)
-	return r.Service == service && i >= 0 && !r.isCleared(i)
+func (r *record) accuses(service string, part uint64) bool {
+	if r.Service != service {
+		return false
+	}
+	i := slices.Index(r.hashes, part)
+	return i >= 0 && !r.isCleared(i) || contains(r.Rest, part)
 }
 
 // noTime is later than any other time.
--- a/core/quarantine/quarantine_test.go
+++ b/core/quarantine/quarantine_test.go
@@ -35,7 +35,7 @@
 
 func (l *Ledger) apply(e event) {
 	if e.server == "" {
-		l.RecordStart(e.at, "s", e.parts)
+		l.RecordStart(e.at, "s", e.parts, nil)
 		return
 	}
 	l.RecordCrash(e.at, Crash{Service: "s", Server: e.server, Workspace: e.workspace, Prompt: e.prompt, Parts: e.parts})
@@ -138,7 +138,7 @@
 			assert.Assert(t, l.refused(last.Add(s), "w", "a", "d"), c.name)
 		}
 		for _, s := range c.starts {
-			l.RecordStart(last.Add(s), "s", []string{"d"})
+			l.RecordStart(last.Add(s), "s", []string{"d"}, nil)
 		}
 		assert.Equal(t, l.refused(last.Add(c.at), "w", "a", "d"), c.want, c.name)
 	}
--- a/core/quarantine/rules.go
+++ b/core/quarantine/rules.go
@@ -2,8 +2,12 @@
 
 import (
 	"cmp"
+	"encoding/binary"
+	"fmt"
 	"slices"
 
+	"github.com/cespare/xxhash/v2"
+
 	"shallotrun/core/clock"
 )
 
@@ -51,10 +55,11 @@
 
 // suspect is a part of a service's prompts with the crashes of which it is not cleared.
 type suspect struct {
-	service, part string
-	crashes       []*record
-	servers       int
-	answered      bool // this VM started an answer to a request with the part, or the part stands for a whole request
+	startKey
+	name     string // "" if it is not known
+	crashes  []*record
+	servers  int
+	answered bool // this VM started an answer to a request with the part, or the part stands for a whole request
 }
 
 // findRule returns the quarantine of the first sufficient suspect, with the parts that are in exactly the same crashes.
@@ -65,13 +70,21 @@
 		return Rule{}, false
 	}
 	first := all[i]
-	rule := Rule{Service: first.service, Servers: first.servers, crashes: first.crashes, answered: first.answered && !isWhole(first.part)}
+	rule := Rule{Service: first.service, Servers: first.servers, crashes: first.crashes, answered: first.answered && !isWhole(first.name)}
 	for _, s := range all {
-		if s.service == first.service && slices.Equal(s.crashes, first.crashes) {
-			rule.Parts = append(rule.Parts, s.part)
+		if s.service != first.service || !slices.Equal(s.crashes, first.crashes) {
+			continue
+		}
+		rule.hashes = append(rule.hashes, s.part)
+		if s.name == "" {
+			rule.Rest = append(rule.Rest, s.part)
+		} else {
+			rule.Parts = append(rule.Parts, s.name)
 		}
 	}
 	slices.Sort(rule.Parts)
+	slices.Sort(rule.Rest)
+	slices.Sort(rule.hashes)
 	if n := accusing(first.crashes); len(n) == 1 {
 		rule.Workspaces = n
 	}
@@ -93,25 +106,40 @@
 // of as many servers the one in fewer crashes comes first: a part that all requests have is in all crashes, and fewer callers suffer if
 // a rare part is refused by mistake. The part to blame ends further servers then, which brings it to the front.
 func (l *Ledger) findSuspects(crashes []*record) (out []suspect) {
-	index := make(map[[2]string]int)
+	index := make(map[startKey]int)
+	add := func(r *record, h uint64, name string) {
+		key := startKey{r.Service, h}
+		n, ok := index[key]
+		if !ok {
+			n = len(out)
+			index[key] = n
+			out = append(out, suspect{startKey: key})
+		}
+		s := &out[n]
+		if s.name == "" {
+			s.name = name
+		}
+		if len(s.crashes) == 0 || s.crashes[len(s.crashes)-1] != r {
+			s.crashes = append(s.crashes, r)
+		}
+	}
 	for _, r := range crashes {
 		for i, p := range r.Parts {
-			if r.isCleared(i) || slices.Contains(r.Parts[:i], p) {
-				continue
+			if !r.isCleared(i) {
+				add(r, r.hashes[i], p)
 			}
-			key := [2]string{r.Service, p}
-			n, ok := index[key]
-			if !ok {
-				n = len(out)
-				index[key] = n
-				_, answered := l.started.get(r.Service, p)
-				out = append(out, suspect{service: r.Service, part: p, answered: answered || isWhole(p)})
-			}
-			out[n].crashes = append(out[n].crashes, r)
+		}
+		for _, h := range r.Rest {
+			add(r, h, "")
 		}
 	}
+	// A prompt can have hundreds of parts, most of which are in few crashes.
+	out = slices.DeleteFunc(out, func(s suspect) bool { return len(s.crashes) < minServers })
 	for i := range out {
-		out[i].servers = len(distinct(out[i].crashes, func(r *record) string { return r.Server }))
+		s := &out[i]
+		_, answered := l.started.get(s.service, s.part)
+		s.answered = answered || isWhole(s.name)
+		s.servers = len(distinct(s.crashes, func(r *record) string { return r.Server }))
 	}
 	slices.SortFunc(out, compareSuspects)
 	return out
@@ -127,14 +155,14 @@
 	}
 	return cmp.Or(
 		cmp.Compare(b.servers, a.servers), cmp.Compare(len(a.crashes), len(b.crashes)),
-		cmp.Compare(a.service, b.service), cmp.Compare(a.part, b.part),
+		cmp.Compare(a.service, b.service), cmp.Compare(a.name, b.name), cmp.Compare(a.part, b.part),
 	)
 }
 
 // sufficient reports whether the crashes are enough for a quarantine.
 func (s *suspect) sufficient() bool {
 	prompts := distinct(s.crashes, func(r *record) uint64 { return r.Prompt })
-	return s.servers >= minServers && (len(prompts) >= minPrompts || isWhole(s.part)) && moments(s.crashes) >= minMoments
+	return s.servers >= minServers && (len(prompts) >= minPrompts || isWhole(s.name)) && moments(s.crashes) >= minMoments
 }
 
 // moments returns the number of moments, momentGap or more apart, at which the crashes happened.
@@ -164,10 +192,22 @@
 	return slices.Compact(out)
 }
 
-// applies reports whether the rule refuses a request.
-func (r *Rule) applies(q Request) bool {
+// Shown returns what lines and metrics say of the parts: a few texts at the most.
+func (r *Rule) Shown() []string { return Describe(r.Parts, r.Rest, HashName) }
+
+// ID returns a text that is the same for rules with the same service, parts and workspaces.
+func (r *Rule) ID() string {
+	h := xxhash.New()
+	for _, p := range r.hashes {
+		_, _ = h.Write(binary.LittleEndian.AppendUint64(nil, p))
+	}
+	return fmt.Sprint(r.Service, r.Workspaces, h.Sum64())
+}
+
+// applies reports whether the rule refuses a request. named are the hashes of the request's parts that have a name.
+func (r *Rule) applies(q *Request, named []uint64) bool {
 	if r.Service != q.Service || r.Workspaces != nil && !slices.Contains(r.Workspaces, q.Workspace) {
 		return false
 	}
-	return !slices.ContainsFunc(r.Parts, func(p string) bool { return !slices.Contains(q.Parts, p) })
+	return !slices.ContainsFunc(r.hashes, func(h uint64) bool { return !slices.Contains(named, h) && !contains(q.Tail.Hashes(), h) })
 }
--- a/core/quarantine/trial.go
+++ b/core/quarantine/trial.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"slices"
-	"strings"
 
 	"shallotrun/core/clock"
 )
@@ -34,7 +33,7 @@
 		return false
 	}
 	start, ok := rule.turn(now)
-	key := rule.Service + " " + strings.Join(rule.Parts, " ")
+	key := rule.ID()
 	if !ok || l.tried[key] >= start {
 		return false
 	}
--- a/core/quarantine/trial_test.go
+++ b/core/quarantine/trial_test.go
@@ -63,8 +63,10 @@
 			left = append(left, r)
 			continue
 		}
+		first, tail := split(r.parts)
 		f.vms[r.vm].RecordCrash(now, Crash{
-			Service: "s", Server: fmt.Sprint(server, "/", f.born[server]), Workspace: "w", Prompt: r.prompt, Parts: r.parts, Trial: r.trial,
+			Service: "s", Server: fmt.Sprint(server, "/", f.born[server]), Workspace: "w", Prompt: r.prompt, Parts: first, Rest: tail.Hashes(),
+			Trial: r.trial,
 		})
 	}
 	f.waiting = left
@@ -91,7 +93,8 @@
 	if f.backAt[server] > now {
 		return // no server is there
 	}
-	r, trial := f.vms[vm].Check(now, Request{Service: "s", Workspace: "w", Prompt: uint64(f.sent), Parts: parts, MayTry: true})
+	first, tail := split(parts)
+	r, trial := f.vms[vm].Check(now, Request{Service: "s", Workspace: "w", Prompt: uint64(f.sent), Parts: first, Tail: tail, MayTry: true})
 	switch {
 	case r == nil && deadly:
 		f.deadlySent = append(f.deadlySent, now)
@@ -123,7 +126,7 @@
 			i = 0
 			continue
 		case !r.deadly && now >= r.due:
-			f.vms[r.vm].RecordStart(now, "s", r.parts)
+			f.vms[r.vm].startUnder(now, r.parts...)
 			f.started = append(f.started, r.sent)
 			f.waiting = append(f.waiting[:i], f.waiting[i+1:]...)
 			continue
@@ -181,7 +184,7 @@
 			}
 			if known && now < 9000 {
 				for _, l := range f.vms {
-					l.RecordStart(now, "s", []string{"first", "deadly"})
+					l.RecordStart(now, "s", []string{"first", "deadly"}, nil)
 				}
 			}
 			f.step(now)
--- a/core/quarantine/types.go
+++ b/core/quarantine/types.go
@@ -13,9 +13,10 @@
 	Server    string   // incarnation of the server
 	Workspace string   // workspace of the request, "" for none
 	Prompt    uint64   // hash of the whole prompt, or of a request without one
-	Parts     []string // what may be to blame: shared parts of the prompt and the request itself, at most maxParts
+	Parts     []string // what may be to blame: the first shared parts of the prompt and the request itself, at most maxParts
 	Trial     bool     `cbor:",omitempty"` // the request was sent to try whether a rule still holds
 	NoHead    bool     `cbor:",omitempty"` // no head of an answer had arrived, so the request may only have waited at the server
+	Rest      []uint64 // hashes of the further shared parts that are not cleared, sorted; nil if a VM of an earlier build left them out
 }
 
 // wholePrefix begins the name of the part that stands for a whole request.
@@ -32,18 +33,21 @@
 type Request struct {
 	Service   string
 	Workspace string
-	Prompt    uint64 // 0 for none
-	Parts     []string
-	MayTry    bool // the request may be sent to try whether a rule still holds
+	Prompt    uint64   // 0 for none
+	Parts     []string // as those of a Crash
+	Tail      *Tail    // further shared parts of the prompt, nil for none
+	MayTry    bool     // the request may be sent to try whether a rule still holds
 }
 
 // Rule is a quarantine: requests to a service that have all the parts are refused.
 type Rule struct {
 	Service    string
-	Parts      []string
+	Parts      []string // by name, sorted
+	Rest       []uint64 // hashes of further parts, of which no name is known, sorted
 	Workspaces []string // workspaces that it is limited to, nil for all
 	Servers    int      // number of servers that ended
 
+	hashes   []uint64 // of all parts, sorted
 	crashes  []*record
 	answered bool // this VM started answers to requests with the parts before
 }
@@ -51,6 +55,7 @@
 // Refusal is the reason why a request must not be sent now.
 type Refusal struct {
 	Parts   []string   // parts of the rule, or those of the repeated prompt that are not cleared
+	Rest    []uint64   // hashes of further ones, of which no name is known, sorted
 	Servers int        // number of servers that ended
 	Repeat  bool       // the same prompt ended a server a moment ago; no rule is in force
 	Retry   clock.Span // time after which the request may be allowed
@@ -59,7 +64,7 @@
 // Report is one crash in a Message.
 type Report struct {
 	Crash
-	Cleared      uint64     // bit i is set if Parts[i] is cleared
+	Cleared      uint64     // bit i is set if Parts[i] is cleared; cleared parts of Rest are left out
 	Age          clock.Span // since the crash
 	SinceRefusal clock.Span // since the crash, or since a request was last refused because of it
 }
--- a/core/quarantine/whole_test.go
+++ b/core/quarantine/whole_test.go
@@ -77,6 +77,6 @@
 	l.RecordCrash(1100, wholeCrash(1, "deadly"))
 	r := check(l, 1200, wholeRequest("deadly"))
 	assert.Assert(t, r != nil && r.Repeat, "%+v", r)
-	l.RecordStart(1300, "s", []string{WholeRequest("deadly")})
+	l.RecordStart(1300, "s", []string{WholeRequest("deadly")}, nil)
 	assert.Assert(t, check(l, 1400, wholeRequest("deadly")) == nil)
 }
--- a/internal/feed/quarantine.go
+++ b/internal/feed/quarantine.go
@@ -1,7 +1,6 @@
 package feed
 
 import (
-	"fmt"
 	"slices"
 	"sync"
 
@@ -18,7 +17,7 @@
 
 	mu     sync.Mutex
 	ledger quarantine.Ledger
-	logged map[string]quarantine.Rule // rules in force that were logged, by service, parts and workspaces
+	logged map[string]quarantine.Rule // rules in force that were logged, by ID
 }
 
 // Init sets the number that identifies this VM's records to others; it must differ from that of every other process.
@@ -33,18 +32,18 @@
 }
 
 // RecordStart records that the answer to a request with these shared parts was started.
-func (q *Quarantine) RecordStart(now clock.Time, service string, parts []string) {
+func (q *Quarantine) RecordStart(now clock.Time, service string, parts []string, tail *quarantine.Tail) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.ledger.RecordStart(now, service, parts)
+	q.ledger.RecordStart(now, service, parts, tail)
 	q.logRules(now)
 }
 
 // Proven reports whether an answer with each of the parts was started on this VM a short time ago.
-func (q *Quarantine) Proven(now clock.Time, service string, parts []string) bool {
+func (q *Quarantine) Proven(now clock.Time, service string, parts []string, tail *quarantine.Tail) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return q.ledger.Proven(now, service, parts)
+	return q.ledger.Proven(now, service, parts, tail)
 }
 
 // Check returns why a request must not be sent now, nil if it may be sent, and whether it is sent to try whether a rule still holds.
@@ -100,7 +99,7 @@
 	}
 	current := make(map[string]quarantine.Rule, len(rules))
 	for _, r := range rules {
-		key := fmt.Sprint(r.Service, r.Parts, r.Workspaces)
+		key := r.ID()
 		current[key] = r
 		if _, ok := q.logged[key]; !ok {
 			logRule(q.Log.Warn(), r).Msg("quarantine: requests with all these parts end servers and are refused")
@@ -116,5 +115,5 @@
 
 // logRule adds a rule to a line.
 func logRule(l *zerolog.Event, r quarantine.Rule) *zerolog.Event {
-	return l.Str("service", r.Service).Strs("parts", r.Parts).Strs("workspaces", r.Workspaces).Int("servers", r.Servers)
+	return l.Str("service", r.Service).Strs("parts", r.Shown()).Strs("workspaces", r.Workspaces).Int("servers", r.Servers)
 }
--- a/internal/gateway/endcheck.go
+++ b/internal/gateway/endcheck.go
@@ -18,6 +18,8 @@
 	// maxEndChecks is the number of pending checks, and maxCheckedCrashes the number of requests that have one together.
 	maxEndChecks      = 128
 	maxCheckedCrashes = 16
+	// maxPendingRest is the number of hashes of prompts' parts in pending checks. Crashes beyond it are recorded without theirs.
+	maxPendingRest = 65536
 	// portCheckTime is the time after the break of a connection up to which the server's port is asked, entryCheckTime the time up to which
 	// its entry is read, every entryCheckInterval. The port of a process that ends closes soon after its connections. If it belongs to a
 	// supervisor, only the registration of the next process shows the end, some seconds later.
@@ -57,6 +59,7 @@
 type endChecks struct {
 	mu      sync.Mutex
 	pending map[endCheckKey]*endCheck
+	rest    int // number of hashes in the pending checks
 }
 
 // add adds a crash to the pending check of a server. It returns the check if it has just been made, so that the caller starts it, and false
@@ -66,12 +69,16 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	check = e.pending[key]
-	switch {
-	case check != nil && len(check.crashes) < maxCheckedCrashes:
+	if check != nil && len(check.crashes) >= maxCheckedCrashes || check == nil && len(e.pending) >= maxEndChecks {
+		return nil, false
+	}
+	if e.rest+len(c.Rest) > maxPendingRest {
+		c.Rest = nil
+	}
+	e.rest += len(c.Rest)
+	if check != nil {
 		check.crashes = append(check.crashes, c)
 		return nil, true
-	case check != nil, len(e.pending) >= maxEndChecks:
-		return nil, false
 	}
 	if e.pending == nil {
 		e.pending = make(map[endCheckKey]*endCheck)
@@ -86,6 +93,9 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	delete(e.pending, check.endCheckKey)
+	for _, c := range check.crashes {
+		e.rest -= len(c.Rest)
+	}
 	return check.crashes
 }
 
@@ -135,7 +145,7 @@
 // only for a prompt with a part that is not known to be sound, as a check takes a connection.
 func (x *exchange) checkAfterDrop() {
 	c, shared := x.crashNow(), x.sharedParts()
-	if len(shared) == 0 || x.g.State.Proven(c.at, x.service, shared) {
+	if len(shared) == 0 || x.g.State.Proven(c.at, x.service, shared, x.promptTail()) {
 		return
 	}
 	x.g.checkLater(x.server, c, "gateway: server ended after its answer was dropped", []clock.Span{dropCheckDelay})
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -16,6 +16,7 @@
 	"shallotrun/core/clock"
 	"shallotrun/core/models"
 	"shallotrun/core/place"
+	"shallotrun/core/quarantine"
 	"shallotrun/core/work"
 	"shallotrun/io/conn"
 )
@@ -39,35 +40,36 @@
 	deadline   clock.Time // the final answer is due by then
 
 	pool          *pool
-	server        backend.Server // of the current attempt
-	headArrived   bool           // the head of an answer arrived in the current attempt
-	firstArrived  bool           // the first event of a stream, or all of another answer, arrived in the current attempt
-	pendingTokens int            // prompt tokens that the attempt adds to the server, weighted as if for the largest model
-	tokensHeld    int            // tokens that the attempt holds in the server's memory or will hold
-	learning      capacity.Token // of the current attempt, 0 if the capacity is not learned
-	backlog       float64        // mean backlog of the servers when the attempt was placed, in milliseconds
-	usageAge      clock.Span     // age of the other VMs' usage at that time, unknownAge if there was none
-	attemptStart  clock.Time     // start of the current attempt
-	sentAt        clock.Time     // the same by Clock.Boot
-	timeToFirst   clock.Span     // time from attemptStart until firstArrived was set, 0 before
-	events        int            // events received in the current attempt
-	overdue       atomic.Bool    // the current attempt was counted as late before its first answer
-	reported      bool           // the result of the current attempt was reported to the rollout order of the service
-	attempts      int            // all attempts, whatever their outcome
-	usedAttempts  int            // attempts that count against the route's limit
-	failedServers []string       // servers at which an attempt failed
-	notRunServers []string       // those of failedServers that did not run the request
-	exhausted     string         // why no further attempt was made, for the log
-	mayHaveRun    bool           // an attempt may have run
-	fallback      *Buffered      // error answer of a server, sent to the caller if no later attempt succeeds
-	lastEvent     int64          // identifier of the last event that the caller has or that a Stream holds for it
-	passedEvents  int            // events of all attempts that were added to the caller's stream
-	identityHash  uint64         // result of identity, 0 before
-	attemptProven bool           // the current attempt shows that the request does not end servers
-	proven        bool           // an attempt shows it
-	trial         bool           // sent to find out whether servers still end under requests like this one
-	trialBroke    bool           // a connection broke under the trial, so the server may have ended
-	firstCrash    *crashAt       // first server that ended under this request, until it is recorded
+	server        backend.Server   // of the current attempt
+	headArrived   bool             // the head of an answer arrived in the current attempt
+	firstArrived  bool             // the first event of a stream, or all of another answer, arrived in the current attempt
+	pendingTokens int              // prompt tokens that the attempt adds to the server, weighted as if for the largest model
+	tokensHeld    int              // tokens that the attempt holds in the server's memory or will hold
+	learning      capacity.Token   // of the current attempt, 0 if the capacity is not learned
+	backlog       float64          // mean backlog of the servers when the attempt was placed, in milliseconds
+	usageAge      clock.Span       // age of the other VMs' usage at that time, unknownAge if there was none
+	attemptStart  clock.Time       // start of the current attempt
+	sentAt        clock.Time       // the same by Clock.Boot
+	timeToFirst   clock.Span       // time from attemptStart until firstArrived was set, 0 before
+	events        int              // events received in the current attempt
+	overdue       atomic.Bool      // the current attempt was counted as late before its first answer
+	reported      bool             // the result of the current attempt was reported to the rollout order of the service
+	attempts      int              // all attempts, whatever their outcome
+	usedAttempts  int              // attempts that count against the route's limit
+	failedServers []string         // servers at which an attempt failed
+	notRunServers []string         // those of failedServers that did not run the request
+	exhausted     string           // why no further attempt was made, for the log
+	mayHaveRun    bool             // an attempt may have run
+	fallback      *Buffered        // error answer of a server, sent to the caller if no later attempt succeeds
+	lastEvent     int64            // identifier of the last event that the caller has or that a Stream holds for it
+	passedEvents  int              // events of all attempts that were added to the caller's stream
+	identityHash  uint64           // result of identity, 0 before
+	tail          *quarantine.Tail // result of promptTail, nil before
+	attemptProven bool             // the current attempt shows that the request does not end servers
+	proven        bool             // an attempt shows it
+	trial         bool             // sent to find out whether servers still end under requests like this one
+	trialBroke    bool             // a connection broke under the trial, so the server may have ended
+	firstCrash    *crashAt         // first server that ended under this request, until it is recorded
 	abort         conn.Abort
 	largeEvent    *holder     // of the memory of the current event, nil if none is reserved
 	unreadEnded   atomic.Bool // the caller's connection was closed because it reads too slowly
--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -291,6 +291,16 @@
 }
 
 func startGatewayAt(t *testing.T, b *fakeBackend, c clock.Clock) (*Gateway, *fakeState) {
+	g, s := newTestGateway(b, c)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { g.Run(ctx); close(done) }()
+	t.Cleanup(func() { cancel(); <-done })
+	return g, s
+}
+
+// newTestGateway returns a gateway that does not run, so nothing watches its open requests.
+func newTestGateway(b *fakeBackend, c clock.Clock) (*Gateway, *fakeState) {
 	s := &fakeState{clock: c}
 	s.limits.VM, s.limits.Servers = "vm", func(service string) []backend.Server { return s.Servers(0, service) }
 	s.limits.Init(1)
@@ -300,10 +310,6 @@
 	}
 	g := &Gateway{State: s, Backend: b, Clock: c, RetryRatio: 0.5, Worth: 2, Grace: 4 * clock.Second}
 	g.Init()
-	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan struct{})
-	go func() { g.Run(ctx); close(done) }()
-	t.Cleanup(func() { cancel(); <-done })
 	return g, s
 }
 
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -142,7 +142,7 @@
 // Collect sends one value for each rule in force.
 func (c *ruleCollector) Collect(ch chan<- prometheus.Metric) {
 	for _, r := range c.g.State.Rules(c.g.Clock.Now()) {
-		parts := strings.Join(r.Parts, ",")
+		parts := strings.Join(r.Shown(), ",")
 		ch <- prometheus.MustNewConstMetric(ruleDesc, prometheus.GaugeValue, float64(r.Servers), r.Service, parts)
 	}
 }
--- a/internal/gateway/prompt.go
+++ b/internal/gateway/prompt.go
@@ -14,13 +14,13 @@
 )
 
 const (
-	// maxSharedParts is the number of shared parts of a prompt that are considered, and maxPartLength the length of their
-	// identifiers in bytes. Both bound what one caller can make this VM keep, log and tell others.
+	// maxSharedParts is the number of shared parts of a prompt that are kept, logged and told others by their identifiers, and maxPartLength
+	// the length of these in bytes. Further parts are known by their hashes (promptTail).
 	maxSharedParts = 16
 	maxPartLength  = 64
 )
 
-// sharedParts returns the identifiers of the prompt's parts that other requests may share: all but the last one.
+// sharedParts returns the identifiers of the first parts of the prompt that other requests may share, which are all but the last one.
 func (x *exchange) sharedParts() []string {
 	n := min(len(x.request.Parts)-1, maxSharedParts)
 	if n <= 0 {
@@ -33,6 +33,28 @@
 	return out
 }
 
+// promptTail returns the shared parts of the prompt behind those of sharedParts, nil for none.
+func (x *exchange) promptTail() *quarantine.Tail {
+	if n := len(x.request.Parts) - 1; x.tail == nil && n > maxSharedParts {
+		parts := x.request.Parts[maxSharedParts:n]
+		x.tail = quarantine.NewTail(len(parts), func(i int) string { return shorten(parts[i].ID) })
+	}
+	return x.tail
+}
+
+// describeParts returns the names of the parts of a refusal. Those of the tail have them in this request, as they are among its parts, or in
+// an earlier one with the same prompt.
+func (x *exchange) describeParts(r *quarantine.Refusal) string {
+	return strings.Join(quarantine.Describe(r.Parts, r.Rest, func(h uint64) string {
+		for _, p := range x.request.Parts {
+			if id := shorten(p.ID); quarantine.HashPart(id) == h {
+				return id
+			}
+		}
+		return quarantine.HashName(h)
+	}), ", ")
+}
+
 // shorten returns the identifier of a part as valid UTF-8 of at most maxPartLength bytes, as peers reject other text. The end of one
 // that is longer or not valid is replaced by a hash, so that different parts stay different.
 func shorten(id string) string {
@@ -73,7 +95,7 @@
 	x.attemptProven, x.proven = true, true
 	now := x.g.Clock.Now()
 	if parts := x.parts(now); len(parts) > 0 {
-		x.g.State.RecordStart(now, x.service, parts)
+		x.g.State.RecordStart(now, x.service, parts, x.promptTail())
 	}
 }
 
@@ -85,7 +107,8 @@
 		return nil
 	}
 	r, trial := x.g.State.Check(now, quarantine.Request{
-		Service: x.service, Workspace: x.workspaceName(), Prompt: x.promptHash(), Parts: parts, MayTry: x.attempts == 0,
+		Service: x.service, Workspace: x.workspaceName(), Prompt: x.promptHash(), Parts: parts, Tail: x.promptTail(),
+		MayTry: x.attempts == 0,
 	})
 	if trial {
 		x.trial = true
@@ -96,9 +119,9 @@
 		return nil
 	}
 	x.g.metrics.partsRefused.Inc()
-	detail := fmt.Sprintf("backend servers end as they answer requests with %s, %d so far", strings.Join(r.Parts, ", "), r.Servers)
+	detail := fmt.Sprintf("backend servers end as they answer requests with %s, %d so far", x.describeParts(r), r.Servers)
 	if r.Repeat {
-		detail = fmt.Sprintf("a backend server ended as it answered this request, with %s, %d so far", strings.Join(r.Parts, ", "), r.Servers)
+		detail = fmt.Sprintf("a backend server ended as it answered this request, with %s, %d so far", x.describeParts(r), r.Servers)
 	}
 	refusal := x.giveUp(work.CodePartRefused, detail)
 	if refusal.Ran == work.NotRun {
--- /dev/null
+++ b/internal/gateway/prompt_bench_test.go
@@ -0,0 +1,31 @@
+package gateway
+
+import (
+	"fmt"
+	"testing"
+
+	"shallotrun/core/clock"
+)
+
+// BenchmarkPrompt measures a request by the number of its prompt's parts, while no server has ended.
+func BenchmarkPrompt(b *testing.B) {
+	for _, n := range []int{3, 17, 18, 900} {
+		b.Run(fmt.Sprint(n, " parts"), func(b *testing.B) {
+			backend := &fakeBackend{script: []step{{}}}
+			g, s := newTestGateway(backend, clock.NewManual(1000))
+			for i := range s.servers {
+				s.servers[i].Slots = 1000
+			}
+			parts := longPrompt(n-1, 0, "own")
+			b.ReportAllocs()
+			for b.Loop() {
+				r := newRequest("/safe/1")
+				r.Parts = parts
+				if _, ok := g.Serve(r).(Buffered); !ok {
+					b.Fatal("not served")
+				}
+				backend.attempts = backend.attempts[:0]
+			}
+		})
+	}
+}
