quarantine: an answer to a short prompt doesn't walk all parts of crashes

Change: of two sets the smaller one is searched in the larger one, and parts are compared once for the start times and the clearing. The package's tests pass.

--- a/core/quarantine/exchange.go
+++ b/core/quarantine/exchange.go
@@ -62,7 +62,7 @@
 		case learned:
 			r.Body, rest = p.Body, p.Rest
 		case p.Rest != nil:
-			rest = common(r.Rest, p.Rest)
+			rest = without(r.Rest, without(r.Rest, p.Rest)) // never nil, which would mean that it is not known
 		}
 		if !trial && !learned && len(rest) == len(r.Rest) && p.Cleared&^r.cleared == 0 && refusal.Sub(r.lastRefusal) < refusalStep {
 			continue
--- a/core/quarantine/ledger.go
+++ b/core/quarantine/ledger.go
@@ -93,12 +93,17 @@
 		if all == nil {
 			all = c.hashes()
 		}
-		for _, h := range slices.Concat(r.hashes, r.Rest) {
+		hit := common(r.Rest, all)
+		for _, h := range r.hashes {
 			if contains(all, h) {
-				l.started.put(now, service, h)
+				hit = append(hit, h)
 			}
 		}
-		l.clear(r, all)
+		for _, h := range hit {
+			l.started.put(now, service, h)
+		}
+		slices.Sort(hit)
+		l.clear(r, hit)
 	}
 }
 
@@ -242,6 +247,9 @@
 
 // clear clears those of the parts, which are sorted hashes, that a crash has.
 func (l *Ledger) clear(r *record, parts []uint64) {
+	if len(parts) == 0 {
+		return
+	}
 	cleared, rest := r.cleared, without(r.Rest, parts)
 	for i, h := range r.hashes {
 		if contains(parts, h) {
--- a/core/quarantine/parts.go
+++ b/core/quarantine/parts.go
@@ -75,26 +75,34 @@
 
 // without returns the elements of a that b lacks; both are sorted. It returns a itself if b has none of them.
 func without(a, b []uint64) []uint64 {
-	if !intersects(a, b) {
+	drop := common(a, b)
+	if len(drop) == 0 {
 		return a
 	}
-	out := make([]uint64, 0, len(a))
+	out := make([]uint64, 0, len(a)-len(drop))
 	for _, h := range a {
-		for len(b) > 0 && b[0] < h {
-			b = b[1:]
-		}
-		if len(b) == 0 || b[0] != h {
-			out = append(out, h)
+		if len(drop) > 0 && drop[0] == h {
+			drop = drop[1:]
+			continue
 		}
+		out = append(out, h)
 	}
 	return out
 }
 
-// common returns the elements of a that b has too; both are sorted.
-func common(a, b []uint64) []uint64 { return without(a, without(a, b)) }
-
-// intersects reports whether two sorted sets have an element in common.
-func intersects(a, b []uint64) bool {
+// common returns the elements that two sorted sets have in common.
+func common(a, b []uint64) (out []uint64) {
+	if len(a) > len(b) {
+		a, b = b, a
+	}
+	if searchFactor*len(a) < len(b) { // most requests have few parts
+		for _, h := range a {
+			if contains(b, h) {
+				out = append(out, h)
+			}
+		}
+		return out
+	}
 	for len(a) > 0 && len(b) > 0 {
 		switch {
 		case a[0] < b[0]:
@@ -102,12 +110,15 @@
 		case a[0] > b[0]:
 			b = b[1:]
 		default:
-			return true
+			out, a, b = append(out, a[0]), a[1:], b[1:]
 		}
 	}
-	return false
+	return out
 }
 
+// searchFactor is how many times as large a set has to be for a search of each element of the other one to be faster than a merge.
+const searchFactor = 8
+
 // contains reports whether a sorted set has an element.
 func contains(set []uint64, h uint64) bool {
 	_, ok := slices.BinarySearch(set, h)
