quarantine: an answer looks only for parts that a crash still accuses

Cause: with crashes in memory each answer compared its parts with all parts of each crash, cleared ones too, and hashed and sorted all parts of a long prompt.

Change: the hashes that crashes accuse are one sorted set, made anew when the ledger has changed; the parts of an answer are looked up in it, and only its hits in the crashes. The package's tests pass unchanged.

--- a/core/quarantine/ledger.go
+++ b/core/quarantine/ledger.go
@@ -41,6 +41,9 @@
 	rules      []Rule
 	rulesRev   uint64     // revision of the ledger for which rules was computed
 	rulesUntil clock.Time // time at which rules has to be computed again
+
+	accusedParts []uint64 // result of accused
+	accusedRev   uint64   // revision of the ledger for which it was computed
 }
 
 // Init sets the number that identifies the ledger to others: a random one that is not 0.
@@ -85,26 +88,45 @@
 	if c.Body != 0 {
 		l.started.putBody(now, service, c.Body)
 	}
-	var all []uint64 // hashes of all parts, once they are needed
+	hit := c.among(l.accused())
+	if len(hit) == 0 {
+		return
+	}
 	for _, r := range l.records {
-		if r.Service != service || r.at >= now || !r.accusesAny() {
+		if r.Service != service || r.at >= now {
 			continue
 		}
-		if all == nil {
-			all = c.hashes()
-		}
-		hit := common(r.Rest, all)
-		for _, h := range r.hashes {
-			if contains(all, h) {
-				hit = append(hit, h)
+		parts := common(r.Rest, hit)
+		for i, h := range r.hashes {
+			if !r.isCleared(i) && contains(hit, h) {
+				parts = append(parts, h)
 			}
 		}
-		for _, h := range hit {
+		for _, h := range parts {
 			l.started.put(now, service, h)
 		}
-		slices.Sort(hit)
-		l.clear(r, hit)
+		slices.Sort(parts)
+		l.clear(r, parts)
+	}
+}
+
+// accused returns the hashes of all parts that a crash has and that are not cleared, sorted. It may have further ones.
+func (l *Ledger) accused() []uint64 {
+	if l.accusedRev == l.log.Rev {
+		return l.accusedParts
+	}
+	l.accusedParts, l.accusedRev = l.accusedParts[:0], l.log.Rev
+	for _, r := range l.records {
+		l.accusedParts = append(l.accusedParts, r.Rest...)
+		for i, h := range r.hashes {
+			if !r.isCleared(i) {
+				l.accusedParts = append(l.accusedParts, h)
+			}
+		}
 	}
+	slices.Sort(l.accusedParts)
+	l.accusedParts = slices.Compact(l.accusedParts)
+	return l.accusedParts
 }
 
 // Proven reports whether an answer with each of the parts was started on this VM a short time ago, so none of them ends servers.
--- a/core/quarantine/parts.go
+++ b/core/quarantine/parts.go
@@ -73,6 +73,31 @@
 	return slices.Compact(out)
 }
 
+// among returns the hashes of the parts that a sorted set has, sorted. The tail's hashes are not kept for that: few prompts have any in it.
+func (c *Content) among(set []uint64) (out []uint64) {
+	if len(set) == 0 {
+		return nil
+	}
+	add := func(h uint64) {
+		if contains(set, h) {
+			out = append(out, h)
+		}
+	}
+	for _, p := range c.Parts {
+		add(HashPart(p))
+	}
+	if c.Tail != nil {
+		for i := range c.Tail.n {
+			add(HashPart(c.Tail.name(i)))
+		}
+	}
+	if c.Body != 0 {
+		add(c.Body)
+	}
+	slices.Sort(out)
+	return slices.Compact(out)
+}
+
 // without returns the elements of a that b lacks; both are sorted. It returns a itself if b has none of them.
 func without(a, b []uint64) []uint64 {
 	drop := common(a, b)
--- a/internal/gateway/prompt_bench_test.go
+++ b/internal/gateway/prompt_bench_test.go
@@ -5,14 +5,26 @@
 	"testing"
 
 	"shallotrun/core/clock"
+	"shallotrun/core/quarantine"
 )
 
 // BenchmarkPrompt measures a request by the number of its prompt's parts, while no server has ended.
-func BenchmarkPrompt(b *testing.B) {
+func BenchmarkPrompt(b *testing.B) { benchmarkPrompt(b, 0) }
+
+// BenchmarkPromptAfterCrashes is BenchmarkPrompt while crashes are remembered.
+func BenchmarkPromptAfterCrashes(b *testing.B) { benchmarkPrompt(b, 40) }
+
+func benchmarkPrompt(b *testing.B, crashes int) {
 	for _, n := range []int{3, 17, 18, 900} {
 		b.Run(fmt.Sprint(n, " parts"), func(b *testing.B) {
 			backend := &fakeBackend{script: []step{{}}}
 			g, s := newTestGateway(backend, clock.NewManual(1000))
+			for i := range crashes {
+				s.RecordCrash(clock.Time(500+i), quarantine.Crash{
+					Service: "s", Server: fmt.Sprint("ended", i/4), Workspace: "w", Prompt: uint64(i), NoHead: true,
+					Parts: []string{"shared-000", fmt.Sprint("rare-", i), quarantine.WholeRequest(fmt.Sprint(i))},
+				})
+			}
 			for i := range s.servers {
 				s.servers[i].Slots = 1000
 			}
